Lay out the workspace, schemas and design

Add the design page, the message and settings schemas with their generated code, the shared value types, the checked environment document and a thin decision core that admits a request and picks the least busy backend server. The other crates hold their manifests only, so that Cargo.lock names every dependency once.

--- /dev/null
+++ b/crates/oleanderpass/src/main.rs
@@ -0,0 +1,3 @@
+//! Run the command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/oleanderpass_bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Comparison of routing policies over one trace, and decision cost.
--- /dev/null
+++ b/crates/oleanderpass_config/src/error.rs
@@ -0,0 +1,45 @@
+//! Report what is wrong with an environment document.
+
+use std::fmt;
+
+use smol_str::SmolStr;
+
+/// One error of a document.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DocumentError {
+    /// The place in the document, as `organisations[2].limits`.
+    pub path: SmolStr,
+    /// The line in the YAML text, if known.
+    pub line: Option<u64>,
+    /// What is wrong.
+    pub cause: SmolStr,
+}
+
+impl fmt::Display for DocumentError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if let Some(line) = self.line {
+            write!(f, "line {line}: ")?;
+        }
+        write!(f, "{}: {}", self.path, self.cause)
+    }
+}
+
+impl std::error::Error for DocumentError {}
+
+/// All errors of a document.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DocumentErrors(pub Vec<DocumentError>);
+
+impl fmt::Display for DocumentErrors {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, error) in self.0.iter().enumerate() {
+            if index > 0 {
+                writeln!(f)?;
+            }
+            write!(f, "{error}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for DocumentErrors {}
--- /dev/null
+++ b/crates/oleanderpass_core/src/event.rs
@@ -0,0 +1,282 @@
+//! Describe what the edges report to the core.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use oleanderpass_proto::environment;
+use oleanderpass_types::clock::Millis;
+use oleanderpass_types::id::AdapterId;
+use oleanderpass_types::id::AttemptNumber;
+use oleanderpass_types::id::BackendServerId;
+use oleanderpass_types::id::CallerId;
+use oleanderpass_types::id::Digest;
+use oleanderpass_types::id::Incarnation;
+use oleanderpass_types::id::InstanceId;
+use oleanderpass_types::id::ModelId;
+use oleanderpass_types::id::OrganisationId;
+use oleanderpass_types::id::RequestId;
+use oleanderpass_types::id::RouteId;
+use oleanderpass_types::id::ServiceId;
+use oleanderpass_types::id::ZoneId;
+use oleanderpass_types::size::Tokens;
+use smol_str::SmolStr;
+use strum::Display;
+use strum::EnumString;
+
+/// An input of the core.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A caller or a peer sends a request. Its body is complete.
+    Request(Box<NewRequest>),
+    /// A caller asks for a ticket.
+    IssueTicket {
+        /// The id of the call.
+        req: RequestId,
+        /// The digest of the caller's API key.
+        key: Digest,
+        /// The route that the ticket is for.
+        route: RouteId,
+    },
+    /// The caller of a request disconnected.
+    CallerGone(RequestId),
+    /// An attempt made progress.
+    Attempt {
+        /// The request.
+        req: RequestId,
+        /// The attempt.
+        attempt: AttemptNumber,
+        /// What happened.
+        progress: Progress,
+    },
+    /// A forwarded request ended at this hop without an answer from its owner.
+    ForwardFailed {
+        /// The request.
+        req: RequestId,
+        /// What went wrong.
+        cause: SmolStr,
+    },
+    /// A document was read.
+    Document(Arc<environment::Document>),
+    /// The platform's instance list was read.
+    InstanceList(Arc<InstanceList>),
+    /// A backend server reported its load.
+    LoadReport(ServerLoad),
+    /// The operator or the platform stops the process.
+    Shutdown,
+    /// Time has passed.
+    Tick,
+}
+
+/// Where a request comes from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// A caller with the digest of its API key.
+    Caller(Digest),
+    /// A peer that checked the caller and forwards a ticket.
+    Peer {
+        /// The forwarding instance.
+        instance: InstanceId,
+        /// The caller's organisation.
+        organisation: OrganisationId,
+        /// The caller.
+        caller: CallerId,
+    },
+}
+
+/// What a request asks for.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Target {
+    /// A generation by a model.
+    Model {
+        /// The model.
+        model: ModelId,
+        /// The adapter.
+        adapter: Option<AdapterId>,
+    },
+    /// A call of a plain service.
+    Route(RouteId),
+}
+
+/// How urgent a request is.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Display, EnumString,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum Priority {
+    /// Work that may wait.
+    Batch,
+    /// A person waits for the answer.
+    #[default]
+    Interactive,
+}
+
+/// A prefix of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Prefix {
+    /// The hash of the prefix.
+    pub hash: u64,
+    /// The length of the prefix.
+    pub tokens: Tokens,
+}
+
+/// A request as it arrives.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NewRequest {
+    /// The id, drawn by the edge.
+    pub id: RequestId,
+    /// Where the request comes from.
+    pub source: Source,
+    /// What the request asks for.
+    pub target: Target,
+    /// The ticket, as sent.
+    pub ticket: Option<SmolStr>,
+    /// The time that the caller gives.
+    pub timeout: Option<Millis>,
+    /// How urgent the request is.
+    pub priority: Priority,
+    /// What the caller says of running it twice.
+    pub idempotent: Option<bool>,
+    /// The estimated length of the prompt.
+    pub prompt: Tokens,
+    /// The most tokens to generate.
+    pub max_output: Tokens,
+    /// Prefixes of the prompt, the shortest first.
+    pub prefixes: Vec<Prefix>,
+    /// The hash of the body.
+    pub body_hash: u64,
+}
+
+/// The progress of an attempt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Progress {
+    /// The connection is open and the first byte is about to be written.
+    Sending,
+    /// The backend server began to answer.
+    Started,
+    /// The first token reached the caller's connection.
+    FirstToken,
+    /// The attempt ended. No further progress follows.
+    Ended(AttemptEnd),
+}
+
+/// How an attempt ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// The whole answer was delivered to the caller.
+    Completed {
+        /// The generated tokens.
+        output: Tokens,
+        /// The answer, kept for a second use of the ticket.
+        answer: Option<Arc<RecordedAnswer>>,
+    },
+    /// No byte was sent.
+    NotSent(SmolStr),
+    /// The backend server refused before start.
+    Refused(Refusal),
+    /// The backend server answered with an error.
+    Failed(SmolStr),
+    /// The connection broke or went silent, and the stream can't be resumed.
+    Broken {
+        /// A part of the answer has reached the caller.
+        delivered: bool,
+        /// What went wrong.
+        cause: SmolStr,
+    },
+    /// The core cancelled the attempt.
+    Cancelled,
+}
+
+/// Why a backend server refused a request before start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum Refusal {
+    /// The server is leaving.
+    Leaving,
+    /// The server has no room.
+    Full,
+    /// The deadline has passed.
+    Deadline,
+    /// The model isn't loaded.
+    NotLoaded,
+}
+
+/// An answer that can be sent again.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RecordedAnswer {
+    /// The HTTP status.
+    pub status: u16,
+    /// The content type.
+    pub content_type: SmolStr,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// The checked instance list of the platform.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct InstanceList {
+    /// The entry instances.
+    pub entry_instances: Vec<ListedInstance>,
+    /// The backend servers.
+    pub backend_servers: Vec<ListedServer>,
+}
+
+/// Whether an instance or a backend server takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum Lifecycle {
+    /// It takes new work.
+    Live,
+    /// It finishes what it has.
+    Leaving,
+}
+
+/// An entry instance in the platform's list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListedInstance {
+    /// The id.
+    pub id: InstanceId,
+    /// The availability zone.
+    pub zone: ZoneId,
+    /// The address of the peer protocols.
+    pub peer_addr: SocketAddr,
+    /// Whether it takes new work.
+    pub state: Lifecycle,
+}
+
+/// A backend server in the platform's list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListedServer {
+    /// The id.
+    pub id: BackendServerId,
+    /// The service that it belongs to.
+    pub service: ServiceId,
+    /// The availability zone.
+    pub zone: ZoneId,
+    /// The address.
+    pub addr: SocketAddr,
+    /// Whether it takes new work.
+    pub state: Lifecycle,
+}
+
+/// The load that a backend server reported.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerLoad {
+    /// The server.
+    pub server: BackendServerId,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// Whether it takes new work.
+    pub state: Lifecycle,
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub queued: u32,
+    /// Prompt tokens that wait for their prefill.
+    pub queued_prefill: Tokens,
+    /// KV memory in use.
+    pub memory_used: Tokens,
+    /// KV memory in all.
+    pub memory: Tokens,
+    /// The age of the figures on arrival.
+    pub age: Millis,
+}
--- /dev/null
+++ b/crates/oleanderpass_entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The edges of an entry instance: sockets, metrics and the event loop.
--- /dev/null
+++ b/crates/oleanderpass_history/src/lib.rs
@@ -0,0 +1,1 @@
+//! History records, their checker and seeded fault scenarios.
--- /dev/null
+++ b/crates/oleanderpass_holds/src/lib.rs
@@ -0,0 +1,1 @@
+//! KV memory holds over several engines.
--- /dev/null
+++ b/crates/oleanderpass_limits/src/lib.rs
@@ -0,0 +1,1 @@
+//! Limits of organisations, retry budget and concurrency limits.
--- /dev/null
+++ b/crates/oleanderpass_membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Liveness of entry instances.
--- /dev/null
+++ b/crates/oleanderpass_orders/src/lib.rs
@@ -0,0 +1,1 @@
+//! Orders to engines, derived from the document and observed state.
--- /dev/null
+++ b/crates/oleanderpass_quarantine/src/lib.rs
@@ -0,0 +1,1 @@
+//! Suspicion and quarantine of requests that crash backend servers.
--- /dev/null
+++ b/crates/oleanderpass_routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of a backend server.
--- /dev/null
+++ b/crates/oleanderpass_stand_in/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for model engines, plain services and the platform.
--- /dev/null
+++ b/crates/oleanderpass_ticket/src/lib.rs
@@ -0,0 +1,1 @@
+//! Execution tickets and their ledger.
--- /dev/null
+++ b/crates/oleanderpass_types/src/error.rs
@@ -0,0 +1,114 @@
+//! Describe errors by the step and the peer at which they arose.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+use strum::Display;
+use strum::EnumString;
+use strum::IntoStaticStr;
+
+/// The step of a request at which an error arose.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    Serialize,
+    Deserialize,
+    Display,
+    EnumString,
+    IntoStaticStr,
+    strum::EnumIter,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum Step {
+    /// Read the request's head and body.
+    Read,
+    /// Check the API key.
+    Authenticate,
+    /// Admit the request: limits, deadline and cost.
+    Admit,
+    /// Check or redeem a ticket.
+    Ticket,
+    /// Forward the request to the instance that owns its ticket.
+    Forward,
+    /// Wait for a backend server.
+    Queue,
+    /// Connect to the backend server.
+    Connect,
+    /// Send the request to the backend server.
+    Dispatch,
+    /// Wait for the first token or the head of the answer.
+    Start,
+    /// Receive the answer.
+    Stream,
+}
+
+/// The other side of a failed step.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize)]
+#[serde(into = "String")]
+pub enum Peer {
+    /// The caller.
+    Caller,
+    /// This instance itself.
+    Local,
+    /// Another entry instance.
+    Instance(SmolStr),
+    /// A backend server.
+    BackendServer(SmolStr),
+    /// The platform.
+    Platform,
+}
+
+impl fmt::Display for Peer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Peer::Caller => f.write_str("caller"),
+            Peer::Local => f.write_str("local"),
+            Peer::Instance(id) => write!(f, "instance {id}"),
+            Peer::BackendServer(id) => write!(f, "backend server {id}"),
+            Peer::Platform => f.write_str("platform"),
+        }
+    }
+}
+
+impl From<Peer> for String {
+    fn from(peer: Peer) -> String {
+        peer.to_string()
+    }
+}
+
+/// An error of a request with its step, peer and cause.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StepError {
+    /// The step that failed.
+    pub step: Step,
+    /// The other side of the step.
+    pub peer: Peer,
+    /// What went wrong, for a person.
+    pub cause: SmolStr,
+}
+
+impl StepError {
+    /// Create an error.
+    pub fn new(step: Step, peer: Peer, cause: impl Into<SmolStr>) -> Self {
+        Self {
+            step,
+            peer,
+            cause: cause.into(),
+        }
+    }
+}
+
+impl fmt::Display for StepError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} failed at {}: {}", self.step, self.peer, self.cause)
+    }
+}
+
+impl std::error::Error for StepError {}
