Add the complete set of core events and actions

The edges and the history checks need the names before the handling exists. Add peer packets, forwards, document reads and fetches, load polls, engine state, orders, holds and quota leases, and the fleet key and peer settings of an instance. Events without handling are ignored.

--- a/crates/oleanderpass_core/src/action.rs
+++ b/crates/oleanderpass_core/src/action.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use oleanderpass_proto::engine;
+use oleanderpass_proto::peer;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::clock::Timestamp;
 use oleanderpass_types::error::StepError;
@@ -12,13 +14,16 @@
 use oleanderpass_types::id::InstanceId;
 use oleanderpass_types::id::RequestId;
 use oleanderpass_types::outcome::Outcome;
+use oleanderpass_types::size::Tokens;
 use smol_str::SmolStr;
 
+use crate::event::CallId;
+use crate::event::Observation;
 use crate::event::Priority;
 use crate::event::RecordedAnswer;
 
 /// An output of the core.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     /// Run an attempt.
     StartAttempt(StartAttempt),
@@ -29,14 +34,16 @@
         /// The attempt.
         attempt: AttemptNumber,
     },
-    /// Answer the caller and end the request task.
+    /// Answer the caller and end the request task. After a request's `Answer`, its attempt may still
+    /// run until the edge reports its end.
     Answer {
         /// The request.
         req: RequestId,
         /// The answer.
         answer: Answer,
     },
-    /// Send a request to the instance that owns its ticket and relay the answer.
+    /// Send a request to the instance that owns its ticket, relay the answer and report
+    /// `ForwardEnded` or `ForwardFailed`. An `Answer` for the request ends the forward.
     Forward {
         /// The request.
         req: RequestId,
@@ -47,6 +54,91 @@
         /// The end of the request's time.
         deadline: Timestamp,
     },
+    /// Send a datagram to a peer.
+    SendPacket {
+        /// The peer's address.
+        to: SocketAddr,
+        /// The content. The edge adds the HMAC.
+        packet: Box<peer::Packet>,
+    },
+    /// Read the document from the platform once: wait up to `wait` for one after `after`, and
+    /// report `Document`, `DocumentUnchanged`, `DocumentMalformed` or `DocumentReadFailed`.
+    ReadDocument {
+        /// The generation that the instance holds.
+        after: Generation,
+        /// The time in which the platform holds the call.
+        wait: Millis,
+    },
+    /// Read the instance list from the platform once and report it or `InstanceListFailed`.
+    ReadInstanceList,
+    /// Fetch a document from a peer and report `DocumentFetched` or `DocumentFetchFailed`.
+    FetchDocument {
+        /// The peer.
+        from: InstanceId,
+        /// Its address.
+        addr: SocketAddr,
+        /// What to ask for. The edge adds the proof.
+        query: Box<peer::FetchDocumentRequest>,
+    },
+    /// Answer a peer's call for a document.
+    AnswerFetch {
+        /// The call.
+        call: CallId,
+        /// The answer.
+        answer: Box<peer::FetchDocumentResponse>,
+    },
+    /// Ask a home instance for quota and report `QuotaLeased` or `QuotaLeaseFailed`.
+    LeaseQuota {
+        /// The home instance.
+        home: InstanceId,
+        /// Its address.
+        addr: SocketAddr,
+        /// What this instance would use.
+        demands: Vec<peer::QuotaDemand>,
+    },
+    /// Answer a peer's call for quota.
+    AnswerLease {
+        /// The call.
+        call: CallId,
+        /// The leases.
+        leases: Vec<peer::QuotaLease>,
+    },
+    /// Ask a backend server about itself and report the answer or `ObserveFailed`.
+    Observe {
+        /// The server.
+        server: BackendServerId,
+        /// Its address.
+        addr: SocketAddr,
+        /// What to ask for.
+        what: Observation,
+    },
+    /// Send an order to an engine and report `OrderAnswered`.
+    SendOrder {
+        /// The engine.
+        server: BackendServerId,
+        /// Its address.
+        addr: SocketAddr,
+        /// The order.
+        order: Box<engine::Order>,
+    },
+    /// Ask an engine for a hold and report `HoldAnswered`.
+    RequestHold {
+        /// The engine.
+        server: BackendServerId,
+        /// Its address.
+        addr: SocketAddr,
+        /// The hold.
+        hold: Box<engine::HoldRequest>,
+    },
+    /// Release a hold and report `HoldReleased`.
+    ReleaseHold {
+        /// The engine.
+        server: BackendServerId,
+        /// Its address.
+        addr: SocketAddr,
+        /// The hold.
+        hold: SmolStr,
+    },
     /// End the process.
     Exit,
 }
@@ -68,6 +160,21 @@
     pub priority: Priority,
     /// Use a connection that carried no request before and never send twice.
     pub once: bool,
+    /// Holds on other engines that keep the rest of the prompt's KV cache, in the order of use.
+    pub holds: Vec<HeldMemory>,
+}
+
+/// KV memory that is held for an attempt on another engine than the one that runs it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeldMemory {
+    /// The engine.
+    pub server: BackendServerId,
+    /// Its address.
+    pub addr: SocketAddr,
+    /// The hold.
+    pub hold: SmolStr,
+    /// Its size.
+    pub tokens: Tokens,
 }
 
 /// An answer to a caller.
--- a/crates/oleanderpass_core/src/event.rs
+++ b/crates/oleanderpass_core/src/event.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use oleanderpass_proto::engine;
 use oleanderpass_proto::environment;
+use oleanderpass_proto::peer;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::id::AdapterId;
 use oleanderpass_types::id::AttemptNumber;
@@ -18,6 +20,7 @@
 use oleanderpass_types::id::RouteId;
 use oleanderpass_types::id::ServiceId;
 use oleanderpass_types::id::ZoneId;
+use oleanderpass_types::outcome::Outcome;
 use oleanderpass_types::size::Tokens;
 use smol_str::SmolStr;
 use strum::Display;
@@ -26,7 +29,8 @@
 /// An input of the core.
 #[derive(Clone, Debug)]
 pub enum Event {
-    /// A caller or a peer sends a request. Its body is complete.
+    /// A caller sends a request, or a peer forwards one to the owner of its ticket. Its body is
+    /// complete.
     Request(Box<NewRequest>),
     /// A caller asks for a ticket.
     IssueTicket {
@@ -48,6 +52,13 @@
         /// What happened.
         progress: Progress,
     },
+    /// The owner of a ticket answered a forwarded request and the answer was relayed.
+    ForwardEnded {
+        /// The request.
+        req: RequestId,
+        /// The owner's outcome.
+        outcome: Outcome,
+    },
     /// A forwarded request ended at this hop without an answer from its owner.
     ForwardFailed {
         /// The request.
@@ -55,18 +66,147 @@
         /// What went wrong.
         cause: SmolStr,
     },
-    /// A document was read.
+    /// A datagram of a peer arrived. Its HMAC is correct.
+    PeerPacket {
+        /// The sender's address.
+        from: SocketAddr,
+        /// The content.
+        packet: Arc<peer::Packet>,
+    },
+    /// A connection to a peer could not be opened or broke.
+    PeerUnreachable(InstanceId),
+    /// A document was read from the platform.
     Document(Arc<environment::Document>),
+    /// The platform holds no later document than the one that was asked for.
+    DocumentUnchanged,
+    /// The platform holds a document that can't be parsed.
+    DocumentMalformed {
+        /// What is wrong.
+        cause: SmolStr,
+    },
+    /// The platform did not answer a read of the document.
+    DocumentReadFailed {
+        /// What went wrong.
+        cause: SmolStr,
+    },
+    /// A peer answered [`crate::action::Action::FetchDocument`].
+    DocumentFetched {
+        /// The peer.
+        from: InstanceId,
+        /// The answer.
+        answer: Arc<peer::FetchDocumentResponse>,
+    },
+    /// A peer did not answer [`crate::action::Action::FetchDocument`].
+    DocumentFetchFailed {
+        /// The peer.
+        from: InstanceId,
+        /// What went wrong.
+        cause: SmolStr,
+    },
+    /// A peer asks for a document. Its proof is correct.
+    FetchDocumentCall {
+        /// The call, numbered by the edge.
+        call: CallId,
+        /// What the peer asks for.
+        query: Arc<peer::FetchDocumentRequest>,
+    },
+    /// A peer asks its organisations' home instance for quota. Its proof is correct.
+    LeaseQuotaCall {
+        /// The call, numbered by the edge.
+        call: CallId,
+        /// The asking instance.
+        from: InstanceId,
+        /// What it would use.
+        demands: Vec<peer::QuotaDemand>,
+    },
+    /// A home instance answered [`crate::action::Action::LeaseQuota`].
+    QuotaLeased {
+        /// The home instance.
+        home: InstanceId,
+        /// The leases.
+        leases: Vec<peer::QuotaLease>,
+    },
+    /// A home instance did not answer [`crate::action::Action::LeaseQuota`].
+    QuotaLeaseFailed {
+        /// The home instance.
+        home: InstanceId,
+    },
     /// The platform's instance list was read.
     InstanceList(Arc<InstanceList>),
+    /// The platform did not answer a read of the instance list.
+    InstanceListFailed {
+        /// What went wrong.
+        cause: SmolStr,
+    },
     /// A backend server reported its load.
     LoadReport(ServerLoad),
+    /// An engine reported its models and role.
+    EngineState(Box<engine::EngineState>),
+    /// An engine listed its holds.
+    HoldList {
+        /// The engine.
+        server: BackendServerId,
+        /// The holds.
+        list: Box<engine::HoldList>,
+    },
+    /// A backend server did not answer an [`crate::action::Action::Observe`].
+    ObserveFailed {
+        /// The server.
+        server: BackendServerId,
+        /// What was asked for.
+        what: Observation,
+        /// What went wrong.
+        cause: SmolStr,
+    },
+    /// An engine answered an order.
+    OrderAnswered {
+        /// The engine.
+        server: BackendServerId,
+        /// The order.
+        order: Box<engine::Order>,
+        /// The answer; `None` when the engine gave none.
+        answer: Option<engine::OrderAnswer>,
+    },
+    /// An engine answered a request for a hold.
+    HoldAnswered {
+        /// The engine.
+        server: BackendServerId,
+        /// The hold.
+        hold: SmolStr,
+        /// Whether the engine granted the hold; `None` when it gave no answer.
+        granted: Option<bool>,
+    },
+    /// An engine answered the release of a hold.
+    HoldReleased {
+        /// The engine.
+        server: BackendServerId,
+        /// The hold.
+        hold: SmolStr,
+        /// The engine confirmed that it no longer has the hold.
+        confirmed: bool,
+    },
     /// The operator or the platform stops the process.
     Shutdown,
     /// Time has passed.
     Tick,
 }
 
+/// A call of a peer that waits for an answer, numbered by the edge.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallId(pub u64);
+
+/// What to ask a backend server about itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum Observation {
+    /// Its load: `GET /load`.
+    Load,
+    /// Its models and role: `GET /state`.
+    State,
+    /// Its holds: `GET /holds`.
+    Holds,
+}
+
 /// Where a request comes from.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Source {
--- a/crates/oleanderpass_core/src/instance.rs
+++ b/crates/oleanderpass_core/src/instance.rs
@@ -1,9 +1,11 @@
 //! Decide for one entry instance.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use indexmap::IndexMap;
 use oleanderpass_config::document::Document;
+use oleanderpass_ticket::FleetKey;
 use oleanderpass_types::clock::Timestamp;
 use oleanderpass_types::error::Peer;
 use oleanderpass_types::error::Step;
@@ -55,6 +57,9 @@
     servers: IndexMap<BackendServerId, ServerView>,
     requests: IndexMap<RequestId, Request>,
     draining: bool,
+    fleet_key: FleetKey,
+    peer_addr: Option<SocketAddr>,
+    seeds: Vec<SocketAddr>,
 }
 
 impl Instance {
@@ -67,9 +72,27 @@
             servers: IndexMap::new(),
             requests: IndexMap::new(),
             draining: false,
+            fleet_key: FleetKey::default(),
+            peer_addr: None,
+            seeds: Vec::new(),
         }
     }
 
+    /// Set the key that the fleet shares, for tickets.
+    #[must_use]
+    pub fn with_fleet_key(mut self, key: FleetKey) -> Self {
+        self.fleet_key = key;
+        self
+    }
+
+    /// Set the address of this instance's peer protocols and the peers to contact at start.
+    #[must_use]
+    pub fn with_peers(mut self, peer_addr: SocketAddr, seeds: Vec<SocketAddr>) -> Self {
+        self.peer_addr = Some(peer_addr);
+        self.seeds = seeds;
+        self
+    }
+
     /// Return who this instance is.
     pub fn identity(&self) -> &Identity {
         &self.identity
@@ -130,6 +153,25 @@
                 self.exit_when_idle(out);
             }
             Event::Tick => self.on_tick(now, out),
+            Event::ForwardEnded { .. }
+            | Event::PeerPacket { .. }
+            | Event::PeerUnreachable(_)
+            | Event::DocumentUnchanged
+            | Event::DocumentMalformed { .. }
+            | Event::DocumentReadFailed { .. }
+            | Event::DocumentFetched { .. }
+            | Event::DocumentFetchFailed { .. }
+            | Event::FetchDocumentCall { .. }
+            | Event::LeaseQuotaCall { .. }
+            | Event::QuotaLeased { .. }
+            | Event::QuotaLeaseFailed { .. }
+            | Event::InstanceListFailed { .. }
+            | Event::EngineState(_)
+            | Event::HoldList { .. }
+            | Event::ObserveFailed { .. }
+            | Event::OrderAnswered { .. }
+            | Event::HoldAnswered { .. }
+            | Event::HoldReleased { .. } => {}
         }
     }
 
@@ -197,6 +239,7 @@
             deadline: req.deadline,
             priority: req.new.priority,
             once: !req.idempotent,
+            holds: Vec::new(),
         }));
     }
 
