Add the stream assembler

Events that arrive twice, late, with gaps or on the wrong connection must not change an answer. The assembler delivers the due event only, reports gaps, declares a connection dead after 3 s without a byte and fails the attempt after two failed resumes within 2 s. Sequence numbers start at 0 and the final event carries the count of the events before it.

--- a/crates/oleanderpass_core/src/lib.rs
+++ b/crates/oleanderpass_core/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod instance;
 pub mod request;
 pub mod server;
+pub mod stream;
--- /dev/null
+++ b/crates/oleanderpass_core/src/stream.rs
@@ -0,0 +1,200 @@
+//! Assemble the events of one attempt into a complete answer.
+//!
+//! The engine numbers the events of a stream from 0 without gaps. The final event carries no text;
+//! its sequence number is the count of the events before it. The assembler owns no socket: the
+//! request task feeds it what arrives, with the time, and does what it returns.
+
+use oleanderpass_types::clock::Millis;
+use oleanderpass_types::clock::Timestamp;
+use smol_str::SmolStr;
+
+/// The time without a byte after which a connection is dead. Engines send a keep-alive each
+/// second, so three of them are missing.
+pub const SILENCE_LIMIT: Millis = Millis::from_secs(3);
+
+/// The time in which a resumed connection must deliver its first byte. Two resumes that stay
+/// silent then fail within [`RESUME_WINDOW`].
+pub const RESUME_TIMEOUT: Millis = Millis::from_secs(1);
+
+/// Two failed resumes within this time make the attempt fail.
+pub const RESUME_WINDOW: Millis = Millis::from_secs(2);
+
+/// An event of a stream, as it arrives.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StreamEvent {
+    /// The stream that the engine names.
+    pub id: SmolStr,
+    /// The sequence number, from 0.
+    pub sequence: u64,
+    /// The generated text.
+    pub text: String,
+    /// The stream is complete.
+    pub done: bool,
+}
+
+/// What became of an event.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Fed {
+    /// Deliver this text to the caller.
+    Deliver(String),
+    /// The answer is complete: every event was delivered once.
+    Complete,
+    /// The event was delivered before. Drop it.
+    Duplicate,
+    /// The event belongs to another stream. Drop it.
+    Foreign,
+    /// Events are missing. Drop the event and call [`Assembler::on_connection_lost`].
+    Gap {
+        /// The sequence number that is due.
+        expected: u64,
+        /// The sequence number that arrived.
+        received: u64,
+    },
+    /// The final event contradicts what was delivered. The attempt has failed.
+    Inconsistent {
+        /// The number of events that were delivered.
+        delivered: u64,
+        /// The number of events that the final event names.
+        announced: u64,
+    },
+}
+
+/// What to do about a dead connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Recovery {
+    /// Open a new connection and resume.
+    Resume {
+        /// The sequence number to resume from.
+        from: u64,
+    },
+    /// Give up the attempt.
+    Fail,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Connection {
+    /// An event was delivered on this connection, or it is the first one.
+    Proven,
+    /// A resume was requested and no byte has arrived.
+    Resuming,
+    /// A resumed connection delivers bytes, but no new event yet.
+    Unproven,
+}
+
+/// The assembler of one attempt's stream.
+#[derive(Clone, Debug)]
+pub struct Assembler {
+    id: SmolStr,
+    next: u64,
+    complete: bool,
+    last_byte: Timestamp,
+    connection: Connection,
+    last_failed_resume: Option<Timestamp>,
+}
+
+impl Assembler {
+    /// Create the assembler of a stream whose first connection opened at `now`.
+    pub fn new(id: impl Into<SmolStr>, now: Timestamp) -> Self {
+        Self {
+            id: id.into(),
+            next: 0,
+            complete: false,
+            last_byte: now,
+            connection: Connection::Proven,
+            last_failed_resume: None,
+        }
+    }
+
+    /// Return the sequence number of the event that is due.
+    pub fn resume_from(&self) -> u64 {
+        self.next
+    }
+
+    /// Return whether a part of the answer was delivered.
+    pub fn has_delivered(&self) -> bool {
+        self.next > 0
+    }
+
+    /// Return whether every event up to the final one was delivered.
+    pub fn is_complete(&self) -> bool {
+        self.complete
+    }
+
+    /// Note that bytes arrived: the head of the answer, a keep-alive or a part of an event.
+    ///
+    /// Call it as well after a delivery that a slow caller held up, because the connection was not
+    /// read in that time.
+    pub fn on_bytes(&mut self, now: Timestamp) {
+        self.last_byte = now;
+        if self.connection == Connection::Resuming {
+            self.connection = Connection::Unproven;
+        }
+    }
+
+    /// Take an event.
+    pub fn feed(&mut self, now: Timestamp, event: StreamEvent) -> Fed {
+        self.on_bytes(now);
+        if event.id != self.id {
+            return Fed::Foreign;
+        }
+        if self.complete {
+            return Fed::Duplicate;
+        }
+        if event.sequence > self.next {
+            return Fed::Gap {
+                expected: self.next,
+                received: event.sequence,
+            };
+        }
+        if event.done {
+            return self.finish(event.sequence);
+        }
+        if event.sequence < self.next {
+            return Fed::Duplicate;
+        }
+        self.next += 1;
+        self.connection = Connection::Proven;
+        Fed::Deliver(event.text)
+    }
+
+    fn finish(&mut self, announced: u64) -> Fed {
+        if announced < self.next {
+            return Fed::Inconsistent {
+                delivered: self.next,
+                announced,
+            };
+        }
+        self.complete = true;
+        Fed::Complete
+    }
+
+    /// Return the time at which [`Assembler::check`] will report the connection as dead.
+    pub fn silent_at(&self) -> Timestamp {
+        let limit = match self.connection {
+            Connection::Resuming => RESUME_TIMEOUT,
+            Connection::Proven | Connection::Unproven => SILENCE_LIMIT,
+        };
+        self.last_byte + limit
+    }
+
+    /// Report a connection that was silent for too long.
+    pub fn check(&mut self, now: Timestamp) -> Option<Recovery> {
+        if self.complete || now < self.silent_at() {
+            return None;
+        }
+        Some(self.on_connection_lost(now))
+    }
+
+    /// Note that the connection broke, that a resume failed or that events are missing.
+    pub fn on_connection_lost(&mut self, now: Timestamp) -> Recovery {
+        if self.connection != Connection::Proven {
+            let previous = self.last_failed_resume.replace(now);
+            if previous.is_some_and(|at| now.since(at) <= RESUME_WINDOW) {
+                return Recovery::Fail;
+            }
+        }
+        self.connection = Connection::Resuming;
+        self.last_byte = now;
+        Recovery::Resume { from: self.next }
+    }
+}
--- /dev/null
+++ b/crates/oleanderpass_core/tests/stream.rs
@@ -0,0 +1,162 @@
+//! Guard against answers that are incomplete, repeated or mixed with another answer.
+
+use oleanderpass_core::stream::Assembler;
+use oleanderpass_core::stream::Fed;
+use oleanderpass_core::stream::Recovery;
+use oleanderpass_core::stream::StreamEvent;
+use oleanderpass_types::clock::Timestamp;
+use proptest::prelude::any;
+use proptest::prelude::proptest;
+use test_case::test_case;
+
+const ID: &str = "a:1:1:1";
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(ms)
+}
+
+fn event(id: &str, sequence: u64, done: bool) -> StreamEvent {
+    let text = if done {
+        String::new()
+    } else {
+        format!("<{sequence}>")
+    };
+    StreamEvent {
+        id: id.into(),
+        sequence,
+        text,
+        done,
+    }
+}
+
+fn after(delivered: u64) -> Assembler {
+    let mut assembler = Assembler::new(ID, at(0));
+    for sequence in 0..delivered {
+        assembler.feed(at(0), event(ID, sequence, false));
+    }
+    assembler
+}
+
+#[test_case(2, false, Fed::Deliver("<2>".into()); "due")]
+#[test_case(1, false, Fed::Duplicate; "delivered before")]
+#[test_case(3, false, Fed::Gap { expected: 2, received: 3 }; "one missing")]
+#[test_case(2, true, Fed::Complete; "complete")]
+#[test_case(4, true, Fed::Gap { expected: 2, received: 4 }; "end with events missing")]
+#[test_case(1, true, Fed::Inconsistent { delivered: 2, announced: 1 }; "end before delivered events")]
+fn only_the_due_event_is_delivered(sequence: u64, done: bool, expected: Fed) {
+    let mut assembler = after(2);
+    assert_eq!(assembler.feed(at(1), event(ID, sequence, done)), expected);
+    assert_eq!(assembler.is_complete(), expected == Fed::Complete);
+}
+
+#[test]
+fn events_of_another_stream_neither_deliver_nor_complete() {
+    let mut assembler = after(2);
+    for done in [false, true] {
+        let fed = assembler.feed(at(1), event("a:1:1:2", 2, done));
+        assert_eq!(fed, Fed::Foreign);
+    }
+    assert_eq!(assembler.resume_from(), 2);
+    assert!(!assembler.is_complete());
+}
+
+#[test]
+fn events_after_the_end_are_dropped() {
+    let mut assembler = after(1);
+    assembler.feed(at(1), event(ID, 1, true));
+    assert_eq!(assembler.feed(at(2), event(ID, 1, false)), Fed::Duplicate);
+    assert_eq!(assembler.check(at(60_000)), None);
+}
+
+#[test]
+fn keep_alives_hold_a_quiet_connection_open() {
+    let mut assembler = after(0);
+    for second in 1..120 {
+        assert_eq!(assembler.check(at(second * 1_000)), None);
+        assembler.on_bytes(at(second * 1_000));
+    }
+}
+
+#[test]
+fn a_silent_connection_is_resumed_after_3_s_from_the_next_event() {
+    let mut assembler = after(5);
+    assert_eq!(assembler.check(at(2_999)), None);
+    assert_eq!(
+        assembler.check(at(3_000)),
+        Some(Recovery::Resume { from: 5 })
+    );
+}
+
+#[test]
+fn two_silent_resumes_fail_the_attempt() {
+    let mut assembler = after(5);
+    assert_eq!(
+        assembler.check(at(3_000)),
+        Some(Recovery::Resume { from: 5 })
+    );
+    assert_eq!(assembler.check(at(3_999)), None);
+    assert_eq!(
+        assembler.check(at(4_000)),
+        Some(Recovery::Resume { from: 5 })
+    );
+    assert_eq!(assembler.check(at(5_000)), Some(Recovery::Fail));
+}
+
+#[test_case(2_000, Recovery::Fail; "within the window")]
+#[test_case(2_001, Recovery::Resume { from: 5 }; "after the window")]
+fn only_failed_resumes_close_to_each_other_count(distance: u64, expected: Recovery) {
+    let mut assembler = after(5);
+    assembler.on_connection_lost(at(0));
+    assembler.on_connection_lost(at(10));
+    assert_eq!(assembler.on_connection_lost(at(10 + distance)), expected);
+}
+
+#[test]
+fn a_resumed_stream_that_keeps_its_gap_fails() {
+    let mut assembler = after(5);
+    let mut last = Recovery::Resume { from: 5 };
+    for ms in 1..=3 {
+        let gap = assembler.feed(at(ms), event(ID, 7, false));
+        assert_eq!(
+            gap,
+            Fed::Gap {
+                expected: 5,
+                received: 7
+            }
+        );
+        last = assembler.on_connection_lost(at(ms));
+    }
+    assert_eq!(last, Recovery::Fail);
+}
+
+#[test]
+fn progress_between_broken_connections_lets_the_stream_go_on() {
+    let mut assembler = after(0);
+    for sequence in 0..50 {
+        let lost = assembler.on_connection_lost(at(sequence));
+        assert_eq!(lost, Recovery::Resume { from: sequence });
+        let fed = assembler.feed(at(sequence), event(ID, sequence, false));
+        assert!(matches!(fed, Fed::Deliver(_)));
+    }
+}
+
+proptest! {
+    /// Guards against loss, repetition and reordering under any mix of arrivals.
+    #[test]
+    fn delivered_text_is_always_a_prefix_of_the_answer(
+        arrivals in proptest::collection::vec((0_u64..8, any::<bool>(), any::<bool>()), 0..64),
+    ) {
+        let mut assembler = Assembler::new(ID, at(0));
+        let mut text = String::new();
+        for (sequence, own, done) in arrivals {
+            let id = if own { ID } else { "other" };
+            let done = done && sequence == 7;
+            if let Fed::Deliver(part) = assembler.feed(at(0), event(id, sequence, done)) {
+                text.push_str(&part);
+            }
+        }
+        let whole: String = (0..8).map(|n| format!("<{n}>")).collect();
+        assert!(whole.starts_with(&text));
+        assert!(!assembler.is_complete() || assembler.resume_from() == 7);
+    }
+}
