Add execution tickets and their ledger

A resent non-idempotent request may reach any instance and no state is shared. A ticket names the one incarnation that may dispatch its request, authenticated with HMAC-SHA256 over a prost message and a purpose. The ledger keeps used tickets only, bounded in entries, waiting uses and answer bytes.

--- a/crates/oleanderpass_core/src/event.rs
+++ b/crates/oleanderpass_core/src/event.rs
@@ -6,6 +6,7 @@
 use oleanderpass_proto::engine;
 use oleanderpass_proto::environment;
 use oleanderpass_proto::peer;
+pub use oleanderpass_ticket::answer::RecordedAnswer;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::id::AdapterId;
 use oleanderpass_types::id::AttemptNumber;
@@ -340,17 +341,6 @@
     NotLoaded,
 }
 
-/// An answer that can be sent again.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct RecordedAnswer {
-    /// The HTTP status.
-    pub status: u16,
-    /// The content type.
-    pub content_type: SmolStr,
-    /// The body.
-    pub body: Vec<u8>,
-}
-
 /// The checked instance list of the platform.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct InstanceList {
--- a/crates/oleanderpass_ticket/src/lib.rs
+++ b/crates/oleanderpass_ticket/src/lib.rs
@@ -1,13 +1,11 @@
-//! Execution tickets and their ledger.
+//! Issue execution tickets and keep the ledger of their uses.
+//!
+//! A ticket names the one incarnation of an entry instance that may dispatch its request, once.
+//! That incarnation's [`ledger::Ledger`] answers further uses with the recorded outcome.
 
-use std::fmt;
+pub mod answer;
+pub mod key;
+pub mod ledger;
+pub mod ticket;
 
-/// The key that all entry instances of a fleet share.
-#[derive(Clone, Default)]
-pub struct FleetKey(pub [u8; 32]);
-
-impl fmt::Debug for FleetKey {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("FleetKey(..)")
-    }
-}
+pub use key::FleetKey;
--- /dev/null
+++ b/crates/oleanderpass_ticket/tests/ticket.rs
@@ -0,0 +1,100 @@
+//! Guard against tickets that are forged, altered or used by someone else.
+
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "a failed unwrap fails the test"
+)]
+
+use oleanderpass_ticket::FleetKey;
+use oleanderpass_ticket::ticket::Scope;
+use oleanderpass_ticket::ticket::Ticket;
+use oleanderpass_ticket::ticket::TicketError;
+use oleanderpass_types::clock::Timestamp;
+use oleanderpass_types::id::Incarnation;
+use proptest::prelude::proptest;
+use test_case::test_case;
+
+const KEY: FleetKey = FleetKey([7; 32]);
+
+fn scope() -> Scope {
+    Scope {
+        environment: "production".into(),
+        organisation: "acme".parse().unwrap(),
+        caller: "till".parse().unwrap(),
+        route: "charge".parse().unwrap(),
+    }
+}
+
+fn ticket() -> Ticket {
+    Ticket {
+        instance: "entry-1".parse().unwrap(),
+        incarnation: Incarnation::new(9),
+        scope: scope(),
+        number: 3,
+        expires: Timestamp::from_millis(31_000),
+    }
+}
+
+#[test]
+fn a_ticket_survives_its_text() {
+    assert_eq!(Ticket::decode(&ticket().encode(&KEY), &KEY), Ok(ticket()));
+}
+
+#[test]
+fn the_longest_ids_fit_into_a_ticket() {
+    let long = "x".repeat(64);
+    let mut ticket = ticket();
+    ticket.instance = long.parse().unwrap();
+    ticket.scope = Scope {
+        environment: "e".repeat(256).into(),
+        organisation: long.parse().unwrap(),
+        caller: long.parse().unwrap(),
+        route: long.parse().unwrap(),
+    };
+    assert_eq!(Ticket::decode(&ticket.encode(&KEY), &KEY), Ok(ticket));
+}
+
+#[test_case(""; "empty")]
+#[test_case("AAAA"; "shorter than the code")]
+#[test_case("not base64!"; "other characters")]
+fn other_texts_are_not_authentic(text: &str) {
+    assert_eq!(Ticket::decode(text, &KEY), Err(TicketError::NotAuthentic));
+}
+
+#[test]
+fn a_ticket_of_another_fleet_is_not_authentic() {
+    let text = ticket().encode(&FleetKey([8; 32]));
+    assert_eq!(Ticket::decode(&text, &KEY), Err(TicketError::NotAuthentic));
+}
+
+#[test]
+fn a_code_for_another_purpose_is_refused() {
+    let code = KEY.sign(b"packet", b"payload");
+    assert!(KEY.verify(b"packet", b"payload", &code));
+    assert!(!KEY.verify(b"ticket", b"payload", &code));
+}
+
+#[test_case(|scope| scope.environment = "trial".into(), TicketError::OtherEnvironment)]
+#[test_case(|scope| scope.organisation = "other".parse().unwrap(), TicketError::OtherOrganisation)]
+#[test_case(|scope| scope.caller = "other".parse().unwrap(), TicketError::OtherCaller)]
+#[test_case(|scope| scope.route = "refund".parse().unwrap(), TicketError::OtherRoute)]
+fn a_ticket_is_only_for_its_scope(change: fn(&mut Scope), expected: TicketError) {
+    let mut other = scope();
+    change(&mut other);
+    assert_eq!(ticket().check(&scope()), Ok(()));
+    assert_eq!(ticket().check(&other), Err(expected));
+}
+
+proptest! {
+    /// Guards against an altered owner, scope or expiry.
+    #[test]
+    fn a_changed_text_is_not_authentic(position in 0_usize..100, replacement in "[A-Za-z0-9_-]") {
+        let text = ticket().encode(&KEY).to_string();
+        let mut changed = text.clone();
+        changed.replace_range(position..=position, &replacement);
+        if changed != text {
+            assert!(Ticket::decode(&changed, &KEY).is_err());
+        }
+    }
+}
