--- a/crates/oleanderpass/src/main.rs
+++ b/crates/oleanderpass/src/main.rs
@@ -1,3 +1,67 @@
 //! Run the command line.
 
-fn main() {}
+mod check;
+mod serve;
+mod status;
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Parser;
+use clap::Subcommand;
+
+/// Serving layer for prompts of a thousand to a million tokens.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Args {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Run an entry instance.
+    Serve {
+        /// The settings file (YAML).
+        #[arg(long, value_name = "FILE")]
+        settings: PathBuf,
+    },
+    /// Print the status of an instance.
+    Status {
+        /// The address of its operator port.
+        #[arg(value_name = "ADDR")]
+        addr: SocketAddr,
+    },
+    /// Check an environment document and report each error.
+    Check {
+        /// The document (YAML).
+        #[arg(value_name = "FILE")]
+        file: PathBuf,
+    },
+    /// Show what changes between two environment documents.
+    Diff {
+        /// The document in force (YAML).
+        #[arg(value_name = "OLD")]
+        old: PathBuf,
+        /// The document to promote (YAML).
+        #[arg(value_name = "NEW")]
+        new: PathBuf,
+    },
+}
+
+fn main() -> ExitCode {
+    let result = match Args::parse().command {
+        Command::Serve { settings } => serve::run(&settings),
+        Command::Status { addr } => status::run(addr),
+        Command::Check { file } => check::run(&file),
+        Command::Diff { old, new } => check::diff(&old, &new),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("error: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/oleanderpass/src/status.rs
@@ -0,0 +1,25 @@
+//! Print the status of a running instance.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use eyre::WrapErr;
+use ureq::Agent;
+
+/// The time for the answer of the operator port.
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Run `oleanderpass status`.
+pub(crate) fn run(addr: SocketAddr) -> eyre::Result<()> {
+    let agent: Agent = Agent::config_builder()
+        .timeout_global(Some(TIMEOUT))
+        .build()
+        .into();
+    let text = agent
+        .get(&format!("http://{addr}/status"))
+        .call()
+        .and_then(|mut answer| answer.body_mut().read_to_string())
+        .wrap_err_with(|| format!("read the status from {addr}"))?;
+    print!("{text}");
+    Ok(())
+}
--- /dev/null
+++ b/crates/oleanderpass_entry/src/backend/attempt.rs
@@ -0,0 +1,197 @@
+//! Provide what both kinds of attempts use: headers, sending and silence detection.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::header::CONTENT_TYPE;
+use http::header::HOST;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use oleanderpass_core::action::StartAttempt;
+use oleanderpass_core::event::Event;
+use oleanderpass_core::event::Progress;
+use oleanderpass_types::id::StreamId;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+
+use crate::backend::connection::Connection;
+use crate::clock::unix_ms;
+use crate::shared::Shared;
+
+/// The id of the stream: request and attempt.
+pub const STREAM_ID: &str = "oleanderpass-stream-id";
+
+/// The deadline in milliseconds of Unix time.
+pub const NOT_AFTER: &str = "oleanderpass-not-after-unix-ms";
+
+/// The time until the deadline in milliseconds.
+pub const TIMEOUT: &str = "oleanderpass-timeout-ms";
+
+/// How urgent the request is.
+pub const PRIORITY: &str = "oleanderpass-priority";
+
+/// The holds on other engines that keep the rest of the prompt, as `ADDR;HOLD;TOKENS`, separated
+/// by commas.
+pub const HOLDS: &str = "oleanderpass-holds";
+
+/// The time without a byte after which a connection to an engine counts as dead. Engines send a
+/// keep-alive each second. Source: design section 4.3.
+pub const SILENCE: Duration = Duration::from_secs(3);
+
+/// The step in which silence is measured.
+const SILENCE_STEP: Duration = Duration::from_millis(250);
+
+/// Why a request has no answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SendError {
+    /// No byte was written.
+    NotSent(SmolStr),
+    /// The connection broke or went silent after the first byte.
+    Broken(SmolStr),
+}
+
+/// One attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptCx<'a> {
+    /// What the process shares.
+    pub shared: &'a Shared,
+    /// The order.
+    pub order: &'a StartAttempt,
+}
+
+impl AttemptCx<'_> {
+    /// Return the id of the stream.
+    pub fn stream_id(&self) -> StreamId {
+        StreamId {
+            req: self.order.req.clone(),
+            attempt: self.order.attempt,
+        }
+    }
+
+    /// Report progress to the core.
+    pub fn progress(&self, progress: Progress) {
+        self.shared.core.event(Event::Attempt {
+            req: self.order.req.clone(),
+            attempt: self.order.attempt,
+            progress,
+        });
+    }
+
+    /// Connect for the request itself. A request that runs once gets a connection that carried no
+    /// request before, so that a server's idle close can't meet it.
+    ///
+    /// # Errors
+    ///
+    /// Return why no connection could be opened.
+    pub async fn connect(&self) -> Result<Connection, SmolStr> {
+        let pool = &self.shared.pool;
+        let opened = if self.order.once {
+            pool.fresh(self.order.addr).await
+        } else {
+            pool.any(self.order.addr).await
+        };
+        opened.map_err(|error| format_smolstr!("connect: {error}"))
+    }
+
+    /// Build a request with the deadline and the stream id.
+    pub fn request(
+        &self,
+        method: Method,
+        path: &str,
+        content_type: &str,
+        body: Bytes,
+    ) -> Result<Request<Full<Bytes>>, SmolStr> {
+        let left = self.shared.clock.now().until(self.order.deadline).get();
+        let mut builder = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(HOST, self.order.addr.to_string())
+            .header(STREAM_ID, self.stream_id().to_string())
+            .header(NOT_AFTER, HeaderValue::from(unix_ms().saturating_add(left)))
+            .header(TIMEOUT, HeaderValue::from(left))
+            .header(PRIORITY, self.order.priority.to_string());
+        if !content_type.is_empty() {
+            builder = builder.header(CONTENT_TYPE, content_type);
+        }
+        if !self.order.holds.is_empty() {
+            builder = builder.header(HOLDS, self.holds());
+        }
+        builder
+            .body(Full::new(body))
+            .map_err(|error| format_smolstr!("build the request: {error}"))
+    }
+
+    fn holds(&self) -> String {
+        let texts: Vec<String> = self
+            .order
+            .holds
+            .iter()
+            .map(|hold| format!("{};{};{}", hold.addr, hold.hold, hold.tokens.get()))
+            .collect();
+        texts.join(",")
+    }
+
+    /// Send a request once and wait for the head of the answer. With `silence`, a connection
+    /// without a byte in either direction for that time counts as broken.
+    ///
+    /// # Errors
+    ///
+    /// Return whether a byte may have reached the server.
+    pub async fn send(
+        &self,
+        connection: &mut Connection,
+        req: Request<Full<Bytes>>,
+        silence: Option<Duration>,
+    ) -> Result<http::Response<Incoming>, SendError> {
+        let answer = connection.send(req, self.order.deadline);
+        let received = match silence {
+            Some(limit) => unless_silent(connection, limit, answer).await,
+            None => Some(answer.await),
+        };
+        let cause = match received {
+            Some(Ok(answer)) => return Ok(answer),
+            Some(Err(error)) => describe(&error),
+            None => "the connection is silent".into(),
+        };
+        if connection.has_written() {
+            Err(SendError::Broken(cause))
+        } else {
+            Err(SendError::NotSent(cause))
+        }
+    }
+}
+
+/// Describe an error of hyper with its source.
+pub fn describe(error: &hyper::Error) -> SmolStr {
+    match std::error::Error::source(error) {
+        Some(source) => format_smolstr!("{error}: {source}"),
+        None => format_smolstr!("{error}"),
+    }
+}
+
+/// Wait for `future`, or return `None` when the connection passes no byte for `limit`.
+pub async fn unless_silent<T>(
+    connection: &Connection,
+    limit: Duration,
+    future: impl Future<Output = T>,
+) -> Option<T> {
+    tokio::pin!(future);
+    let mut activity = connection.activity();
+    let mut quiet = Duration::ZERO;
+    while quiet < limit {
+        if let Ok(value) = tokio::time::timeout(SILENCE_STEP, &mut future).await {
+            return Some(value);
+        }
+        let current = connection.activity();
+        quiet = if current == activity {
+            quiet + SILENCE_STEP
+        } else {
+            Duration::ZERO
+        };
+        activity = current;
+    }
+    None
+}
--- /dev/null
+++ b/crates/oleanderpass_entry/src/backend/observe.rs
@@ -0,0 +1,195 @@
+//! Ask backend servers about themselves and give orders to engines.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eyre::WrapErr;
+use eyre::ensure;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use http::header::HOST;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use oleanderpass_core::event::Event;
+use oleanderpass_core::event::Observation;
+use oleanderpass_core::event::ServerLoad;
+use oleanderpass_proto::engine;
+use oleanderpass_types::clock::Millis;
+use oleanderpass_types::id::BackendServerId;
+use oleanderpass_types::id::Incarnation;
+use oleanderpass_types::size::Tokens;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+
+use crate::backend::pool::Pool;
+use crate::caller::answer::JSON;
+use crate::clock::Clock;
+
+/// The time for one exchange. It equals the period of load reports.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The largest answer, in bytes.
+const MAX_ANSWER_BYTES: usize = 1 << 20;
+
+/// A backend server to talk to.
+#[derive(Clone, Debug)]
+pub struct ServerCalls {
+    /// The idle connections.
+    pub pool: Pool,
+    /// The monotonic clock.
+    pub clock: Clock,
+    /// The server.
+    pub server: BackendServerId,
+    /// Its address.
+    pub addr: SocketAddr,
+}
+
+impl ServerCalls {
+    /// Ask the server about itself.
+    pub async fn observe(self, what: Observation) -> Event {
+        let observed = match what {
+            Observation::Load => self.load().await,
+            Observation::State => self
+                .get("/state")
+                .await
+                .map(|state| Event::EngineState(Box::new(state))),
+            Observation::Holds => self.get("/holds").await.map(|list| Event::HoldList {
+                server: self.server.clone(),
+                list: Box::new(list),
+            }),
+        };
+        observed.unwrap_or_else(|error| Event::ObserveFailed {
+            server: self.server,
+            what,
+            cause: format_smolstr!("{error:#}"),
+        })
+    }
+
+    /// Send an order.
+    pub async fn order(self, order: Box<engine::Order>) -> Event {
+        let answer = self.post("/orders", order.as_ref()).await;
+        Event::OrderAnswered {
+            server: self.server,
+            order,
+            answer: logged("order", answer),
+        }
+    }
+
+    /// Ask for a hold.
+    pub async fn request_hold(self, hold: Box<engine::HoldRequest>) -> Event {
+        let answer: eyre::Result<engine::HoldAnswer> = self.post("/holds", hold.as_ref()).await;
+        Event::HoldAnswered {
+            server: self.server,
+            hold: hold.id.into(),
+            granted: logged("hold", answer).map(|answer| answer.granted),
+        }
+    }
+
+    /// Release a hold. An engine that doesn't know the hold confirms as well.
+    pub async fn release_hold(self, hold: SmolStr) -> Event {
+        let path = format!("/holds/{hold}");
+        let answer = self.exchange(Method::DELETE, &path, Bytes::new()).await;
+        let confirmed = logged("release of a hold", answer)
+            .is_some_and(|(status, _)| status.is_success() || status == StatusCode::NOT_FOUND);
+        Event::HoldReleased {
+            server: self.server,
+            hold,
+            confirmed,
+        }
+    }
+
+    async fn load(&self) -> eyre::Result<Event> {
+        let report = self.get("/load").await?;
+        check_load(&self.server, &report).map(Event::LoadReport)
+    }
+
+    async fn get<T: DeserializeOwned>(&self, path: &str) -> eyre::Result<T> {
+        let (status, body) = self.exchange(Method::GET, path, Bytes::new()).await?;
+        ensure!(status.is_success(), "{path}: status {status}");
+        serde_json::from_slice(&body).wrap_err_with(|| format!("parse the answer to {path}"))
+    }
+
+    /// Send JSON and parse the JSON answer, whatever its status: a refusal has one, too.
+    async fn post<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &impl Serialize,
+    ) -> eyre::Result<T> {
+        let body = serde_json::to_vec(body)?;
+        let (status, answer) = self.exchange(Method::POST, path, body.into()).await?;
+        serde_json::from_slice(&answer)
+            .wrap_err_with(|| format!("parse the answer to {path} with status {status}"))
+    }
+
+    async fn exchange(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> eyre::Result<(StatusCode, Bytes)> {
+        let deadline = self.clock.now() + TIMEOUT.into();
+        let req = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(HOST, self.addr.to_string())
+            .header(CONTENT_TYPE, JSON)
+            .body(Full::new(body))?;
+        let exchange = async {
+            let mut connection = self.pool.any(self.addr).await.wrap_err("connect")?;
+            let answer = connection.send(req, deadline).await.wrap_err("send")?;
+            let status = answer.status();
+            let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES)
+                .collect()
+                .await
+                .map_err(|error| eyre::eyre!("read: {error}"))?
+                .to_bytes();
+            self.pool.put(connection);
+            Ok((status, body))
+        };
+        tokio::time::timeout(TIMEOUT, exchange)
+            .await
+            .wrap_err("no answer in time")?
+    }
+}
+
+fn logged<T>(what: &str, answer: eyre::Result<T>) -> Option<T> {
+    answer
+        .inspect_err(|error| {
+            let cause = format!("{error:#}");
+            tracing::warn!(what, cause, "call of a backend server failed");
+        })
+        .ok()
+}
+
+/// Turn a raw load report into a checked one.
+///
+/// # Errors
+///
+/// Return the cause when the report is of another server or names an unknown state.
+pub fn check_load(server: &BackendServerId, raw: &engine::LoadReport) -> eyre::Result<ServerLoad> {
+    ensure!(
+        raw.server == server.as_str(),
+        "the report is of `{}`, not of `{server}`",
+        raw.server
+    );
+    Ok(ServerLoad {
+        server: server.clone(),
+        incarnation: Incarnation::new(raw.incarnation),
+        state: raw
+            .state
+            .parse()
+            .wrap_err_with(|| format!("state `{}`", raw.state))?,
+        running: raw.running,
+        queued: raw.queued,
+        queued_prefill: Tokens::new(raw.queued_prefill_tokens),
+        memory_used: Tokens::new(raw.memory_used_tokens),
+        memory: Tokens::new(raw.memory_tokens),
+        age: Millis::new(raw.age_ms),
+    })
+}
--- /dev/null
+++ b/crates/oleanderpass_entry/src/backend/sse.rs
@@ -0,0 +1,48 @@
+//! Parse server-sent events.
+
+use eyre::ensure;
+
+/// The longest accepted line, in bytes. A token's event has about 100 bytes.
+const MAX_LINE_BYTES: usize = 1 << 20;
+
+/// Split a byte stream into the data of its events.
+#[derive(Debug, Default)]
+pub struct SseParser {
+    buf: Vec<u8>,
+    data: String,
+}
+
+impl SseParser {
+    /// Take bytes and append the data of each complete event to `out`.
+    ///
+    /// Comments (keep-alives) and fields other than `data` are skipped.
+    ///
+    /// # Errors
+    ///
+    /// Return an error for a line that is too long or isn't UTF-8.
+    pub fn push(&mut self, bytes: &[u8], out: &mut Vec<String>) -> eyre::Result<()> {
+        self.buf.extend_from_slice(bytes);
+        let mut start = 0;
+        while let Some(length) = self.buf[start..].iter().position(|byte| *byte == b'\n') {
+            let line = std::str::from_utf8(&self.buf[start..start + length])?;
+            let line = line.strip_suffix('\r').unwrap_or(line);
+            if line.is_empty() {
+                if !self.data.is_empty() {
+                    out.push(std::mem::take(&mut self.data));
+                }
+            } else if let Some(data) = line.strip_prefix("data:") {
+                if !self.data.is_empty() {
+                    self.data.push('\n');
+                }
+                self.data.push_str(data.strip_prefix(' ').unwrap_or(data));
+            }
+            start += length + 1;
+        }
+        self.buf.drain(..start);
+        ensure!(
+            self.buf.len() <= MAX_LINE_BYTES && self.data.len() <= MAX_LINE_BYTES,
+            "an event is longer than {MAX_LINE_BYTES} bytes"
+        );
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/oleanderpass_entry/src/caller/handler.rs
@@ -0,0 +1,372 @@
+//! Turn a caller's HTTP request into a request task.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::header::CONTENT_TYPE;
+use hyper::body::Incoming;
+use oleanderpass_core::event::Event;
+use oleanderpass_core::event::NewRequest;
+use oleanderpass_core::event::Source;
+use oleanderpass_core::event::Target;
+use oleanderpass_types::error::Peer;
+use oleanderpass_types::error::Step;
+use oleanderpass_types::error::StepError;
+use oleanderpass_types::id::CallerId;
+use oleanderpass_types::id::OrganisationId;
+use oleanderpass_types::id::RequestId;
+use oleanderpass_types::id::RouteId;
+use oleanderpass_types::outcome::Outcome;
+use oleanderpass_types::size::Bytes as ByteCount;
+use oleanderpass_types::size::Tokens;
+use serde::Deserialize;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::backend::service::ServiceCall;
+use crate::caller::answer::AnswerContext;
+use crate::caller::answer::CallerBody;
+use crate::caller::answer::CallerGuard;
+use crate::caller::answer::JSON;
+use crate::caller::body::read_body;
+use crate::caller::budget::Share;
+use crate::caller::head::Head;
+use crate::caller::openai;
+use crate::caller::openai::AnswerForm;
+use crate::caller::output::Output;
+use crate::caller::prompt::Interface;
+use crate::caller::prompt::Prompt;
+use crate::clock::unix_ms;
+use crate::generation_sink::GenerationWork;
+use crate::metrics::UNKNOWN_CLASS;
+use crate::peer::forward::ForwardCall;
+use crate::request_task::RequestTask;
+use crate::request_task::ServiceWork;
+use crate::request_task::Work;
+use crate::shared::Shared;
+
+/// The prefix of calls of plain services.
+const SERVICE_PREFIX: &str = "/svc/";
+
+/// A request that the edge refuses: step, HTTP status and cause.
+struct Refused {
+    step: Step,
+    status: u16,
+    cause: SmolStr,
+}
+
+impl Refused {
+    fn new(step: Step, status: u16, cause: impl Into<SmolStr>) -> Self {
+        Self {
+            step,
+            status,
+            cause: cause.into(),
+        }
+    }
+}
+
+/// A body with its share of the byte budget.
+struct HeldBody {
+    bytes: Bytes,
+    share: Share,
+}
+
+/// The body of `POST /v1/tickets`.
+#[derive(Deserialize)]
+struct TicketBody {
+    route: String,
+}
+
+/// What a caller's request becomes.
+enum Parsed {
+    Answer(Bytes),
+    Task(Box<ParsedTask>),
+}
+
+/// A request for the core.
+struct ParsedTask {
+    event: Event,
+    work: Work,
+    share: Share,
+}
+
+/// The organisation and the caller that an API key belongs to.
+struct CallerNames {
+    organisation: OrganisationId,
+    caller: CallerId,
+    class: &'static str,
+}
+
+/// Answer one request of a caller.
+pub async fn handle(shared: Arc<Shared>, req: Request<Incoming>) -> Response<CallerBody> {
+    let id = shared.draw_request_id();
+    match parse(&shared, &id, req).await {
+        Ok(Parsed::Answer(body)) => {
+            context(&shared, &id).whole(200, JSON, body, Some(Outcome::Completed))
+        }
+        Ok(Parsed::Task(task)) => start(shared, id, *task).await,
+        Err(refused) => refuse(&shared, &id, refused),
+    }
+}
+
+fn context(shared: &Shared, req: &RequestId) -> AnswerContext {
+    AnswerContext {
+        req: req.clone(),
+        generation: shared.generation(),
+    }
+}
+
+fn refuse(shared: &Shared, req: &RequestId, refused: Refused) -> Response<CallerBody> {
+    shared.metrics.count_refused(refused.status);
+    tracing::info!(%req, step = %refused.step, status = refused.status, cause = %refused.cause, "request refused");
+    let error = StepError::new(refused.step, Peer::Caller, refused.cause);
+    let mut answer = context(shared, req).error(refused.status, Outcome::NotRun, &error);
+    // The rest of the body may still be under way, so the connection can't be used again.
+    let close = http::HeaderValue::from_static("close");
+    answer.headers_mut().insert(http::header::CONNECTION, close);
+    answer
+}
+
+/// Start the request task and wait for the head of its answer. A caller that disconnects drops
+/// this future or the answer's body, and with it the guard.
+async fn start(shared: Arc<Shared>, req: RequestId, parsed: ParsedTask) -> Response<CallerBody> {
+    let ParsedTask { event, work, share } = parsed;
+    let (guard, gone) = CallerGuard::channel();
+    let (output, answer) = Output::caller();
+    let commands = shared.core.open(req.clone(), event);
+    let task = RequestTask {
+        shared: Arc::clone(&shared),
+        req: req.clone(),
+        commands,
+        gone,
+        output,
+        work,
+        share,
+    };
+    tokio::spawn(task.run());
+    match answer.await {
+        Ok(mut answer) => {
+            answer.body_mut().set_guard(guard);
+            answer
+        }
+        Err(_) => {
+            let error = StepError::new(Step::Queue, Peer::Local, "the instance has stopped");
+            context(&shared, &req).error(503, Outcome::Unknown, &error)
+        }
+    }
+}
+
+async fn parse(
+    shared: &Arc<Shared>,
+    id: &RequestId,
+    req: Request<Incoming>,
+) -> Result<Parsed, Refused> {
+    let head = Head::try_from(req.headers()).map_err(|(status, cause)| {
+        let step = if status == 401 {
+            Step::Authenticate
+        } else {
+            Step::Read
+        };
+        Refused::new(step, status, cause)
+    })?;
+    let names = authenticate(shared, &head)?;
+    let path = req.uri().path();
+    match (req.method().as_str(), path) {
+        ("POST", "/v1/chat/completions") => {
+            generation(shared, id, head, &names, Interface::Chat, req).await
+        }
+        ("POST", "/v1/completions") => {
+            generation(shared, id, head, &names, Interface::Completion, req).await
+        }
+        ("POST", "/v1/tickets") => ticket(shared, id, head, req).await,
+        ("GET", "/v1/models") => openai::model_list(&shared.snapshot.borrow(), &head.key)
+            .map(Parsed::Answer)
+            .ok_or_else(|| Refused::new(Step::Admit, 503, "no document is in force")),
+        (_, "/v1/chat/completions" | "/v1/completions" | "/v1/tickets" | "/v1/models") => {
+            Err(Refused::new(Step::Read, 405, "wrong method"))
+        }
+        (_, path) if path.starts_with(SERVICE_PREFIX) => {
+            service(shared, id, head, names, req).await
+        }
+        _ => Err(Refused::new(Step::Read, 404, "unknown path")),
+    }
+}
+
+/// Check the API key before the body is read, so that strangers can't use up the byte budget.
+fn authenticate(shared: &Shared, head: &Head) -> Result<CallerNames, Refused> {
+    let snapshot = shared.snapshot.borrow();
+    let Some(document) = &snapshot.document else {
+        return Err(Refused::new(Step::Admit, 503, "no document is in force"));
+    };
+    let Some((organisation, caller)) = document.callers.get(&head.key) else {
+        return Err(Refused::new(Step::Authenticate, 401, "unknown API key"));
+    };
+    let class = document
+        .organisations
+        .get(organisation)
+        .map_or(UNKNOWN_CLASS, |organisation| organisation.class.into());
+    Ok(CallerNames {
+        organisation: organisation.clone(),
+        caller: caller.clone(),
+        class,
+    })
+}
+
+async fn read(shared: &Shared, req: Request<Incoming>) -> Result<HeldBody, Refused> {
+    let mut share = shared.budget.share();
+    let limit = usize::try_from(shared.limits.body.get()).unwrap_or(usize::MAX);
+    let bytes = read_body(req.into_body(), limit, &mut share)
+        .await
+        .map_err(|(status, cause)| Refused::new(Step::Read, status, cause))?;
+    Ok(HeldBody { bytes, share })
+}
+
+fn new_request(id: &RequestId, head: Head, target: Target, body: &Bytes) -> NewRequest {
+    NewRequest {
+        id: id.clone(),
+        source: Source::Caller(head.key),
+        target,
+        ticket: head.ticket,
+        timeout: head.timeout,
+        priority: head.priority,
+        idempotent: head.idempotent,
+        prompt: Tokens::estimate(ByteCount::new(body.len() as u64)),
+        max_output: Tokens::ZERO,
+        prefixes: Vec::new(),
+        body_hash: xxh3_64(body),
+    }
+}
+
+async fn generation(
+    shared: &Arc<Shared>,
+    id: &RequestId,
+    head: Head,
+    names: &CallerNames,
+    interface: Interface,
+    req: Request<Incoming>,
+) -> Result<Parsed, Refused> {
+    let body = read(shared, req).await?;
+    let prompt = Prompt::parse(interface, &body.bytes)
+        .map_err(|cause| Refused::new(Step::Read, 400, cause))?;
+    let mut new = new_request(id, head, prompt.target.clone(), &body.bytes);
+    new.prompt = prompt.tokens;
+    new.max_output = prompt.max_output;
+    new.prefixes.clone_from(&prompt.prefixes);
+    let form = AnswerForm {
+        interface,
+        id: format!("gen-{id}"),
+        created: unix_ms() / 1_000,
+        model: prompt.model.clone(),
+        include_usage: prompt.include_usage,
+    };
+    let work = GenerationWork {
+        prompt,
+        form,
+        body: body.bytes,
+        text: String::new(),
+        arrived: shared.clock.now(),
+        class: names.class,
+    };
+    Ok(Parsed::Task(Box::new(ParsedTask {
+        event: Event::Request(Box::new(new)),
+        work: Work::Generation(Box::new(work)),
+        share: body.share,
+    })))
+}
+
+async fn ticket(
+    shared: &Arc<Shared>,
+    id: &RequestId,
+    head: Head,
+    req: Request<Incoming>,
+) -> Result<Parsed, Refused> {
+    let body = read(shared, req).await?;
+    let invalid = |cause: SmolStr| Refused::new(Step::Read, 400, cause);
+    let parsed: TicketBody = serde_json::from_slice(&body.bytes)
+        .map_err(|error| invalid(format_smolstr!("invalid JSON: {error}")))?;
+    let route: RouteId = parsed
+        .route
+        .parse()
+        .map_err(|error| invalid(format_smolstr!("route: {error}")))?;
+    Ok(Parsed::Task(Box::new(ParsedTask {
+        event: Event::IssueTicket {
+            req: id.clone(),
+            key: head.key,
+            route,
+        },
+        work: Work::Ticket,
+        share: body.share,
+    })))
+}
+
+async fn service(
+    shared: &Arc<Shared>,
+    id: &RequestId,
+    head: Head,
+    names: CallerNames,
+    req: Request<Incoming>,
+) -> Result<Parsed, Refused> {
+    let (route, path) = split_route(req.uri())?;
+    let method = req.method().clone();
+    if method == Method::CONNECT {
+        return Err(Refused::new(Step::Read, 405, "wrong method"));
+    }
+    let content_type: SmolStr = req
+        .headers()
+        .get(CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default()
+        .into();
+    let body = read(shared, req).await?;
+    let forward = head.ticket.clone().map(|ticket| ForwardCall {
+        ticket,
+        organisation: names.organisation,
+        caller: names.caller,
+        route: route.clone(),
+        priority: head.priority,
+    });
+    let call = ServiceCall {
+        method,
+        path,
+        content_type,
+        body: body.bytes.clone(),
+        record: head.ticket.is_some(),
+    };
+    let mut new = new_request(id, head, Target::Route(route), &body.bytes);
+    // The path and the method tell calls of one route apart.
+    new.body_hash = call_hash(&call);
+    Ok(Parsed::Task(Box::new(ParsedTask {
+        event: Event::Request(Box::new(new)),
+        work: Work::Service(Box::new(ServiceWork { call, forward })),
+        share: body.share,
+    })))
+}
+
+/// Hash what tells calls of one route apart.
+pub fn call_hash(call: &ServiceCall) -> u64 {
+    let mut hash = xxhash_rust::xxh3::Xxh3::new();
+    hash.update(call.method.as_str().as_bytes());
+    hash.update(b" ");
+    hash.update(call.path.as_bytes());
+    hash.update(b"\n");
+    hash.update(&call.body);
+    hash.digest()
+}
+
+/// Split `/svc/{route}/...` into the route and the path at the service.
+fn split_route(uri: &http::Uri) -> Result<(RouteId, SmolStr), Refused> {
+    let rest = uri.path().strip_prefix(SERVICE_PREFIX).unwrap_or_default();
+    let (route, path) = rest.split_once('/').unwrap_or((rest, ""));
+    let route = route
+        .parse()
+        .map_err(|error| Refused::new(Step::Read, 404, format_smolstr!("{error}")))?;
+    let path = match uri.query() {
+        Some(query) => format_smolstr!("/{path}?{query}"),
+        None => format_smolstr!("/{path}"),
+    };
+    Ok((route, path))
+}
--- /dev/null
+++ b/crates/oleanderpass_entry/src/metrics.rs
@@ -0,0 +1,188 @@
+//! Count and measure for Prometheus. Every label has a closed set of values.
+
+use oleanderpass_types::clock::Millis;
+use oleanderpass_types::outcome::Outcome;
+use oleanderpass_types::size::Tokens;
+use prometheus::Encoder;
+use prometheus::HistogramOpts;
+use prometheus::HistogramVec;
+use prometheus::IntCounter;
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+use crate::core_loop::Snapshot;
+
+/// Bounds of the time to first token, in seconds. The target of 1.7 s is one of them.
+const TTFT_BOUNDS_S: [f64; 14] = [
+    0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.7, 2.5, 5.0, 10.0, 30.0, 60.0, 300.0,
+];
+
+/// Upper bounds of the prompt-length buckets, in tokens, with their labels.
+const PROMPT_BUCKETS: [(u64, &str); 5] = [
+    (1_000, "1k"),
+    (8_000, "8k"),
+    (32_768, "32k"),
+    (100_000, "100k"),
+    (1_000_000, "1m"),
+];
+
+/// The label of prompts above the last bucket.
+const LONGER_PROMPT: &str = "longer";
+
+/// The class label of a caller that isn't known.
+pub const UNKNOWN_CLASS: &str = "unknown";
+
+/// The metrics of the process.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    ttft: HistogramVec,
+    requests: IntCounterVec,
+    refused: IntCounterVec,
+    /// Attempts after the first one of a request.
+    pub retries: IntCounter,
+    /// Resumed streams.
+    pub resumes: IntCounter,
+    /// Open caller connections.
+    pub connections: IntGauge,
+    generation: IntGauge,
+    in_flight: IntGauge,
+    /// Documents from the platform that can't be parsed.
+    pub malformed_documents: IntCounter,
+    /// Datagrams and calls of peers that failed their check.
+    rejected_peer_messages: IntCounterVec,
+}
+
+impl Metrics {
+    /// Create the metrics.
+    ///
+    /// # Errors
+    ///
+    /// Return the cause when a metric can't be registered.
+    pub fn new() -> prometheus::Result<Self> {
+        let registry = Registry::new();
+        let ttft = HistogramVec::new(
+            HistogramOpts::new("oleanderpass_ttft_seconds", "Time to first token")
+                .buckets(TTFT_BOUNDS_S.to_vec()),
+            &["class", "prompt"],
+        )?;
+        registry.register(Box::new(ttft.clone()))?;
+        Ok(Self {
+            ttft,
+            requests: counters(
+                &registry,
+                "requests_total",
+                "Requests by outcome",
+                "outcome",
+            )?,
+            refused: counters(
+                &registry,
+                "refused_total",
+                "Requests refused before the core, by HTTP status",
+                "status",
+            )?,
+            retries: counter(&registry, "retries_total", "Attempts after the first one")?,
+            resumes: counter(&registry, "resumes_total", "Resumed streams")?,
+            connections: gauge(&registry, "connections", "Open caller connections")?,
+            generation: gauge(&registry, "generation", "Generation in force")?,
+            in_flight: gauge(&registry, "in_flight", "Requests in flight")?,
+            malformed_documents: counter(
+                &registry,
+                "malformed_documents_total",
+                "Documents that can't be parsed",
+            )?,
+            rejected_peer_messages: counters(
+                &registry,
+                "rejected_peer_messages_total",
+                "Messages of peers that failed their check",
+                "reason",
+            )?,
+            registry,
+        })
+    }
+
+    /// Record the time to first token.
+    pub fn observe_ttft(&self, class: &str, prompt: Tokens, time: Millis) {
+        let bucket = prompt_bucket(prompt);
+        let seconds = std::time::Duration::from(time).as_secs_f64();
+        self.ttft
+            .with_label_values(&[class, bucket])
+            .observe(seconds);
+    }
+
+    /// Count the end of a request.
+    pub fn count_outcome(&self, outcome: Outcome) {
+        let label: &str = outcome.into();
+        self.requests.with_label_values(&[label]).inc();
+    }
+
+    /// Count a request that the edge refused.
+    pub fn count_refused(&self, status: u16) {
+        self.refused
+            .with_label_values(&[status.to_string().as_str()])
+            .inc();
+    }
+
+    /// Count a message of a peer that failed its check.
+    pub fn count_rejected_peer_message(&self, reason: impl AsRef<str>) {
+        self.rejected_peer_messages
+            .with_label_values(&[reason.as_ref()])
+            .inc();
+    }
+
+    /// Take over the state of the core.
+    pub fn update(&self, snapshot: &Snapshot) {
+        let generation = i64::try_from(snapshot.generation().get()).unwrap_or(i64::MAX);
+        self.generation.set(generation);
+        let in_flight = i64::try_from(snapshot.in_flight).unwrap_or(i64::MAX);
+        self.in_flight.set(in_flight);
+    }
+
+    /// Write the text form.
+    ///
+    /// # Errors
+    ///
+    /// Return the cause when a metric can't be encoded.
+    pub fn encode(&self) -> prometheus::Result<Vec<u8>> {
+        let mut buf = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut buf)?;
+        Ok(buf)
+    }
+}
+
+fn prompt_bucket(prompt: Tokens) -> &'static str {
+    PROMPT_BUCKETS
+        .iter()
+        .find(|(bound, _)| prompt.get() <= *bound)
+        .map_or(LONGER_PROMPT, |(_, label)| label)
+}
+
+fn opts(name: &str, help: &str) -> Opts {
+    Opts::new(format!("oleanderpass_{name}"), help)
+}
+
+fn counter(registry: &Registry, name: &str, help: &str) -> prometheus::Result<IntCounter> {
+    let counter = IntCounter::with_opts(opts(name, help))?;
+    registry.register(Box::new(counter.clone()))?;
+    Ok(counter)
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> prometheus::Result<IntGauge> {
+    let gauge = IntGauge::with_opts(opts(name, help))?;
+    registry.register(Box::new(gauge.clone()))?;
+    Ok(gauge)
+}
+
+fn counters(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    label: &str,
+) -> prometheus::Result<IntCounterVec> {
+    let counters = IntCounterVec::new(opts(name, help), &[label])?;
+    registry.register(Box::new(counters.clone()))?;
+    Ok(counters)
+}
--- /dev/null
+++ b/crates/oleanderpass_entry/src/operator.rs
@@ -0,0 +1,130 @@
+//! Serve the operator port: metrics, health, readiness and status.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+
+use eyre::WrapErr;
+use serde_json::json;
+use tiny_http::Header;
+use tiny_http::Response;
+use tiny_http::Server;
+
+use crate::clock::unix_ms;
+use crate::shared::Shared;
+
+/// The content type of the Prometheus text format.
+const METRICS: &str = "text/plain; version=0.0.4";
+
+/// The operator port.
+pub struct OperatorPort {
+    server: Server,
+}
+
+struct Page {
+    status: u16,
+    content_type: &'static str,
+    body: Vec<u8>,
+}
+
+impl OperatorPort {
+    /// Listen on an address.
+    ///
+    /// # Errors
+    ///
+    /// Return the cause when the address can't be used.
+    pub fn bind(addr: SocketAddr) -> eyre::Result<Self> {
+        let server = Server::http(addr)
+            .map_err(|error| eyre::eyre!("listen for operators on {addr}: {error}"))?;
+        Ok(Self { server })
+    }
+
+    /// Return the address.
+    pub fn addr(&self) -> Option<SocketAddr> {
+        self.server.server_addr().to_ip()
+    }
+
+    /// Serve from a thread of its own.
+    ///
+    /// # Errors
+    ///
+    /// Return the cause when the thread can't be started.
+    pub fn spawn(self, shared: Arc<Shared>) -> eyre::Result<()> {
+        thread::Builder::new()
+            .name("operator".to_owned())
+            .spawn(move || {
+                for req in self.server.incoming_requests() {
+                    let page = answer(&shared, req.url());
+                    if let Err(error) = respond(req, page) {
+                        tracing::debug!(%error, "answer to an operator failed");
+                    }
+                }
+            })
+            .wrap_err("start the operator port")?;
+        Ok(())
+    }
+}
+
+fn respond(req: tiny_http::Request, page: Page) -> std::io::Result<()> {
+    let mut response = Response::from_data(page.body).with_status_code(page.status);
+    if let Ok(header) = Header::from_bytes("content-type", page.content_type) {
+        response.add_header(header);
+    }
+    req.respond(response)
+}
+
+fn answer(shared: &Shared, path: &str) -> Page {
+    match path {
+        "/metrics" => metrics(shared),
+        "/healthz" => text(200, "live\n"),
+        "/readyz" if shared.snapshot.borrow().ready => text(200, "ready\n"),
+        "/readyz" => text(503, "not ready\n"),
+        "/status" => Page {
+            status: 200,
+            content_type: "application/json",
+            body: status(shared),
+        },
+        _ => text(404, "unknown path\n"),
+    }
+}
+
+fn text(status: u16, body: &str) -> Page {
+    Page {
+        status,
+        content_type: "text/plain",
+        body: body.into(),
+    }
+}
+
+fn metrics(shared: &Shared) -> Page {
+    let snapshot = shared.snapshot.borrow().clone();
+    shared.metrics.update(&snapshot);
+    match shared.metrics.encode() {
+        Ok(body) => Page {
+            status: 200,
+            content_type: METRICS,
+            body,
+        },
+        Err(error) => text(500, &format!("encode the metrics: {error}\n")),
+    }
+}
+
+fn status(shared: &Shared) -> Vec<u8> {
+    let snapshot = shared.snapshot.borrow().clone();
+    let document = snapshot.document.as_ref();
+    let status = json!({
+        "instance": shared.identity.instance,
+        "incarnation": shared.identity.incarnation,
+        "zone": shared.identity.zone,
+        "unix_ms": unix_ms(),
+        "ready": snapshot.ready,
+        "in_flight": snapshot.in_flight,
+        "connections": shared.metrics.connections.get(),
+        "generation": snapshot.generation(),
+        "digest": document.map(|document| document.digest.to_string()),
+        "environment": document.map(|document| document.environment.name.as_str()),
+    });
+    let mut body = serde_json::to_vec_pretty(&status).unwrap_or_default();
+    body.push(b'\n');
+    body
+}
--- /dev/null
+++ b/crates/oleanderpass_entry/src/peer/datagram.rs
@@ -0,0 +1,130 @@
+//! Send and receive authenticated datagrams.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use hmac::Hmac;
+use hmac::KeyInit;
+use hmac::Mac;
+use oleanderpass_core::event::Event;
+use oleanderpass_proto::peer::Packet;
+use prost::Message;
+use sha2::Sha256;
+use strum::Display;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+use crate::settings::FleetKey;
+use crate::shared::Shared;
+
+/// The largest datagram, in bytes. It fits into one IP packet of the smallest usual MTU.
+pub const MAX_DATAGRAM_BYTES: usize = 1_200;
+
+/// The length of an HMAC-SHA256, in bytes.
+const TAG_BYTES: usize = 32;
+
+/// Separates the authenticated datagrams from other uses of the fleet key.
+const DOMAIN: &[u8] = b"oleanderpass datagram v1\n";
+
+/// Why a datagram was dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum DatagramError {
+    /// It is longer than 1,200 bytes or shorter than its HMAC.
+    Length,
+    /// The HMAC is wrong.
+    Hmac,
+    /// The content can't be decoded.
+    Malformed,
+}
+
+fn mac(key: &FleetKey) -> Hmac<Sha256> {
+    // HMAC accepts keys of any length, and this one has 32 bytes.
+    #[expect(clippy::expect_used, reason = "a 32-byte key is always accepted")]
+    let mut mac = Hmac::<Sha256>::new_from_slice(&key.0).expect("32-byte key");
+    mac.update(DOMAIN);
+    mac
+}
+
+/// Encode a packet, followed by its HMAC.
+///
+/// # Errors
+///
+/// Return [`DatagramError::Length`] when it does not fit into a datagram.
+pub fn encode(key: &FleetKey, packet: &Packet) -> Result<Vec<u8>, DatagramError> {
+    let mut buf = packet.encode_to_vec();
+    if buf.len() + TAG_BYTES > MAX_DATAGRAM_BYTES {
+        return Err(DatagramError::Length);
+    }
+    let tag = mac(key).chain_update(&buf).finalize().into_bytes();
+    buf.extend_from_slice(&tag);
+    Ok(buf)
+}
+
+/// Check the HMAC of a datagram and decode it.
+///
+/// # Errors
+///
+/// Return why the datagram must be dropped.
+pub fn decode(key: &FleetKey, datagram: &[u8]) -> Result<Packet, DatagramError> {
+    if datagram.len() > MAX_DATAGRAM_BYTES {
+        return Err(DatagramError::Length);
+    }
+    let (content, tag) = datagram
+        .split_last_chunk::<TAG_BYTES>()
+        .ok_or(DatagramError::Length)?;
+    mac(key)
+        .chain_update(content)
+        .verify_slice(tag)
+        .map_err(|_| DatagramError::Hmac)?;
+    Packet::decode(content).map_err(|_| DatagramError::Malformed)
+}
+
+/// Pass received packets to the core.
+pub async fn receive(socket: Arc<UdpSocket>, key: FleetKey, shared: Arc<Shared>) {
+    // One byte more than the limit, so that a longer datagram is recognised.
+    let mut buf = [0; MAX_DATAGRAM_BYTES + 1];
+    loop {
+        let (length, from) = match socket.recv_from(&mut buf).await {
+            Ok(received) => received,
+            Err(error) => {
+                // An ICMP error of an earlier send; the socket stays usable.
+                tracing::debug!(%error, "receive of a datagram failed");
+                tokio::task::yield_now().await;
+                continue;
+            }
+        };
+        match decode(&key, &buf[..length]) {
+            Ok(packet) => {
+                let packet = Arc::new(packet);
+                shared.core.event(Event::PeerPacket { from, packet });
+            }
+            Err(error) => {
+                tracing::debug!(%from, %error, "dropped a datagram");
+                shared
+                    .metrics
+                    .count_rejected_peer_message(error.to_string());
+            }
+        }
+    }
+}
+
+/// Send the core's packets.
+pub async fn send(
+    socket: Arc<UdpSocket>,
+    key: FleetKey,
+    mut packets: UnboundedReceiver<(SocketAddr, Box<Packet>)>,
+) {
+    while let Some((to, packet)) = packets.recv().await {
+        let datagram = match encode(&key, &packet) {
+            Ok(datagram) => datagram,
+            Err(error) => {
+                tracing::error!(%to, %error, "packet does not fit into a datagram");
+                continue;
+            }
+        };
+        if let Err(error) = socket.send_to(&datagram, to).await {
+            tracing::debug!(%to, %error, "send of a datagram failed");
+        }
+    }
+}
--- /dev/null
+++ b/crates/oleanderpass_entry/src/peer/forward.rs
@@ -0,0 +1,165 @@
+//! Forward a call with a ticket to the instance that issued the ticket.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use oleanderpass_core::event::Event;
+use oleanderpass_core::event::Priority;
+use oleanderpass_proto::peer;
+use oleanderpass_proto::peer::forward_event;
+use oleanderpass_types::clock::Timestamp;
+use oleanderpass_types::error::Peer;
+use oleanderpass_types::error::Step;
+use oleanderpass_types::error::StepError;
+use oleanderpass_types::id::CallerId;
+use oleanderpass_types::id::Generation;
+use oleanderpass_types::id::InstanceId;
+use oleanderpass_types::id::OrganisationId;
+use oleanderpass_types::id::RouteId;
+use oleanderpass_types::outcome::Outcome;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+
+use crate::backend::service::MAX_ANSWER_BYTES;
+use crate::backend::service::ServiceCall;
+use crate::caller::answer::AnswerContext;
+use crate::caller::output::WholeAnswer;
+use crate::peer::client::FORWARD;
+use crate::peer::client::describe;
+use crate::shared::Shared;
+
+/// The status of an answer whose owner named none.
+const NO_STATUS: u16 = 502;
+
+/// What a forward needs besides the call.
+#[derive(Clone, Debug)]
+pub struct ForwardCall {
+    /// The ticket.
+    pub ticket: SmolStr,
+    /// The caller's organisation.
+    pub organisation: OrganisationId,
+    /// The caller.
+    pub caller: CallerId,
+    /// The route.
+    pub route: RouteId,
+    /// How urgent the request is.
+    pub priority: Priority,
+}
+
+/// The owner's answer.
+#[derive(Clone, Debug)]
+pub struct Relayed {
+    owner: InstanceId,
+    status: u16,
+    content_type: SmolStr,
+    body: Bytes,
+    outcome: Outcome,
+    error: Option<(Step, SmolStr, SmolStr)>,
+    /// The generation in force at the owner.
+    pub generation: Generation,
+}
+
+impl Relayed {
+    /// Build the answer to the caller. The outcome passes unchanged.
+    pub fn into_answer(self, context: &AnswerContext) -> WholeAnswer {
+        match self.error {
+            None => WholeAnswer {
+                status: self.status,
+                content_type: self.content_type,
+                body: self.body,
+                outcome: self.outcome,
+                error: None,
+            },
+            Some((step, peer, cause)) => {
+                let cause = format_smolstr!("{cause} (at {peer})");
+                let owner = Peer::Instance(self.owner.as_str().into());
+                let error = StepError::new(step, owner, cause);
+                WholeAnswer::error(context, self.status, self.outcome, error)
+            }
+        }
+    }
+}
+
+/// Forward a call and collect the owner's answer.
+///
+/// # Errors
+///
+/// Return why the owner gave no complete answer. Whether it ran the call is then unknown.
+pub async fn call(
+    shared: &Shared,
+    owner: &InstanceId,
+    addr: SocketAddr,
+    deadline: Timestamp,
+    call: &ServiceCall,
+    forward: &ForwardCall,
+) -> Result<Relayed, SmolStr> {
+    let left = shared.clock.now().until(deadline);
+    let mut req = peer::ForwardRequest {
+        proof: None,
+        ticket: forward.ticket.to_string(),
+        organisation: forward.organisation.to_string(),
+        caller: forward.caller.to_string(),
+        route: forward.route.to_string(),
+        method: call.method.to_string(),
+        path: call.path.to_string(),
+        content_type: call.content_type.to_string(),
+        body: call.body.to_vec(),
+        timeout_ms: left.get(),
+        batch: forward.priority == Priority::Batch,
+    };
+    req.proof = Some(shared.peers.sign(FORWARD, &req));
+    let mut client = shared.peers.client(addr)?;
+    let mut stream = match client.forward(req).await {
+        Ok(answer) => answer.into_inner(),
+        Err(status) => {
+            if status.code() == tonic::Code::Unavailable {
+                shared.core.event(Event::PeerUnreachable(owner.clone()));
+            }
+            return Err(describe(status));
+        }
+    };
+    let mut head = peer::AnswerHead::default();
+    let mut body = BytesMut::new();
+    while let Some(part) = stream.message().await.map_err(describe)? {
+        match part.event {
+            Some(forward_event::Event::Head(received)) => head = received,
+            Some(forward_event::Event::Data(data)) => {
+                if body.len() + data.len() > MAX_ANSWER_BYTES {
+                    return Err("the answer is too large".into());
+                }
+                body.extend_from_slice(&data);
+            }
+            Some(forward_event::Event::End(end)) => {
+                return relayed(owner, &head, body.freeze(), &end);
+            }
+            None => {}
+        }
+    }
+    Err("the answer ended before its outcome".into())
+}
+
+fn relayed(
+    owner: &InstanceId,
+    head: &peer::AnswerHead,
+    body: Bytes,
+    end: &peer::AnswerEnd,
+) -> Result<Relayed, SmolStr> {
+    let outcome = end
+        .outcome
+        .parse()
+        .map_err(|_| format_smolstr!("unknown outcome `{}`", end.outcome))?;
+    let error = (!end.step.is_empty()).then(|| {
+        let step = end.step.parse().unwrap_or(Step::Forward);
+        (step, end.peer.as_str().into(), end.cause.as_str().into())
+    });
+    Ok(Relayed {
+        owner: owner.clone(),
+        status: u16::try_from(head.status).unwrap_or(NO_STATUS),
+        content_type: head.content_type.as_str().into(),
+        body,
+        outcome,
+        error,
+        generation: Generation::new(end.generation),
+    })
+}
--- /dev/null
+++ b/crates/oleanderpass_entry/src/peer/mod.rs
@@ -0,0 +1,7 @@
+//! Communicate with other entry instances.
+
+pub mod client;
+pub mod datagram;
+pub mod forward;
+pub mod proof;
+pub mod server;
--- /dev/null
+++ b/crates/oleanderpass_entry/src/platform.rs
@@ -0,0 +1,186 @@
+//! Read the environment document and the instance list from the platform in blocking threads.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::mpsc;
+use std::sync::mpsc::Sender;
+use std::thread;
+use std::time::Duration;
+
+use eyre::WrapErr;
+use oleanderpass_config::document::MAX_DOCUMENT_BYTES;
+use oleanderpass_config::document::parse_yaml;
+use oleanderpass_core::event::Event;
+use oleanderpass_core::event::InstanceList;
+use oleanderpass_core::event::ListedInstance;
+use oleanderpass_core::event::ListedServer;
+use oleanderpass_proto::platform as raw;
+use oleanderpass_types::clock::Millis;
+use oleanderpass_types::id::Generation;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+use ureq::Agent;
+
+use crate::core_loop::CoreSender;
+
+/// The time for an answer of the platform, on top of the wait of a watch.
+const ANSWER: Duration = Duration::from_secs(3);
+
+/// The largest accepted instance list, in bytes: 12,410 entries of about 150 bytes, doubled.
+const MAX_LIST_BYTES: u64 = 4_000_000;
+
+/// The space that a document may take above its limit, so that the checker reports the excess.
+const DOCUMENT_SLACK_BYTES: u64 = 1_024;
+
+/// A read that the core asks for.
+#[derive(Clone, Copy, Debug)]
+pub struct DocumentRead {
+    /// The generation that the instance holds.
+    pub after: Generation,
+    /// The time in which the platform holds the call.
+    pub wait: Millis,
+}
+
+/// The channels to the reader threads.
+#[derive(Clone, Debug)]
+pub struct PlatformReaders {
+    documents: Sender<DocumentRead>,
+    lists: Sender<()>,
+}
+
+impl PlatformReaders {
+    /// Start one thread for the document and one for the instance list. They end with the
+    /// channels.
+    ///
+    /// # Errors
+    ///
+    /// Return the cause when a thread can't be started.
+    pub fn spawn(addr: SocketAddr, config_key: SmolStr, core: CoreSender) -> eyre::Result<Self> {
+        let (documents, document_reads) = mpsc::channel::<DocumentRead>();
+        let (lists, list_reads) = mpsc::channel();
+        let list_core = core.clone();
+        thread::Builder::new()
+            .name("platform-list".to_owned())
+            .spawn(move || {
+                let agent = agent(ANSWER);
+                for () in list_reads {
+                    list_core.event(list_event(read_list(&agent, addr)));
+                }
+            })
+            .wrap_err("start the reader of the instance list")?;
+        thread::Builder::new()
+            .name("platform-config".to_owned())
+            .spawn(move || {
+                for read in document_reads {
+                    core.event(read_document(addr, &config_key, read));
+                }
+            })
+            .wrap_err("start the reader of the document")?;
+        Ok(Self { documents, lists })
+    }
+
+    /// Read the document once.
+    pub fn read_document(&self, read: DocumentRead) {
+        let _ = self.documents.send(read);
+    }
+
+    /// Read the instance list once.
+    pub fn read_list(&self) {
+        let _ = self.lists.send(());
+    }
+}
+
+fn list_event(read: eyre::Result<InstanceList>) -> Event {
+    match read {
+        Ok(list) => Event::InstanceList(Arc::new(list)),
+        Err(error) => Event::InstanceListFailed {
+            cause: format_smolstr!("{error:#}"),
+        },
+    }
+}
+
+fn read_list(agent: &Agent, addr: SocketAddr) -> eyre::Result<InstanceList> {
+    let url = format!("http://{addr}/v1/instances");
+    let mut answer = agent.get(&url).call().wrap_err("request")?;
+    let text = answer
+        .body_mut()
+        .with_config()
+        .limit(MAX_LIST_BYTES)
+        .read_to_string()
+        .wrap_err("read")?;
+    let list: raw::InstanceList = serde_json::from_str(&text).wrap_err("parse")?;
+    check_list(&list)
+}
+
+fn read_document(addr: SocketAddr, key: &str, read: DocumentRead) -> Event {
+    match fetch_document(addr, key, read) {
+        Ok(Some(text)) => match parse_yaml(&text) {
+            Ok(raw) => Event::Document(Arc::new(raw)),
+            Err(errors) => Event::DocumentMalformed {
+                cause: format_smolstr!("{errors}"),
+            },
+        },
+        Ok(None) => Event::DocumentUnchanged,
+        Err(error) => Event::DocumentReadFailed {
+            cause: format_smolstr!("{error:#}"),
+        },
+    }
+}
+
+/// Read the text of a later document, or `None` when the platform answers without content.
+fn fetch_document(addr: SocketAddr, key: &str, read: DocumentRead) -> eyre::Result<Option<String>> {
+    let url = format!(
+        "http://{addr}/v1/config/{key}?after={}&wait_ms={}",
+        read.after,
+        read.wait.get()
+    );
+    let agent = agent(Duration::from(read.wait) + ANSWER);
+    let mut answer = agent.get(&url).call().wrap_err("request")?;
+    if answer.status() != 200 {
+        return Ok(None);
+    }
+    let text = answer
+        .body_mut()
+        .with_config()
+        .limit(MAX_DOCUMENT_BYTES as u64 + DOCUMENT_SLACK_BYTES)
+        .read_to_string()
+        .wrap_err("read")?;
+    Ok(Some(text))
+}
+
+fn agent(timeout: Duration) -> Agent {
+    Agent::config_builder()
+        .timeout_global(Some(timeout))
+        .build()
+        .into()
+}
+
+/// Turn a raw instance list into a checked one.
+///
+/// # Errors
+///
+/// Return the first wrong entry and its cause. A list with a wrong entry is rejected whole, so
+/// that an instance does not act on a part of it.
+pub fn check_list(raw: &raw::InstanceList) -> eyre::Result<InstanceList> {
+    let mut list = InstanceList::default();
+    for entry in &raw.entry_instances {
+        let context = || format!("entry instance `{}`", entry.id);
+        list.entry_instances.push(ListedInstance {
+            id: entry.id.parse().wrap_err_with(context)?,
+            zone: entry.zone.parse().wrap_err_with(context)?,
+            peer_addr: entry.peer_addr.parse().wrap_err_with(context)?,
+            state: entry.state.parse().wrap_err_with(context)?,
+        });
+    }
+    for server in &raw.backend_servers {
+        let context = || format!("backend server `{}`", server.id);
+        list.backend_servers.push(ListedServer {
+            id: server.id.parse().wrap_err_with(context)?,
+            service: server.service.parse().wrap_err_with(context)?,
+            zone: server.zone.parse().wrap_err_with(context)?,
+            addr: server.addr.parse().wrap_err_with(context)?,
+            state: server.state.parse().wrap_err_with(context)?,
+        });
+    }
+    Ok(list)
+}
--- /dev/null
+++ b/crates/oleanderpass_entry/src/request_task.rs
@@ -0,0 +1,479 @@
+//! Run one request: obey the core's commands and deliver the answer.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use oleanderpass_core::action::Answer;
+use oleanderpass_core::action::StartAttempt;
+use oleanderpass_core::event::AttemptEnd;
+use oleanderpass_core::event::Event;
+use oleanderpass_core::event::Progress;
+use oleanderpass_core::event::RecordedAnswer;
+use oleanderpass_types::clock::Timestamp;
+use oleanderpass_types::error::Peer;
+use oleanderpass_types::error::Step;
+use oleanderpass_types::error::StepError;
+use oleanderpass_types::id::Generation;
+use oleanderpass_types::id::RequestId;
+use oleanderpass_types::outcome::Outcome;
+use serde_json::json;
+use smol_str::SmolStr;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::oneshot;
+
+use crate::backend::attempt::AttemptCx;
+use crate::backend::service;
+use crate::backend::service::ServiceAnswer;
+use crate::backend::service::ServiceCall;
+use crate::backend::stream;
+use crate::caller::answer::AnswerContext;
+use crate::caller::answer::JSON;
+use crate::caller::budget::Share;
+use crate::caller::openai::Usage;
+use crate::caller::output::Output;
+use crate::caller::output::WholeAnswer;
+use crate::core_loop::Command;
+use crate::generation_sink::GenerationSink;
+use crate::generation_sink::GenerationWork;
+use crate::peer::forward;
+use crate::peer::forward::ForwardCall;
+use crate::shared::Shared;
+
+/// What a request asks for.
+#[derive(Debug)]
+pub enum Work {
+    /// A generation by a model engine.
+    Generation(Box<GenerationWork>),
+    /// A call of a plain service.
+    Service(Box<ServiceWork>),
+    /// A ticket.
+    Ticket,
+}
+
+/// A call of a plain service.
+#[derive(Debug)]
+pub struct ServiceWork {
+    /// The call.
+    pub call: ServiceCall,
+    /// What a forward to the owner of a ticket needs.
+    pub forward: Option<ForwardCall>,
+}
+
+/// The answer of a completed attempt, until the core confirms it.
+#[derive(Debug)]
+enum Finished {
+    Service(ServiceAnswer),
+    Generation(Usage),
+}
+
+/// The task of one request.
+#[derive(Debug)]
+pub struct RequestTask {
+    /// What the process shares.
+    pub shared: Arc<Shared>,
+    /// The id.
+    pub req: RequestId,
+    /// The core's commands.
+    pub commands: UnboundedReceiver<Command>,
+    /// Ends when the caller is gone.
+    pub gone: oneshot::Receiver<()>,
+    /// The receiver of the answer.
+    pub output: Output,
+    /// What the request asks for.
+    pub work: Work,
+    /// The part of the byte budget that the body takes.
+    pub share: Share,
+}
+
+/// What interrupts an attempt.
+enum Interrupt {
+    Command(Option<Command>),
+    CallerGone,
+}
+
+impl RequestTask {
+    /// Run until the core's answer is delivered and no attempt runs.
+    pub async fn run(self) {
+        let Self {
+            shared,
+            req,
+            commands,
+            gone,
+            output,
+            work,
+            share,
+        } = self;
+        let mut runner = Runner {
+            inbox: Inbox {
+                shared: Arc::clone(&shared),
+                req: req.clone(),
+                commands,
+                gone: Some(gone),
+            },
+            shared: Arc::clone(&shared),
+            req: req.clone(),
+            output,
+            finished: None,
+            answered: false,
+        };
+        runner.run(work).await;
+        drop(share);
+        shared.core.close(req);
+    }
+}
+
+/// Where a running request receives commands.
+struct Inbox {
+    shared: Arc<Shared>,
+    req: RequestId,
+    commands: UnboundedReceiver<Command>,
+    gone: Option<oneshot::Receiver<()>>,
+}
+
+impl Inbox {
+    /// Wait for a command. A caller that goes away is reported to the core once.
+    async fn next(&mut self) -> Option<Command> {
+        loop {
+            match self.interrupt().await {
+                Interrupt::Command(command) => return command,
+                Interrupt::CallerGone => {
+                    self.gone = None;
+                    self.shared.core.event(Event::CallerGone(self.req.clone()));
+                }
+            }
+        }
+    }
+
+    async fn interrupt(&mut self) -> Interrupt {
+        let Some(gone) = &mut self.gone else {
+            return Interrupt::Command(self.commands.recv().await);
+        };
+        tokio::select! {
+            command = self.commands.recv() => Interrupt::Command(command),
+            _ = gone => Interrupt::CallerGone,
+        }
+    }
+}
+
+struct Runner {
+    shared: Arc<Shared>,
+    req: RequestId,
+    inbox: Inbox,
+    output: Output,
+    finished: Option<Finished>,
+    answered: bool,
+}
+
+impl Runner {
+    async fn run(&mut self, mut work: Work) {
+        let mut pending = None;
+        loop {
+            let command = match pending.take() {
+                Some(command) => Some(command),
+                None if self.answered => return,
+                None => self.inbox.next().await,
+            };
+            match command {
+                Some(Command::Start(order)) => pending = self.attempt(&mut work, order).await,
+                Some(Command::Answer(answer)) => self.answer(&work, answer).await,
+                Some(Command::Forward {
+                    owner,
+                    addr,
+                    deadline,
+                }) => pending = self.forward(&work, owner, addr, deadline).await,
+                // The attempt has ended and its end was reported.
+                Some(Command::Cancel(_)) => {}
+                // The core has exited.
+                None => return,
+            }
+        }
+    }
+
+    /// Run an attempt, report its end and return a command that is still to be obeyed.
+    async fn attempt(&mut self, work: &mut Work, order: StartAttempt) -> Option<Command> {
+        if order.attempt.0 > 1 {
+            self.shared.metrics.retries.inc();
+        }
+        let shared = Arc::clone(&self.shared);
+        let cx = AttemptCx {
+            shared: &shared,
+            order: &order,
+        };
+        let (end, pending) = match work {
+            Work::Generation(work) => self.generation(cx, work).await,
+            Work::Service(work) => (self.service(cx, &work.call).await, None),
+            Work::Ticket => (AttemptEnd::NotSent("a ticket has no attempt".into()), None),
+        };
+        cx.progress(Progress::Ended(end));
+        pending
+    }
+
+    /// Run a generation. An answer of the core ends it.
+    async fn generation(
+        &mut self,
+        cx: AttemptCx<'_>,
+        work: &mut GenerationWork,
+    ) -> (AttemptEnd, Option<Command>) {
+        if self.output.has_started() {
+            let cause = SmolStr::new_static("a part of the answer was already delivered");
+            return (AttemptEnd::NotSent(cause), None);
+        }
+        let context = self.context(self.shared.generation());
+        let body = work.body.clone();
+        let mut sink = GenerationSink::new(&self.shared, context, work, &mut self.output);
+        let (end, pending) = {
+            let attempt = stream::run(cx, body, &mut sink);
+            tokio::pin!(attempt);
+            loop {
+                let command = tokio::select! {
+                    biased;
+                    command = self.inbox.next() => command,
+                    end = &mut attempt => break (end, None),
+                };
+                match command {
+                    Some(Command::Cancel(attempt)) if attempt != cx.order.attempt => {}
+                    Some(Command::Cancel(_)) | None => break (AttemptEnd::Cancelled, None),
+                    Some(command) => break (AttemptEnd::Cancelled, Some(command)),
+                }
+            }
+        };
+        match &end {
+            AttemptEnd::Completed { output, .. } => {
+                self.finished = Some(Finished::Generation(work.usage(*output)));
+            }
+            AttemptEnd::Cancelled => {
+                let pool = self.shared.pool.clone();
+                let id = cx.stream_id();
+                tokio::spawn(stream::cancel(pool, self.shared.clock, cx.order.addr, id));
+            }
+            _ => {}
+        }
+        (end, pending)
+    }
+
+    /// Run a call of a plain service. An answer of the core goes to the caller at once, but the
+    /// call goes on until it ends or is cancelled, so that its outcome is recorded.
+    async fn service(&mut self, cx: AttemptCx<'_>, call: &ServiceCall) -> AttemptEnd {
+        let attempt = service::run(cx, call);
+        tokio::pin!(attempt);
+        loop {
+            let command = tokio::select! {
+                biased;
+                command = self.inbox.next() => command,
+                (end, answer) = &mut attempt => {
+                    self.finished = answer.map(Finished::Service);
+                    return end;
+                }
+            };
+            match command {
+                Some(Command::Cancel(attempt)) if attempt != cx.order.attempt => {}
+                Some(Command::Cancel(_)) | None => return AttemptEnd::Cancelled,
+                Some(Command::Answer(answer)) => self.deliver(None, answer).await,
+                Some(command) => {
+                    tracing::error!(req = %self.req, ?command, "unexpected command during an attempt");
+                }
+            }
+        }
+    }
+
+    /// Forward the request to its owner and return a command that is still to be obeyed.
+    async fn forward(
+        &mut self,
+        work: &Work,
+        owner: oleanderpass_types::id::InstanceId,
+        addr: std::net::SocketAddr,
+        deadline: Timestamp,
+    ) -> Option<Command> {
+        let Work::Service(service) = work else {
+            return None;
+        };
+        let Some(forward) = &service.forward else {
+            self.forward_failed("only calls with a ticket can be forwarded".into());
+            return None;
+        };
+        let shared = Arc::clone(&self.shared);
+        let relay = forward::call(&shared, &owner, addr, deadline, &service.call, forward);
+        tokio::pin!(relay);
+        let relayed = loop {
+            tokio::select! {
+                biased;
+                command = self.inbox.next() => match command {
+                    Some(Command::Cancel(_)) => {}
+                    command => return command,
+                },
+                relayed = &mut relay => break relayed,
+            }
+        };
+        match relayed {
+            Ok(relayed) => {
+                let context = self.context(relayed.generation);
+                let answer = relayed.into_answer(&context);
+                let outcome = answer.outcome;
+                self.shared.metrics.count_outcome(outcome);
+                self.output.whole(&context, answer).await;
+                self.answered = true;
+                let req = self.req.clone();
+                self.shared.core.event(Event::ForwardEnded { req, outcome });
+            }
+            Err(cause) => self.forward_failed(cause),
+        }
+        None
+    }
+
+    fn forward_failed(&self, cause: SmolStr) {
+        let req = self.req.clone();
+        self.shared.core.event(Event::ForwardFailed { req, cause });
+    }
+
+    fn context(&self, generation: Generation) -> AnswerContext {
+        AnswerContext {
+            req: self.req.clone(),
+            generation,
+        }
+    }
+
+    async fn answer(&mut self, work: &Work, answer: Answer) {
+        let generation = match work {
+            Work::Generation(work) => Some(work.as_ref()),
+            Work::Service(_) | Work::Ticket => None,
+        };
+        self.deliver(generation, answer).await;
+    }
+
+    async fn deliver(&mut self, work: Option<&GenerationWork>, answer: Answer) {
+        if std::mem::replace(&mut self.answered, true) {
+            return;
+        }
+        match answer {
+            Answer::Ticket {
+                ticket,
+                valid_for,
+                generation,
+            } => {
+                let body = json!({ "ticket": ticket.as_str(), "valid_for_ms": valid_for.get() });
+                let answer = WholeAnswer {
+                    status: 201,
+                    content_type: JSON.into(),
+                    body: body.to_string().into(),
+                    outcome: Outcome::Completed,
+                    error: None,
+                };
+                self.output.whole(&self.context(generation), answer).await;
+            }
+            Answer::End {
+                outcome,
+                status,
+                error,
+                generation,
+            } => {
+                self.shared.metrics.count_outcome(outcome);
+                let context = self.context(generation);
+                match error {
+                    None => self.completed(work, &context, outcome).await,
+                    Some(error) => self.failed(&context, status, outcome, error).await,
+                }
+            }
+            Answer::Recorded {
+                answer,
+                outcome,
+                generation,
+            } => {
+                let context = self.context(generation);
+                let answer = recorded(&context, answer.as_deref(), outcome);
+                self.output.whole(&context, answer).await;
+            }
+        }
+    }
+
+    async fn completed(
+        &mut self,
+        work: Option<&GenerationWork>,
+        context: &AnswerContext,
+        outcome: Outcome,
+    ) {
+        match (self.finished.take(), work) {
+            (Some(Finished::Service(answer)), _) => {
+                let answer = WholeAnswer {
+                    status: answer.status,
+                    content_type: answer.content_type,
+                    body: answer.body,
+                    outcome,
+                    error: None,
+                };
+                self.output.whole(context, answer).await;
+            }
+            (Some(Finished::Generation(usage)), Some(work)) if work.prompt.stream => {
+                let end = work.form.end(usage, context);
+                self.output.piece(context, end).await;
+                self.output.close();
+            }
+            (Some(Finished::Generation(usage)), Some(work)) => {
+                let answer = WholeAnswer {
+                    status: 200,
+                    content_type: JSON.into(),
+                    body: work.form.whole(&work.text, usage, context),
+                    outcome,
+                    error: None,
+                };
+                self.output.whole(context, answer).await;
+            }
+            _ => {
+                let cause = "the answer is missing";
+                let error = StepError::new(Step::Stream, Peer::Local, cause);
+                self.failed(context, 500, Outcome::Unknown, error).await;
+            }
+        }
+    }
+
+    async fn failed(
+        &mut self,
+        context: &AnswerContext,
+        status: u16,
+        outcome: Outcome,
+        error: StepError,
+    ) {
+        tracing::info!(req = %self.req, %outcome, status, %error, "request ended with an error");
+        if self.output.has_started() {
+            let json = context.error_json(outcome, &error);
+            let mut event = b"data: ".to_vec();
+            event.extend_from_slice(&json);
+            event.extend_from_slice(b"\n\n");
+            self.output.piece(context, Bytes::from(event)).await;
+            self.output.close();
+        } else {
+            let answer = WholeAnswer::error(context, status, outcome, error);
+            self.output.whole(context, answer).await;
+        }
+    }
+}
+
+/// Build the answer to a second use of a ticket.
+fn recorded(
+    context: &AnswerContext,
+    answer: Option<&RecordedAnswer>,
+    outcome: Outcome,
+) -> WholeAnswer {
+    match answer {
+        Some(answer) => WholeAnswer {
+            status: answer.status,
+            content_type: answer.content_type.clone(),
+            body: answer.body.clone().into(),
+            outcome,
+            error: None,
+        },
+        None if outcome == Outcome::Completed => WholeAnswer {
+            status: 200,
+            content_type: JSON.into(),
+            body: json!({ "outcome": outcome, "answer_held": false })
+                .to_string()
+                .into(),
+            outcome,
+            error: None,
+        },
+        None => {
+            let cause = "the ticket's first use ended with this outcome";
+            let error = StepError::new(Step::Ticket, Peer::Local, cause);
+            WholeAnswer::error(context, 409, outcome, error)
+        }
+    }
+}
--- /dev/null
+++ b/crates/oleanderpass_entry/src/settings.rs
@@ -0,0 +1,205 @@
+//! Check the settings of an entry instance.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::str::FromStr;
+
+use eyre::WrapErr;
+use oleanderpass_proto::settings as raw;
+use oleanderpass_types::clock::Millis;
+use oleanderpass_types::id::InstanceId;
+use oleanderpass_types::id::ZoneId;
+use oleanderpass_types::size::Bytes;
+use smol_str::SmolStr;
+
+/// Open caller connections at the same time. Source: design section 3.1.
+const DEFAULT_CONNECTIONS: u32 = 2_000;
+
+/// The largest body. Source: design section 3.1 (a million tokens take about 4 MiB of text).
+const DEFAULT_BODY: Bytes = Bytes::new(8 << 20);
+
+/// The bytes of all bodies held at the same time. Eight bodies of the largest size.
+const DEFAULT_BODY_BUDGET: Bytes = Bytes::new(64 << 20);
+
+/// The time for a request head. Source: design section 3.1.
+const DEFAULT_HEAD_TIMEOUT: Millis = Millis::from_secs(5);
+
+/// The log filter when the settings name none.
+const DEFAULT_LOG: &str = "info";
+
+/// The key that authenticates messages between entry instances.
+#[derive(Clone, PartialEq, Eq)]
+pub struct FleetKey(pub [u8; 32]);
+
+impl fmt::Debug for FleetKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("FleetKey(..)")
+    }
+}
+
+impl FromStr for FleetKey {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut key = [0; 32];
+        hex::decode_to_slice(text.trim(), &mut key)
+            .map_err(|_| "must have 64 hexadecimal digits")?;
+        Ok(Self(key))
+    }
+}
+
+/// The limits of the caller port.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Open connections at the same time.
+    pub connections: u32,
+    /// The largest body.
+    pub body: Bytes,
+    /// The bytes of all bodies held at the same time.
+    pub body_budget: Bytes,
+    /// The time for a request head.
+    pub head_timeout: Millis,
+}
+
+/// The checked settings of an entry instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// The id.
+    pub instance: InstanceId,
+    /// The availability zone.
+    pub zone: ZoneId,
+    /// The address for callers.
+    pub caller_addr: SocketAddr,
+    /// The address for peers (UDP and gRPC).
+    pub peer_addr: SocketAddr,
+    /// The address of the operator port.
+    pub operator_addr: SocketAddr,
+    /// The address of the platform.
+    pub platform_addr: SocketAddr,
+    /// The key of the environment document in the configuration service.
+    pub config_key: SmolStr,
+    /// Peers to contact at start.
+    pub seeds: Vec<SocketAddr>,
+    /// The key that authenticates messages between entry instances.
+    pub fleet_key: FleetKey,
+    /// The limits of the caller port.
+    pub limits: Limits,
+    /// The log filter.
+    pub log: SmolStr,
+}
+
+/// All errors of a settings file, one a line.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SettingsErrors(Vec<(SmolStr, SmolStr)>);
+
+impl fmt::Display for SettingsErrors {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let lines: Vec<String> = self
+            .0
+            .iter()
+            .map(|(field, cause)| format!("{field}: {cause}"))
+            .collect();
+        f.write_str(&lines.join("\n"))
+    }
+}
+
+impl std::error::Error for SettingsErrors {}
+
+impl Settings {
+    /// Read and check a settings file, and read the fleet key file that it names.
+    ///
+    /// # Errors
+    ///
+    /// Return the file and the cause when a file can't be read or a value is wrong.
+    pub fn load(path: &Path) -> eyre::Result<Self> {
+        let text = std::fs::read_to_string(path)
+            .wrap_err_with(|| format!("read the settings {}", path.display()))?;
+        let mut raw: raw::Settings = serde_saphyr::from_str(&text)
+            .map_err(|error| eyre::eyre!("{error}"))
+            .wrap_err_with(|| format!("parse the settings {}", path.display()))?;
+        if !raw.fleet_key_file.is_empty() {
+            eyre::ensure!(
+                raw.fleet_key.is_empty(),
+                "fleet_key: set this or fleet_key_file"
+            );
+            raw.fleet_key = std::fs::read_to_string(&raw.fleet_key_file)
+                .wrap_err_with(|| format!("read the fleet key {}", raw.fleet_key_file))?;
+        }
+        Self::try_from(&raw).wrap_err_with(|| format!("check the settings {}", path.display()))
+    }
+}
+
+/// Collect the errors of one settings file.
+#[derive(Default)]
+struct Checker {
+    errors: Vec<(SmolStr, SmolStr)>,
+}
+
+impl Checker {
+    fn parse<T: FromStr<Err: fmt::Display>>(&mut self, field: &str, text: &str) -> Option<T> {
+        text.parse()
+            .map_err(|error: T::Err| self.errors.push((field.into(), error.to_string().into())))
+            .ok()
+    }
+}
+
+impl TryFrom<&raw::Settings> for Settings {
+    type Error = SettingsErrors;
+
+    fn try_from(raw: &raw::Settings) -> Result<Self, Self::Error> {
+        let mut checker = Checker::default();
+        let instance = checker.parse("instance", &raw.instance);
+        let zone = checker.parse("zone", &raw.zone);
+        let caller_addr = checker.parse("caller_addr", &raw.caller_addr);
+        let peer_addr = checker.parse("peer_addr", &raw.peer_addr);
+        let operator_addr = checker.parse("operator_addr", &raw.operator_addr);
+        let platform_addr = checker.parse("platform_addr", &raw.platform_addr);
+        let fleet_key = checker.parse("fleet_key", &raw.fleet_key);
+        let seeds = raw
+            .seeds
+            .iter()
+            .enumerate()
+            .filter_map(|(index, seed)| checker.parse(&format!("seeds[{index}]"), seed))
+            .collect();
+        // The key becomes a part of a URL path, so it follows the rules of a text id.
+        let config_key: Option<ZoneId> = checker.parse("config_key", &raw.config_key);
+        let checked = || {
+            Some(Settings {
+                instance: instance?,
+                zone: zone?,
+                caller_addr: caller_addr?,
+                peer_addr: peer_addr?,
+                operator_addr: operator_addr?,
+                platform_addr: platform_addr?,
+                config_key: config_key?.as_str().into(),
+                seeds,
+                fleet_key: fleet_key?,
+                limits: check_limits(raw.limits.unwrap_or_default()),
+                log: or_default(raw.log.clone(), DEFAULT_LOG.to_owned()).into(),
+            })
+        };
+        if !checker.errors.is_empty() {
+            return Err(SettingsErrors(checker.errors));
+        }
+        checked().ok_or(SettingsErrors(checker.errors))
+    }
+}
+
+fn or_default<T: Default + PartialEq>(value: T, default: T) -> T {
+    if value == T::default() {
+        default
+    } else {
+        value
+    }
+}
+
+fn check_limits(raw: raw::Limits) -> Limits {
+    let body = or_default(Bytes::new(raw.body_bytes), DEFAULT_BODY);
+    Limits {
+        connections: or_default(raw.connections, DEFAULT_CONNECTIONS),
+        body,
+        body_budget: or_default(Bytes::new(raw.body_budget_bytes), DEFAULT_BODY_BUDGET).max(body),
+        head_timeout: or_default(Millis::new(raw.head_timeout_ms), DEFAULT_HEAD_TIMEOUT),
+    }
+}
--- /dev/null
+++ b/crates/oleanderpass_entry/tests/support/mod.rs
@@ -0,0 +1,324 @@
+//! Provide an entry instance on loopback with a scripted backend server and platform.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::mpsc;
+use std::sync::mpsc::Receiver;
+use std::thread;
+use std::time::Duration;
+
+use oleanderpass_entry::core_loop::CoreSender;
+use oleanderpass_entry::daemon::Addrs;
+use oleanderpass_entry::daemon::Daemon;
+use oleanderpass_entry::settings::Settings;
+use oleanderpass_proto::settings as raw;
+use sha2::Digest;
+use sha2::Sha256;
+
+/// The API key of the tests' caller.
+pub(crate) const KEY: &str = "medlar";
+
+/// The longest wait for something that must happen; a failed test ends after it.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A running instance. It is told to stop when dropped.
+pub(crate) struct Entry {
+    pub(crate) addrs: Addrs,
+    core: CoreSender,
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        self.core.shut_down();
+    }
+}
+
+/// The environment document of the tests.
+pub(crate) fn document() -> String {
+    let key = hex::encode(Sha256::digest(KEY));
+    format!(
+        "generation: 7
+environment: {{ name: trial, zones: [hafnir] }}
+services:
+  - {{ id: skald, kind: engine, memory_tokens: 100000, prefill_tokens_per_s: 10000, concurrent_requests: 64 }}
+  - {{ id: bokhald, kind: plain, concurrent_requests: 64 }}
+models:
+  - {{ id: lay, version: v1, service: skald, max_prompt_tokens: 100000 }}
+routes:
+  - {{ id: charge, service: bokhald, idempotent: false, ticket: optional }}
+  - {{ id: read, service: bokhald, idempotent: true }}
+organisations:
+  - id: counter
+    class: large
+    models: [lay]
+    routes: [charge, read]
+    callers: [{{ id: till, key_sha256: {key} }}]
+"
+    )
+}
+
+fn instance_list(engine: SocketAddr, plain: SocketAddr) -> String {
+    serde_json::json!({
+        "version": 1,
+        "entry_instances": [],
+        "backend_servers": [
+            { "id": "skald-1", "service": "skald", "zone": "hafnir", "addr": engine, "state": "live" },
+            { "id": "bokhald-1", "service": "bokhald", "zone": "hafnir", "addr": plain, "state": "live" },
+        ],
+    })
+    .to_string()
+}
+
+/// Serve the document and the instance list.
+pub(crate) fn spawn_platform(engine: SocketAddr, plain: SocketAddr) -> SocketAddr {
+    let server = tiny_http::Server::http("127.0.0.1:0").unwrap();
+    let addr = server.server_addr().to_ip().unwrap();
+    let list = instance_list(engine, plain);
+    thread::spawn(move || {
+        for req in server.incoming_requests() {
+            let body = if req.url().starts_with("/v1/config/") {
+                document()
+            } else {
+                list.clone()
+            };
+            let _ = req.respond(tiny_http::Response::from_string(body));
+        }
+    });
+    addr
+}
+
+/// Start an instance whose engine and plain service are at the given addresses.
+pub(crate) fn spawn_entry(engine: SocketAddr, plain: SocketAddr, limits: raw::Limits) -> Entry {
+    let settings = raw::Settings {
+        instance: "hafnir-1".to_owned(),
+        zone: "hafnir".to_owned(),
+        caller_addr: "127.0.0.1:0".to_owned(),
+        peer_addr: "127.0.0.1:0".to_owned(),
+        operator_addr: "127.0.0.1:0".to_owned(),
+        platform_addr: spawn_platform(engine, plain).to_string(),
+        config_key: "trial".to_owned(),
+        fleet_key: "5a".repeat(32),
+        limits: Some(limits),
+        ..raw::Settings::default()
+    };
+    let daemon = Daemon::bind(&Settings::try_from(&settings).unwrap()).unwrap();
+    let entry = Entry {
+        addrs: daemon.addrs(),
+        core: daemon.core(),
+    };
+    thread::spawn(move || daemon.run());
+    entry.wait_ready();
+    entry
+}
+
+impl Entry {
+    fn wait_ready(&self) {
+        // The number of tries bounds the wait; nothing is asserted about the time.
+        for _ in 0..1_000 {
+            let (status, _, _) = exchange(self.addrs.operator, "GET /readyz", &[], b"");
+            if status == 200 {
+                return;
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        panic!("the instance did not become ready");
+    }
+
+    /// Send a request of the tests' caller and return status, head and body.
+    pub(crate) fn call(&self, line: &str, headers: &[&str], body: &[u8]) -> (u16, String, String) {
+        let authorization = format!("authorization: Bearer {KEY}");
+        let mut all = vec![authorization.as_str()];
+        all.extend_from_slice(headers);
+        exchange(self.addrs.caller, line, &all, body)
+    }
+
+    /// Return the text of the metrics.
+    pub(crate) fn metrics(&self) -> String {
+        exchange(self.addrs.operator, "GET /metrics", &[], b"").2
+    }
+}
+
+/// Open a connection with a read timeout.
+pub(crate) fn connect(addr: SocketAddr) -> TcpStream {
+    let tcp = TcpStream::connect(addr).unwrap();
+    tcp.set_read_timeout(Some(PATIENCE)).unwrap();
+    tcp
+}
+
+/// Write the head of a request.
+pub(crate) fn head(line: &str, headers: &[&str], length: usize) -> String {
+    let mut head = format!("{line} HTTP/1.1\r\nhost: test\r\ncontent-length: {length}\r\n");
+    for header in headers {
+        head.push_str(header);
+        head.push_str("\r\n");
+    }
+    head.push_str("\r\n");
+    head
+}
+
+/// Send a request on a connection of its own and return status, head and body.
+pub(crate) fn exchange(
+    addr: SocketAddr,
+    line: &str,
+    headers: &[&str],
+    body: &[u8],
+) -> (u16, String, String) {
+    let mut tcp = connect(addr);
+    let mut all = vec!["connection: close"];
+    all.extend_from_slice(headers);
+    tcp.write_all(head(line, &all, body.len()).as_bytes())
+        .unwrap();
+    // The server may answer and close before it has read the body.
+    let _ = tcp.write_all(body);
+    read_answer(tcp)
+}
+
+/// Read an answer up to the end of the connection.
+pub(crate) fn read_answer(mut tcp: TcpStream) -> (u16, String, String) {
+    let mut answer = Vec::new();
+    let mut buf = [0; 4_096];
+    // A reset after the answer ends the connection as well.
+    while let Ok(count) = tcp.read(&mut buf) {
+        if count == 0 {
+            break;
+        }
+        answer.extend_from_slice(&buf[..count]);
+    }
+    let answer = String::from_utf8(answer).unwrap();
+    let (head, body) = answer.split_once("\r\n\r\n").unwrap_or((&answer, ""));
+    let status = head.split(' ').nth(1).and_then(|text| text.parse().ok());
+    (status.unwrap_or(0), head.to_owned(), body.to_owned())
+}
+
+/// A request as a scripted server received it, with its connection.
+pub(crate) struct Received {
+    pub(crate) line: String,
+    pub(crate) head: String,
+    pub(crate) body: Vec<u8>,
+    pub(crate) tcp: TcpStream,
+}
+
+impl Received {
+    /// Return the value of a header.
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        self.head.lines().find_map(|line| {
+            let (key, value) = line.split_once(':')?;
+            key.eq_ignore_ascii_case(name).then(|| value.trim())
+        })
+    }
+
+    /// Send a whole answer.
+    pub(crate) fn answer(&mut self, status: &str, headers: &str, body: &str) {
+        let length = body.len();
+        let head = format!("HTTP/1.1 {status}\r\ncontent-length: {length}\r\n{headers}\r\n");
+        self.tcp.write_all(head.as_bytes()).unwrap();
+        self.tcp.write_all(body.as_bytes()).unwrap();
+    }
+
+    /// Begin a stream that ends with the connection.
+    pub(crate) fn begin_stream(&mut self) {
+        let head = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+            connection: close\r\n\r\n";
+        self.tcp.write_all(head).unwrap();
+    }
+
+    /// Send an event of the stream that the request named.
+    pub(crate) fn event(&mut self, id: &str, seq: u64, text: &str) {
+        let event = serde_json::json!({ "id": id, "seq": seq, "text": text });
+        self.tcp
+            .write_all(format!("data: {event}\n\n").as_bytes())
+            .unwrap();
+    }
+
+    /// Send the last event of the stream.
+    pub(crate) fn done(&mut self, id: &str, seq: u64) {
+        let event = serde_json::json!({ "id": id, "seq": seq, "done": true });
+        self.tcp
+            .write_all(format!("data: {event}\n\n").as_bytes())
+            .unwrap();
+    }
+}
+
+/// A server whose answers the test writes itself.
+pub(crate) struct ScriptedServer {
+    pub(crate) addr: SocketAddr,
+    requests: Receiver<Received>,
+}
+
+impl ScriptedServer {
+    /// Listen. Polls for load, state and holds are answered with 404 and not passed to the test.
+    pub(crate) fn spawn() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let (tx, requests) = mpsc::channel();
+        thread::spawn(move || {
+            for tcp in listener.incoming().flatten() {
+                let tx = tx.clone();
+                thread::spawn(move || serve(tcp, &tx));
+            }
+        });
+        Self { addr, requests }
+    }
+
+    /// Wait for the next request.
+    pub(crate) fn next(&self) -> Received {
+        self.requests.recv_timeout(PATIENCE).unwrap()
+    }
+
+    /// Return whether another request has arrived.
+    pub(crate) fn has_more(&self) -> bool {
+        self.requests.try_recv().is_ok()
+    }
+}
+
+fn serve(tcp: TcpStream, tx: &mpsc::Sender<Received>) {
+    loop {
+        let Some(mut received) = read_request(&tcp) else {
+            return;
+        };
+        let is_poll = received.line.starts_with("GET ") && !received.line.contains("/svc");
+        if is_poll
+            && ["/load", "/state", "/holds"]
+                .iter()
+                .any(|p| received.line.contains(p))
+        {
+            received.answer("404 Not Found", "", "");
+            continue;
+        }
+        let _ = tx.send(received);
+        return;
+    }
+}
+
+fn read_request(tcp: &TcpStream) -> Option<Received> {
+    let mut reader = BufReader::new(tcp.try_clone().ok()?);
+    let mut head = String::new();
+    loop {
+        let start = head.len();
+        if reader.read_line(&mut head).ok()? == 0 {
+            return None;
+        }
+        if head[start..].trim().is_empty() {
+            break;
+        }
+    }
+    let mut received = Received {
+        line: head.lines().next()?.to_owned(),
+        head,
+        body: Vec::new(),
+        tcp: tcp.try_clone().ok()?,
+    };
+    let length = received
+        .header("content-length")
+        .map_or(0, |text| text.parse().unwrap());
+    received.body.resize(length, 0);
+    reader.read_exact(&mut received.body).ok()?;
+    Some(received)
+}
