Add stand-ins for engines, plain services and the platform

Entry instances need outside systems to talk to in tests and in the demo, and none may be installed. The stand-ins follow section 3 of the design and run as processes or inside a test process on port 0.

--- /dev/null
+++ b/crates/oleanderpass_stand_in/src/main.rs
@@ -0,0 +1,54 @@
+//! Run one stand-in as a process.
+
+use std::future::pending;
+
+use clap::Parser;
+use clap::Subcommand;
+use oleanderpass_stand_in::engine::Engine;
+use oleanderpass_stand_in::engine::EngineConfig;
+use oleanderpass_stand_in::platform::Platform;
+use oleanderpass_stand_in::platform::PlatformConfig;
+use oleanderpass_stand_in::service::Service;
+use oleanderpass_stand_in::service::ServiceConfig;
+
+/// Stand in for a model engine, a plain service or the platform. It prints its address.
+#[derive(Parser)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run a model engine.
+    Engine(Box<EngineConfig>),
+    /// Run one server of a plain service.
+    Service(ServiceConfig),
+    /// Run the configuration service and the instance list.
+    Platform(PlatformConfig),
+}
+
+#[tokio::main]
+async fn main() -> eyre::Result<()> {
+    tracing_subscriber::fmt()
+        .json()
+        .with_writer(std::io::stderr)
+        .init();
+    match Cli::parse().command {
+        Command::Engine(cfg) => {
+            let engine = Engine::start(*cfg)?;
+            println!("{}", engine.addr());
+            pending().await
+        }
+        Command::Service(cfg) => {
+            let service = Service::start(cfg)?;
+            println!("{}", service.addr());
+            pending().await
+        }
+        Command::Platform(cfg) => {
+            let platform = Platform::start(cfg)?;
+            println!("{}", platform.addr());
+            pending().await
+        }
+    }
+}
--- /dev/null
+++ b/crates/oleanderpass_stand_in/src/output.rs
@@ -0,0 +1,88 @@
+//! Derive a prompt and a repeatable answer from a caller's request.
+//!
+//! The token at each position depends only on the prompt and the position. So a test can compute
+//! the whole answer, and another engine can continue an answer that broke off.
+
+use oleanderpass_types::size::BYTES_PER_TOKEN;
+use oleanderpass_types::size::Bytes;
+use oleanderpass_types::size::Tokens;
+use serde::Deserialize;
+use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Tokens to generate when the request names no number.
+pub const DEFAULT_MAX_TOKENS: u64 = 16;
+
+/// The shortest cached prefix, in tokens. Longer ones double in length.
+pub const SHORTEST_PREFIX_TOKENS: u64 = 256;
+
+const WORDS: [&str; 16] = [
+    "amber", "basalt", "cedar", "dune", "ember", "fjord", "grove", "harbour", "inlet", "juniper",
+    "kelp", "lichen", "meadow", "nettle", "orchard", "pebble",
+];
+
+#[derive(Deserialize)]
+struct Message {
+    #[serde(default)]
+    content: String,
+}
+
+/// The parts of a caller's JSON that an engine uses.
+#[derive(Deserialize)]
+pub(crate) struct GenerateRequest {
+    #[serde(default)]
+    pub(crate) model: String,
+    #[serde(default)]
+    prompt: String,
+    #[serde(default)]
+    messages: Vec<Message>,
+    max_tokens: Option<u64>,
+    max_completion_tokens: Option<u64>,
+}
+
+impl GenerateRequest {
+    /// Return the prompt: the field `prompt`, or the contents of all messages in order.
+    pub(crate) fn prompt(&self) -> String {
+        let contents: String = self.messages.iter().map(|m| m.content.as_str()).collect();
+        format!("{}{contents}", self.prompt)
+    }
+
+    pub(crate) fn max_tokens(&self) -> u64 {
+        self.max_tokens
+            .or(self.max_completion_tokens)
+            .unwrap_or(DEFAULT_MAX_TOKENS)
+    }
+}
+
+/// Return the seed of the answer to a prompt.
+pub fn prompt_seed(prompt: &str) -> u64 {
+    xxh3_64(prompt.as_bytes())
+}
+
+/// Return the token at a position, counted from 0.
+pub fn token(seed: u64, position: u64) -> String {
+    let index = xxh3_64_with_seed(&position.to_le_bytes(), seed) as usize % WORDS.len();
+    format!(" {}", WORDS[index])
+}
+
+/// Return the first `tokens` tokens of the answer to a prompt.
+pub fn answer(prompt: &str, tokens: u64) -> String {
+    let seed = prompt_seed(prompt);
+    (0..tokens).map(|position| token(seed, position)).collect()
+}
+
+/// Estimate the length of a prompt.
+pub fn prompt_tokens(prompt: &str) -> u64 {
+    Tokens::estimate(Bytes::new(prompt.len() as u64)).get()
+}
+
+/// Return hash and length in tokens of the prefixes of a prompt that an engine caches.
+pub fn prefixes(prompt: &str) -> Vec<(u64, u64)> {
+    let bytes = prompt.as_bytes();
+    std::iter::successors(Some(SHORTEST_PREFIX_TOKENS), |tokens| Some(tokens * 2))
+        .map_while(|tokens| {
+            let end = usize::try_from(tokens * BYTES_PER_TOKEN).ok()?;
+            Some((xxh3_64(bytes.get(..end)?), tokens))
+        })
+        .collect()
+}
