--- a/crates/oleanderpass_stand_in/src/engine.rs
+++ b/crates/oleanderpass_stand_in/src/engine.rs
@@ -61,13 +61,13 @@
 use tokio_stream::StreamExt;
 use tokio_stream::wrappers::ReceiverStream;
 
+use crate::client::post_json;
 use crate::http::Body;
 use crate::http::Server;
 use crate::http::header_text;
 use crate::http::json;
 use crate::http::new_incarnation;
 use crate::http::past_deadline;
-use crate::http::post_json;
 use crate::http::query;
 use crate::http::read_body;
 use crate::http::read_json;
--- a/crates/oleanderpass_stand_in/src/http.rs
+++ b/crates/oleanderpass_stand_in/src/http.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use eyre::WrapErr;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -199,37 +198,3 @@
 pub(crate) fn new_incarnation() -> u64 {
     (unix_ms() << 20) | (rand::random::<u64>() & 0xF_FFFF)
 }
-
-/// Send a request on a new connection and return the answer once its head has arrived.
-pub async fn send(addr: SocketAddr, req: Request<Full<Bytes>>) -> eyre::Result<Response<Incoming>> {
-    let stream = TcpStream::connect(addr)
-        .await
-        .wrap_err_with(|| format!("connect to {addr}"))?;
-    stream.set_nodelay(true)?;
-    let (mut sender, connection) =
-        hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
-    tokio::spawn(connection);
-    sender
-        .send_request(req)
-        .await
-        .wrap_err_with(|| format!("send a request to {addr}"))
-}
-
-/// Send JSON by POST and read the JSON answer.
-pub(crate) async fn post_json<T: DeserializeOwned>(
-    addr: SocketAddr,
-    path: &str,
-    value: &impl Serialize,
-) -> eyre::Result<T> {
-    let body = Full::new(Bytes::from(serde_json::to_vec(value)?));
-    let req = Request::post(path)
-        .header(header::HOST, addr.to_string())
-        .body(body)?;
-    let body = send(addr, req)
-        .await?
-        .into_body()
-        .collect()
-        .await?
-        .to_bytes();
-    Ok(serde_json::from_slice(&body)?)
-}
--- a/crates/oleanderpass_stand_in/src/lib.rs
+++ b/crates/oleanderpass_stand_in/src/lib.rs
@@ -5,8 +5,9 @@
 //! on port 0. They follow the published interfaces of section 3 of `docs/design.md`; paths under
 //! `/control/` exist for tests only.
 
+pub mod client;
 pub mod engine;
-pub mod http;
+mod http;
 pub mod output;
 pub mod platform;
 pub mod service;
