--- a/crates/oleanderpass_stand_in/src/lib.rs
+++ b/crates/oleanderpass_stand_in/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod client;
 pub mod engine;
 mod http;
+pub mod load;
 pub mod output;
 pub mod platform;
 pub mod service;
--- a/crates/oleanderpass_stand_in/src/main.rs
+++ b/crates/oleanderpass_stand_in/src/main.rs
@@ -6,6 +6,8 @@
 use clap::Subcommand;
 use oleanderpass_stand_in::engine::Engine;
 use oleanderpass_stand_in::engine::EngineConfig;
+use oleanderpass_stand_in::load;
+use oleanderpass_stand_in::load::LoadCommand;
 use oleanderpass_stand_in::platform::Platform;
 use oleanderpass_stand_in::platform::PlatformConfig;
 use oleanderpass_stand_in::service::Service;
@@ -26,6 +28,9 @@
     Service(ServiceConfig),
     /// Run the configuration service and the instance list.
     Platform(PlatformConfig),
+    /// Send load and measure the time to first token.
+    #[command(subcommand)]
+    Load(LoadCommand),
 }
 
 #[tokio::main]
@@ -50,5 +55,6 @@
             println!("{}", platform.addr());
             pending().await
         }
+        Command::Load(command) => load::run(command).await,
     }
 }
