--- a/crates/oleanderpass_entry/tests/generation.rs
+++ b/crates/oleanderpass_entry/tests/generation.rs
@@ -87,3 +87,130 @@
     assert_eq!(last["choices"][0]["finish_reason"], "stop");
     assert_eq!(next_event(&mut reader), None);
 }
+
+/// Guards against tokens that a resumed stream repeats, and events of another stream.
+#[test]
+fn broken_stream_is_resumed_without_repetition() {
+    let (entry, engine) = start();
+    let mut reader = open_stream(&entry);
+    let mut req = engine.next();
+    let id = req.header("oleanderpass-stream-id").unwrap().to_owned();
+    req.begin_stream();
+    req.event(&id, 0, "In ");
+    assert_eq!(text(&next_event(&mut reader).unwrap()), "In ");
+    drop(req);
+    let mut resumed = engine.next();
+    let expected = format!("POST /v1/streams/{id}/resume?from=1 HTTP/1.1");
+    assert_eq!(resumed.line, expected);
+    resumed.begin_stream();
+    resumed.event(&id, 0, "In ");
+    resumed.event("another:stream:1", 1, "June");
+    resumed.event(&id, 1, "May");
+    resumed.done(&id, 2);
+    assert_eq!(text(&next_event(&mut reader).unwrap()), "May");
+    let last = next_event(&mut reader).unwrap();
+    assert_eq!(last["oleanderpass"]["outcome"], "completed");
+    assert!(entry.metrics().contains("oleanderpass_resumes_total 1"));
+}
+
+/// Guards against an incomplete answer that looks complete.
+#[test]
+fn lost_stream_ends_with_an_error() {
+    let (entry, engine) = start();
+    let mut reader = open_stream(&entry);
+    let mut req = engine.next();
+    let id = req.header("oleanderpass-stream-id").unwrap().to_owned();
+    req.begin_stream();
+    req.event(&id, 0, "In ");
+    assert_eq!(text(&next_event(&mut reader).unwrap()), "In ");
+    drop(req);
+    engine.next().answer("404 Not Found", "", "");
+    let last = next_event(&mut reader).unwrap();
+    assert_eq!(last["error"]["outcome"], "failed");
+    let mut rest = String::new();
+    // The body ends with an empty chunk.
+    while !rest.ends_with("\r\n0\r\n") {
+        assert!(reader.read_line(&mut rest).unwrap() > 0, "{rest}");
+    }
+    assert!(!rest.contains("[DONE]"), "{rest}");
+}
+
+/// Guards against generations that run on for a caller that has gone.
+#[test]
+fn stream_is_cancelled_when_the_caller_disconnects() {
+    let (entry, engine) = start();
+    let mut reader = open_stream(&entry);
+    let mut req = engine.next();
+    let id = req.header("oleanderpass-stream-id").unwrap().to_owned();
+    req.begin_stream();
+    req.event(&id, 0, "In ");
+    next_event(&mut reader).unwrap();
+    drop(reader);
+    let cancel = engine.next();
+    assert_eq!(cancel.line, format!("DELETE /v1/streams/{id} HTTP/1.1"));
+}
+
+/// Guards against a slow caller that holds up other callers' streams.
+#[test]
+fn slow_reader_slows_only_its_own_stream() {
+    let (entry, engine) = start();
+    let _slow = open_stream(&entry);
+    let mut first = engine.next();
+    let id = first.header("oleanderpass-stream-id").unwrap().to_owned();
+    first.begin_stream();
+    first.tcp.set_nonblocking(true).unwrap();
+    // Fill every buffer between the engine and the caller that doesn't read.
+    let event = serde_json::json!({ "id": id, "seq": 0, "text": "x".repeat(100_000) });
+    let mut event = event;
+    let mut seq = 0_u64;
+    let mut stalled = 0;
+    while stalled < 20 {
+        event["seq"] = seq.into();
+        let data = format!("data: {event}\n\n");
+        let mut rest = data.as_bytes();
+        while !rest.is_empty() && stalled < 20 {
+            match first.tcp.write(rest) {
+                Ok(count) => {
+                    rest = &rest[count..];
+                    stalled = 0;
+                }
+                Err(_) => {
+                    stalled += 1;
+                    std::thread::sleep(std::time::Duration::from_millis(20));
+                }
+            }
+        }
+        seq += 1;
+    }
+    let mut reader = open_stream(&entry);
+    let mut second = engine.next();
+    let id = second.header("oleanderpass-stream-id").unwrap().to_owned();
+    second.begin_stream();
+    second.event(&id, 0, "In ");
+    assert_eq!(text(&next_event(&mut reader).unwrap()), "In ");
+}
+
+/// Guards against an answer without stream that is incomplete or lacks its usage.
+#[test]
+fn whole_answer_is_collected() {
+    let (entry, engine) = start();
+    std::thread::scope(|scope| {
+        let caller =
+            scope.spawn(|| entry.call(CHAT, &["oleanderpass-priority: batch"], &body(false)));
+        let mut req = engine.next();
+        assert_eq!(req.header("oleanderpass-priority"), Some("batch"));
+        assert_eq!(req.body, body(false));
+        let id = req.header("oleanderpass-stream-id").unwrap().to_owned();
+        req.begin_stream();
+        req.event(&id, 0, "In ");
+        req.event(&id, 1, "May");
+        req.done(&id, 2);
+        let (status, head, answer) = caller.join().unwrap();
+        assert_eq!(status, 200, "{answer}");
+        assert!(head.contains("oleanderpass-outcome: completed"), "{head}");
+        let answer: Value = serde_json::from_str(&answer).unwrap();
+        assert_eq!(answer["object"], "chat.completion");
+        assert_eq!(answer["choices"][0]["message"]["content"], "In May");
+        assert_eq!(answer["usage"]["completion_tokens"], 2);
+    });
+}
--- /dev/null
+++ b/crates/oleanderpass_entry/tests/limits.rs
@@ -0,0 +1,151 @@
+//! Guard against requests that use up the instance by their head, body or number.
+
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "a failed unwrap fails the test"
+)]
+
+mod support;
+
+use std::io::Write;
+
+use oleanderpass_proto::settings::Limits;
+use support::Entry;
+use support::KEY;
+use support::ScriptedServer;
+use support::connect;
+use support::exchange;
+use support::head;
+use support::read_answer;
+use support::spawn_entry;
+use test_case::test_case;
+
+const CHAT: &str = "POST /v1/chat/completions";
+
+fn start(limits: Limits) -> (Entry, ScriptedServer) {
+    let server = ScriptedServer::spawn();
+    let entry = spawn_entry(server.addr, server.addr, limits);
+    (entry, server)
+}
+
+/// Guards against callers that hold connections open with an unfinished head.
+#[test]
+fn half_sent_head_is_closed() {
+    let (entry, _server) = start(Limits {
+        head_timeout_ms: 100,
+        ..Limits::default()
+    });
+    let mut tcp = connect(entry.addrs.caller);
+    tcp.write_all(b"POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n")
+        .unwrap();
+    let (status, _, _) = read_answer(tcp);
+    assert!(status == 0 || status == 408, "status {status}");
+}
+
+/// Guards against heads that take memory without limit.
+#[test]
+fn oversized_head_is_refused() {
+    let (entry, _server) = start(Limits::default());
+    let padding = format!("x-padding: {}", "a".repeat(20 << 10));
+    let (status, _, _) = entry.call("GET /v1/models", &[&padding], b"");
+    assert_eq!(status, 431);
+}
+
+/// Guards against bodies that take memory without limit.
+#[test]
+fn oversized_body_is_refused() {
+    let (entry, server) = start(Limits {
+        body_bytes: 10_000,
+        ..Limits::default()
+    });
+    let (status, head, body) = entry.call(CHAT, &[], &[b' '; 20_000]);
+    assert_eq!(status, 413);
+    assert!(head.contains("oleanderpass-outcome: not run"), "{head}");
+    assert!(body.contains("larger than 10000 bytes"), "{body}");
+    assert!(!server.has_more());
+}
+
+/// Guards against many bodies that are each within their limit but not together.
+#[test]
+fn byte_budget_is_shared() {
+    let (entry, _server) = start(Limits {
+        body_bytes: 64 << 10,
+        body_budget_bytes: 64 << 10,
+        ..Limits::default()
+    });
+    let mut first = connect(entry.addrs.caller);
+    let authorization = format!("authorization: Bearer {KEY}");
+    // The first body is announced but not sent, and holds the whole budget. Its head is answered
+    // with 100 when the body is read, so the budget is taken by then.
+    let expect = ["expect: 100-continue", &authorization];
+    first
+        .write_all(head(CHAT, &expect, 64 << 10).as_bytes())
+        .unwrap();
+    let mut interim = [0; 12];
+    std::io::Read::read_exact(&mut first, &mut interim).unwrap();
+    assert_eq!(&interim, b"HTTP/1.1 100");
+    let (status, _, body) = entry.call(CHAT, &[], &[b' '; 4_096]);
+    assert_eq!(status, 503, "{body}");
+    drop(first);
+}
+
+/// Guards against more connections than the instance can serve.
+#[test]
+fn connections_are_limited() {
+    let (entry, _server) = start(Limits {
+        connections: 1,
+        ..Limits::default()
+    });
+    let mut first = connect(entry.addrs.caller);
+    let authorization = format!("authorization: Bearer {KEY}");
+    let request = head("GET /v1/models", &[&authorization], 0);
+    first.write_all(request.as_bytes()).unwrap();
+    let mut start = [0; 12];
+    std::io::Read::read_exact(&mut first, &mut start).unwrap();
+    assert_eq!(&start, b"HTTP/1.1 200");
+    let (status, _, body) = read_answer(connect(entry.addrs.caller));
+    assert_eq!(status, 503);
+    assert!(body.contains("too many connections"), "{body}");
+}
+
+#[test_case(CHAT, "", "{\"model\": ", 400, "invalid JSON"; "broken json")]
+#[test_case(CHAT, "", "{\"model\": \"lay\", \"messages\": []}", 400, "messages"; "no messages")]
+#[test_case(CHAT, "oleanderpass-timeout-ms: soon", "{}", 400, "oleanderpass-timeout-ms"; "timeout")]
+#[test_case(CHAT, "oleanderpass-timeout-ms: 0", "{}", 400, "oleanderpass-timeout-ms"; "zero timeout")]
+#[test_case(CHAT, "oleanderpass-priority: urgent", "{}", 400, "oleanderpass-priority"; "priority")]
+#[test_case("GET /v1/tickets", "", "", 405, "method"; "method")]
+#[test_case("GET /v2", "", "", 404, "unknown path"; "path")]
+#[test_case("POST /svc/no%20route/x", "", "", 404, "route id"; "route")]
+fn invalid_requests_are_refused(line: &str, header: &str, body: &str, status: u16, cause: &str) {
+    let (entry, server) = start(Limits::default());
+    let headers: Vec<&str> = [header].into_iter().filter(|h| !h.is_empty()).collect();
+    let (received, _, answer) = entry.call(line, &headers, body.as_bytes());
+    assert_eq!(received, status, "{answer}");
+    let error: serde_json::Value = serde_json::from_str(&answer).unwrap();
+    assert_eq!(error["error"]["outcome"], "not run");
+    assert_eq!(error["error"]["generation"], 7);
+    assert!(error["error"]["cause"].as_str().unwrap().contains(cause));
+    assert!(!server.has_more());
+}
+
+#[test_case(None; "missing")]
+#[test_case(Some("authorization: Bearer quince"); "unknown")]
+fn callers_without_a_key_are_refused(header: Option<&str>) {
+    let (entry, _server) = start(Limits::default());
+    let headers: Vec<&str> = header.into_iter().collect();
+    let (status, _, body) = exchange(entry.addrs.caller, CHAT, &headers, b"{}");
+    assert_eq!(status, 401, "{body}");
+}
+
+/// Guards against a model list that shows other organisations' models or none.
+#[test]
+fn models_are_listed() {
+    let (entry, _server) = start(Limits::default());
+    let (status, head, body) = entry.call("GET /v1/models", &[], b"");
+    assert_eq!(status, 200);
+    assert!(head.contains("oleanderpass-generation: 7"), "{head}");
+    let list: serde_json::Value = serde_json::from_str(&body).unwrap();
+    assert_eq!(list["data"][0]["id"], "lay");
+    assert_eq!(list["data"].as_array().unwrap().len(), 1);
+}
