--- /dev/null
+++ b/crates/oleanderpass_core/src/admission.rs
@@ -0,0 +1,361 @@
+//! Admit requests or refuse them.
+
+use std::sync::Arc;
+
+use oleanderpass_config::document::Document;
+use oleanderpass_config::document::Organisation;
+use oleanderpass_config::document::Service;
+use oleanderpass_config::document::ServiceKind;
+use oleanderpass_config::document::TicketRule;
+use oleanderpass_ticket::ticket::Scope;
+use oleanderpass_types::clock::Millis;
+use oleanderpass_types::clock::Timestamp;
+use oleanderpass_types::error::Step;
+use oleanderpass_types::error::StepError;
+use oleanderpass_types::id::AttemptNumber;
+use oleanderpass_types::id::CallerId;
+use oleanderpass_types::id::OrganisationId;
+use oleanderpass_types::id::RouteId;
+use oleanderpass_types::id::ServiceId;
+use oleanderpass_types::outcome::Outcome;
+use oleanderpass_types::size::Tokens;
+
+use crate::action::Action;
+use crate::drain::Drain;
+use crate::event::NewRequest;
+use crate::event::RecordedAnswer;
+use crate::event::Source;
+use crate::event::Target;
+use crate::instance::Instance;
+use crate::instance::caller_error;
+use crate::instance::local_error;
+use crate::request::Execution;
+use crate::request::Phase;
+use crate::request::Request;
+use crate::tickets::TicketStep;
+
+/// Requests that wait for a backend server at the same time. At about 1 KB each they take 4 MB.
+const MAX_QUEUED: usize = 4_096;
+
+/// The generated tokens that the early refusal reckons with at most. Callers often allow far more
+/// tokens than an answer takes, so a larger part of their allowance is no estimate.
+const EXPECTED_OUTPUT: Tokens = Tokens::new(256);
+
+/// Why a request is refused before anything was sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Rejection {
+    /// The HTTP status.
+    pub(crate) status: u16,
+    /// The error.
+    pub(crate) error: StepError,
+}
+
+impl Rejection {
+    pub(crate) fn new(status: u16, error: StepError) -> Self {
+        Self { status, error }
+    }
+}
+
+/// What to do with a request that is not refused.
+enum Admission {
+    /// Keep it until it ends.
+    Enter(Box<Request>),
+    /// Answer it with what an earlier use of its ticket left.
+    Recorded {
+        outcome: Outcome,
+        answer: Option<Arc<RecordedAnswer>>,
+    },
+}
+
+/// What a request asks for, checked against the document.
+struct Resolved {
+    service: ServiceId,
+    idempotent: bool,
+    ticket: TicketRule,
+    route: Option<RouteId>,
+    default_timeout: Millis,
+}
+
+impl Instance {
+    pub(crate) fn on_request(
+        &mut self,
+        now: Timestamp,
+        new: Box<NewRequest>,
+        out: &mut Vec<Action>,
+    ) {
+        let id = new.id.clone();
+        if self.requests.contains_key(&id) {
+            tracing::warn!(req = %id, "ignored a second request with the id of an open one");
+            return;
+        }
+        match self.admit(now, &new) {
+            Ok(Admission::Enter(req)) => self.enter(now, *req, out),
+            Ok(Admission::Recorded { outcome, answer }) => {
+                self.answer_recorded(&id, outcome, answer, out);
+            }
+            Err(rejection) => {
+                let outcome = self.outcome_of_rejection(now, &new);
+                let Rejection { status, error } = rejection;
+                self.answer(&id, outcome, status, Some(error), out);
+            }
+        }
+    }
+
+    fn admit(&mut self, now: Timestamp, new: &NewRequest) -> Result<Admission, Rejection> {
+        let document = self.document.clone().ok_or_else(|| {
+            Rejection::new(503, local_error(Step::Admit, "no document is in force"))
+        })?;
+        let (organisation, caller) = authenticate(&document, &new.source)?;
+        let resolved = resolve(&document, &organisation, new)?;
+        let deadline = now + time_limit(&document, &resolved, new.timeout);
+        let step = self.check_ticket(now, &document, (&organisation, &caller), &resolved, new)?;
+        let owned = !matches!(step, TicketStep::None | TicketStep::Forward(_));
+        self.check_drain(owned)?;
+        let phase = match &step {
+            TicketStep::None | TicketStep::FirstUse(_) => Phase::Queued {
+                since: now,
+                not_before: now,
+            },
+            TicketStep::Wait(ticket) => Phase::Waiting { ticket: *ticket },
+            TicketStep::Forward(owner) => Phase::Forwarded {
+                owner: owner.clone(),
+            },
+            TicketStep::Recorded { outcome, answer } => {
+                return Ok(Admission::Recorded {
+                    outcome: *outcome,
+                    answer: answer.clone(),
+                });
+            }
+        };
+        if matches!(phase, Phase::Queued { .. }) {
+            self.check_capacity(now, &document, &resolved, new, deadline)?;
+        }
+        let ticket = self.begin_ticket_step(&new.id, &step)?;
+        Ok(Admission::Enter(Box::new(Request {
+            new: Box::new(new.clone()),
+            organisation,
+            caller,
+            service: resolved.service,
+            once: !resolved.idempotent || ticket.is_some(),
+            ticket,
+            deadline,
+            order: 0,
+            attempt: AttemptNumber(0),
+            phase,
+            execution: Execution::NotRun,
+            delivered: false,
+            tried: Vec::new(),
+            last_error: None,
+        })))
+    }
+
+    fn check_ticket(
+        &self,
+        now: Timestamp,
+        document: &Document,
+        (organisation, caller): (&OrganisationId, &CallerId),
+        resolved: &Resolved,
+        new: &NewRequest,
+    ) -> Result<TicketStep, Rejection> {
+        match (&new.ticket, &resolved.route) {
+            (None, _) if resolved.idempotent || resolved.ticket == TicketRule::Optional => {
+                Ok(TicketStep::None)
+            }
+            (None, _) => Err(Rejection::new(
+                428,
+                caller_error(Step::Ticket, "the route needs a ticket"),
+            )),
+            (Some(_), None) => Err(Rejection::new(
+                400,
+                caller_error(Step::Ticket, "tickets are for routes only"),
+            )),
+            (Some(text), Some(route)) => {
+                let scope = Scope {
+                    environment: document.environment.name.clone(),
+                    organisation: organisation.clone(),
+                    caller: caller.clone(),
+                    route: route.clone(),
+                };
+                self.plan_ticket_use(now, text, &scope, &new.source)
+            }
+        }
+    }
+
+    fn check_drain(&self, owned_ticket: bool) -> Result<(), Rejection> {
+        match self.drain {
+            Drain::Serving | Drain::Announced { .. } => Ok(()),
+            Drain::Refusing if owned_ticket => Ok(()),
+            Drain::Refusing | Drain::Exited => Err(Rejection::new(
+                503,
+                local_error(Step::Admit, "the instance is shutting down"),
+            )),
+        }
+    }
+
+    fn check_capacity(
+        &self,
+        now: Timestamp,
+        document: &Document,
+        resolved: &Resolved,
+        new: &NewRequest,
+        deadline: Timestamp,
+    ) -> Result<(), Rejection> {
+        if self.queue.len() >= MAX_QUEUED {
+            let error = local_error(Step::Queue, "too many requests wait");
+            return Err(Rejection::new(503, error));
+        }
+        if now >= deadline {
+            let error = caller_error(Step::Admit, "the request's time is over");
+            return Err(Rejection::new(504, error));
+        }
+        let service = document.services.get(&resolved.service);
+        let least = service.map_or(Millis::ZERO, |service| {
+            self.least_time(service, resolved, new)
+        });
+        if now + least > deadline {
+            let cause = format!("the estimated time of {least} ends after the deadline");
+            return Err(Rejection::new(503, local_error(Step::Admit, cause)));
+        }
+        Ok(())
+    }
+
+    /// Estimate the least time that the request takes: the prefill that waits at the server with
+    /// the least, the own prefill and the expected output.
+    fn least_time(&self, service: &Service, resolved: &Resolved, new: &NewRequest) -> Millis {
+        if service.kind == ServiceKind::Plain {
+            return Millis::ZERO;
+        }
+        let waiting = self
+            .servers
+            .values()
+            .filter(|server| server.service == resolved.service && server.is_live())
+            .map(|server| {
+                server
+                    .load
+                    .as_ref()
+                    .map_or(Tokens::ZERO, |(_, load)| load.queued_prefill)
+            })
+            .min()
+            .unwrap_or(Tokens::ZERO);
+        let prefill =
+            (waiting + new.prompt).get().saturating_mul(1_000) / service.prefill_per_s.get().max(1);
+        let output = new.max_output.min(EXPECTED_OUTPUT);
+        Millis::new(prefill) + service.token_time.saturating_mul(output.get())
+    }
+
+    fn enter(&mut self, now: Timestamp, mut req: Request, out: &mut Vec<Action>) {
+        let id = req.new.id.clone();
+        match &req.phase {
+            Phase::Queued { .. } => {
+                self.admitted += 1;
+                self.retry_budget.earn();
+                req.order = self.admitted;
+                self.queue
+                    .insert((std::cmp::Reverse(req.new.priority), req.order), id.clone());
+                self.requests.insert(id, req);
+                self.dispatch_queued(now, out);
+            }
+            Phase::Forwarded { owner } => {
+                let owner = owner.clone();
+                let deadline = req.deadline;
+                self.requests.insert(id.clone(), req);
+                self.forward(now, id, owner, deadline, out);
+            }
+            Phase::Waiting { .. } | Phase::Running { .. } => {
+                self.requests.insert(id, req);
+            }
+        }
+    }
+}
+
+/// Identify the caller.
+pub(crate) fn authenticate(
+    document: &Document,
+    source: &Source,
+) -> Result<(OrganisationId, CallerId), Rejection> {
+    match source {
+        Source::Peer {
+            organisation,
+            caller,
+            ..
+        } => Ok((organisation.clone(), caller.clone())),
+        Source::Caller(key) => document.callers.get(key).cloned().ok_or_else(|| {
+            Rejection::new(401, caller_error(Step::Authenticate, "unknown API key"))
+        }),
+    }
+}
+
+/// Return the organisation's section of the document.
+pub(crate) fn find_organisation<'a>(
+    document: &'a Document,
+    organisation: &OrganisationId,
+) -> Result<&'a Organisation, Rejection> {
+    document
+        .organisations
+        .get(organisation)
+        .ok_or_else(|| not_found(format!("unknown organisation `{organisation}`")))
+}
+
+pub(crate) fn not_found(cause: String) -> Rejection {
+    Rejection::new(404, caller_error(Step::Admit, cause))
+}
+
+fn resolve(
+    document: &Document,
+    organisation: &OrganisationId,
+    new: &NewRequest,
+) -> Result<Resolved, Rejection> {
+    let allowed = find_organisation(document, organisation)?;
+    match &new.target {
+        Target::Model { model, adapter } => {
+            let checked = document
+                .models
+                .get(model)
+                .filter(|_| allowed.models.contains(model))
+                .ok_or_else(|| not_found(format!("unknown model `{model}`")))?;
+            if let Some(adapter) = adapter
+                && !checked.adapters.contains_key(adapter)
+            {
+                return Err(not_found(format!("unknown adapter `{adapter}`")));
+            }
+            if new.prompt > checked.max_prompt {
+                let cause = format!("the prompt is longer than {}", checked.max_prompt);
+                return Err(Rejection::new(413, caller_error(Step::Admit, cause)));
+            }
+            Ok(Resolved {
+                service: checked.service.clone(),
+                idempotent: new.idempotent.unwrap_or(true),
+                // A caller that forbids a second run of a generation has no route to get a ticket
+                // for; its request is dispatched once.
+                ticket: TicketRule::Optional,
+                route: None,
+                default_timeout: document.defaults.timeout,
+            })
+        }
+        Target::Route(route) => {
+            let checked = document
+                .routes
+                .get(route)
+                .filter(|_| allowed.routes.contains(route))
+                .ok_or_else(|| not_found(format!("unknown route `{route}`")))?;
+            Ok(Resolved {
+                service: checked.service.clone(),
+                idempotent: checked.idempotent && new.idempotent.unwrap_or(true),
+                // A caller may ask for a single dispatch of an idempotent route without a ticket.
+                ticket: if checked.idempotent {
+                    TicketRule::Optional
+                } else {
+                    checked.ticket
+                },
+                route: Some(route.clone()),
+                default_timeout: checked.timeout.unwrap_or(document.defaults.timeout),
+            })
+        }
+    }
+}
+
+fn time_limit(document: &Document, resolved: &Resolved, asked: Option<Millis>) -> Millis {
+    asked
+        .unwrap_or(resolved.default_timeout)
+        .min(document.defaults.max_timeout)
+}
--- /dev/null
+++ b/crates/oleanderpass_core/src/attempt.rs
@@ -0,0 +1,371 @@
+//! Follow attempts and end requests.
+
+use std::cmp::Reverse;
+use std::sync::Arc;
+
+use oleanderpass_types::clock::Millis;
+use oleanderpass_types::clock::Timestamp;
+use oleanderpass_types::error::Peer;
+use oleanderpass_types::error::Step;
+use oleanderpass_types::error::StepError;
+use oleanderpass_types::id::BackendServerId;
+use oleanderpass_types::id::Incarnation;
+use oleanderpass_types::id::RequestId;
+use oleanderpass_types::id::StreamId;
+use oleanderpass_types::outcome::Outcome;
+
+use crate::action::Action;
+use crate::action::Answer;
+use crate::event::AttemptEnd;
+use crate::event::Progress;
+use crate::event::RecordedAnswer;
+use crate::event::Refusal;
+use crate::instance::Instance;
+use crate::request::Execution;
+use crate::request::Phase;
+use crate::request::Request;
+use crate::retry::retry_delay;
+use crate::server::LeavingSource;
+use crate::verdict::Facts;
+use crate::verdict::Retry;
+use crate::verdict::Verdict;
+use crate::verdict::judge;
+
+/// An attempt that the edge has not reported as ended.
+#[derive(Clone, Debug)]
+pub(crate) struct Attempt {
+    /// The backend server whose slot it holds.
+    pub(crate) server: BackendServerId,
+    /// The incarnation of the server when it was issued, if known.
+    pub(crate) incarnation: Option<Incarnation>,
+    /// The ticket of its request.
+    pub(crate) ticket: Option<u64>,
+    /// When it was issued.
+    pub(crate) since: Timestamp,
+}
+
+/// The status for a caller that disconnected. It is only logged.
+const CALLER_GONE_STATUS: u16 = 499;
+
+impl Instance {
+    pub(crate) fn on_progress(
+        &mut self,
+        now: Timestamp,
+        stream: StreamId,
+        progress: Progress,
+        out: &mut Vec<Action>,
+    ) {
+        match progress {
+            Progress::Sending => {}
+            Progress::Started => self.on_started(&stream, false),
+            Progress::FirstToken => self.on_started(&stream, true),
+            Progress::Ended(end) => self.on_attempt_end(now, &stream, end, out),
+        }
+    }
+
+    fn on_started(&mut self, stream: &StreamId, delivered: bool) {
+        let Some(attempt) = self.attempts.get(stream) else {
+            return;
+        };
+        if let Some(server) = self.servers.get_mut(&attempt.server) {
+            server.on_accepted();
+        }
+        let Some(req) = self.requests.get_mut(&stream.req) else {
+            return;
+        };
+        if req.runs(stream.attempt)
+            && let Phase::Running { started, .. } = &mut req.phase
+        {
+            *started = true;
+            req.delivered |= delivered;
+        }
+    }
+
+    fn on_attempt_end(
+        &mut self,
+        now: Timestamp,
+        stream: &StreamId,
+        end: AttemptEnd,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(attempt) = self.attempts.swap_remove(stream) else {
+            tracing::debug!(%stream, "ignored the end of an attempt that has ended");
+            return;
+        };
+        self.note_end_at_server(now, &attempt, &end);
+        let current = self
+            .requests
+            .get(&stream.req)
+            .is_some_and(|req| req.runs(stream.attempt));
+        if current {
+            self.on_current_end(now, &stream.req, &attempt.server, end, out);
+        } else if let Some(ticket) = attempt.ticket {
+            self.revise_ticket(now, ticket, &end);
+        }
+        self.dispatch_queued(now, out);
+        self.advance_drain(now, out);
+    }
+
+    /// Give back the server's slot and learn from the end how the server is.
+    fn note_end_at_server(&mut self, now: Timestamp, attempt: &Attempt, end: &AttemptEnd) {
+        let Some(server) = self.servers.get_mut(&attempt.server) else {
+            return;
+        };
+        server.in_flight = server.in_flight.saturating_sub(1);
+        match end {
+            AttemptEnd::Completed { .. } => server.on_accepted(),
+            AttemptEnd::Refused(Refusal::Leaving) => {
+                let incarnation = attempt.incarnation.or(server.incarnation);
+                server.mark_leaving(now, incarnation, LeavingSource::Server);
+            }
+            AttemptEnd::NotSent(_)
+            | AttemptEnd::Refused(Refusal::Full | Refusal::NotLoaded)
+            | AttemptEnd::Broken { .. } => {
+                // Attempts that were under way when the server was left alone tell nothing new.
+                if attempt.since >= server.avoid_until || server.rebuffs == 0 {
+                    let delay = retry_delay(server.rebuffs.saturating_add(2), &mut self.rng);
+                    server.on_rebuff(now, delay);
+                }
+            }
+            AttemptEnd::Refused(Refusal::Deadline)
+            | AttemptEnd::Failed(_)
+            | AttemptEnd::Cancelled => {}
+        }
+    }
+
+    fn on_current_end(
+        &mut self,
+        now: Timestamp,
+        id: &RequestId,
+        server: &BackendServerId,
+        end: AttemptEnd,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(req) = self.requests.get_mut(id) else {
+            return;
+        };
+        let facts = Facts {
+            once: req.once,
+            started: matches!(req.phase, Phase::Running { started: true, .. }),
+            delivered: req.delivered,
+        };
+        let Some(verdict) = judge(facts, &end) else {
+            let answer = match end {
+                AttemptEnd::Completed { answer, .. } => answer,
+                _ => None,
+            };
+            self.finish(now, id, Outcome::Completed, 200, None, answer, out);
+            return;
+        };
+        let Verdict {
+            execution,
+            retry,
+            step,
+            cause,
+        } = verdict;
+        let peer = Peer::BackendServer(server.as_str().into());
+        let error = StepError::new(step, peer, cause);
+        req.execution = req.execution.max(execution);
+        req.last_error = Some(error.clone());
+        if retry == Retry::Budgeted && !req.tried.contains(server) {
+            req.tried.push(server.clone());
+        }
+        if now >= req.deadline {
+            self.end_attempted(now, id, 504, error, out);
+        } else if retry == Retry::Free {
+            self.requeue(now, id, Millis::ZERO);
+        } else if retry == Retry::Budgeted && self.retry_budget.take() {
+            let failures = self.requests.get(id).map_or(1, |req| req.attempt.0);
+            let delay = retry_delay(failures, &mut self.rng);
+            self.requeue(now, id, delay);
+        } else {
+            let status = match (&end, execution) {
+                (AttemptEnd::Refused(Refusal::Deadline), _) => 504,
+                (_, Execution::NotRun) => 503,
+                _ => 502,
+            };
+            self.end_attempted(now, id, status, error, out);
+        }
+    }
+
+    /// End a request after its attempts, with the outcome that follows from all of them.
+    fn end_attempted(
+        &mut self,
+        now: Timestamp,
+        id: &RequestId,
+        status: u16,
+        error: StepError,
+        out: &mut Vec<Action>,
+    ) {
+        let outcome = self
+            .requests
+            .get(id)
+            .map_or(Outcome::Unknown, |req| req.execution.outcome());
+        self.finish(now, id, outcome, status, Some(error), None, out);
+    }
+
+    /// Learn from an attempt that ended after its request was answered.
+    fn revise_ticket(&mut self, now: Timestamp, ticket: u64, end: &AttemptEnd) {
+        let (outcome, answer) = match end {
+            AttemptEnd::Completed { answer, .. } => (Outcome::Completed, answer.clone()),
+            AttemptEnd::NotSent(_) | AttemptEnd::Refused(_) => (Outcome::NotRun, None),
+            AttemptEnd::Failed(_) => (Outcome::Failed, None),
+            AttemptEnd::Broken { .. } | AttemptEnd::Cancelled => return,
+        };
+        self.ledger.revise(now, ticket, outcome, answer);
+    }
+
+    pub(crate) fn on_caller_gone(&mut self, now: Timestamp, id: &RequestId, out: &mut Vec<Action>) {
+        let Some(req) = self.requests.get(id) else {
+            return;
+        };
+        let keep = match req.phase {
+            // Another use may ask for the outcome, and the effect of a cancelled call is unknown.
+            Phase::Running { .. } => req.once,
+            Phase::Queued { .. } => req.ticket.is_some_and(|ticket| {
+                req.execution != Execution::NotRun || !self.ledger.withdraw(ticket)
+            }),
+            Phase::Forwarded { .. } | Phase::Waiting { .. } => false,
+        };
+        if keep {
+            return;
+        }
+        self.cancel_current(id, out);
+        let outcome = self.outcome_now(id);
+        let error = StepError::new(Step::Stream, Peer::Caller, "the caller disconnected");
+        self.finish(now, id, outcome, CALLER_GONE_STATUS, Some(error), None, out);
+        self.dispatch_queued(now, out);
+        self.advance_drain(now, out);
+    }
+
+    /// End all requests whose time is over.
+    pub(crate) fn end_overdue(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let overdue: Vec<RequestId> = self
+            .requests
+            .iter()
+            .filter(|(_, req)| now >= req.deadline)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in overdue {
+            self.end_overdue_request(now, &id, out);
+        }
+    }
+
+    pub(crate) fn end_overdue_request(
+        &mut self,
+        now: Timestamp,
+        id: &RequestId,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(req) = self.requests.get(id) else {
+            return;
+        };
+        let error = StepError::new(
+            current_step(req),
+            current_peer(req),
+            "the request's time is over",
+        );
+        let outcome = req.execution_so_far().outcome();
+        self.cancel_current(id, out);
+        self.finish(now, id, outcome, 504, Some(error), None, out);
+    }
+
+    /// Cancel the running attempt. It keeps its server's slot until the edge reports its end.
+    fn cancel_current(&self, id: &RequestId, out: &mut Vec<Action>) {
+        if let Some(req) = self.requests.get(id)
+            && matches!(req.phase, Phase::Running { .. })
+        {
+            out.push(Action::CancelAttempt {
+                req: id.clone(),
+                attempt: req.attempt,
+            });
+        }
+    }
+
+    /// Answer a request, drop it, and answer the uses that wait for its ticket.
+    #[expect(clippy::too_many_arguments, reason = "the parts of one answer")]
+    pub(crate) fn finish(
+        &mut self,
+        now: Timestamp,
+        id: &RequestId,
+        outcome: Outcome,
+        status: u16,
+        error: Option<StepError>,
+        recorded: Option<Arc<RecordedAnswer>>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(req) = self.requests.swap_remove(id) else {
+            return;
+        };
+        match req.phase {
+            Phase::Queued { .. } => {
+                self.queue.remove(&(Reverse(req.new.priority), req.order));
+            }
+            Phase::Waiting { ticket } => self.ledger.stop_waiting(ticket, id),
+            Phase::Running { .. } | Phase::Forwarded { .. } => {}
+        }
+        self.answer(id, outcome, status, error, out);
+        let Some(ticket) = req.ticket else {
+            return;
+        };
+        for waiting in self.ledger.end(now, ticket, outcome, recorded.clone()) {
+            self.requests.swap_remove(&waiting);
+            self.answer_recorded(&waiting, outcome, recorded.clone(), out);
+        }
+    }
+
+    pub(crate) fn answer(
+        &self,
+        id: &RequestId,
+        outcome: Outcome,
+        status: u16,
+        error: Option<StepError>,
+        out: &mut Vec<Action>,
+    ) {
+        if let Some(error) = &error {
+            tracing::info!(req = %id, %outcome, status, %error, "request ended");
+        }
+        let answer = Answer::End {
+            outcome,
+            status,
+            error,
+            generation: self.generation(),
+        };
+        let req = id.clone();
+        out.push(Action::Answer { req, answer });
+    }
+
+    pub(crate) fn answer_recorded(
+        &self,
+        id: &RequestId,
+        outcome: Outcome,
+        recorded: Option<Arc<RecordedAnswer>>,
+        out: &mut Vec<Action>,
+    ) {
+        let answer = Answer::Recorded {
+            answer: recorded,
+            outcome,
+            generation: self.generation(),
+        };
+        let req = id.clone();
+        out.push(Action::Answer { req, answer });
+    }
+}
+
+fn current_step(req: &Request) -> Step {
+    match req.phase {
+        Phase::Queued { .. } => Step::Queue,
+        Phase::Running { started: false, .. } => Step::Start,
+        Phase::Running { started: true, .. } => Step::Stream,
+        Phase::Forwarded { .. } => Step::Forward,
+        Phase::Waiting { .. } => Step::Ticket,
+    }
+}
+
+fn current_peer(req: &Request) -> Peer {
+    match &req.phase {
+        Phase::Running { server, .. } => Peer::BackendServer(server.as_str().into()),
+        Phase::Forwarded { owner } => Peer::Instance(owner.as_str().into()),
+        Phase::Queued { .. } | Phase::Waiting { .. } => Peer::Local,
+    }
+}
--- a/crates/oleanderpass_core/src/event.rs
+++ b/crates/oleanderpass_core/src/event.rs
@@ -42,7 +42,8 @@
         /// The route that the ticket is for.
         route: RouteId,
     },
-    /// The caller of a request disconnected.
+    /// The caller of a request disconnected. The request task runs on until the core answers it,
+    /// because a non-idempotent request is finished for a second use of its ticket.
     CallerGone(RequestId),
     /// An attempt made progress.
     Attempt {
--- /dev/null
+++ b/crates/oleanderpass_core/src/tickets.rs
@@ -0,0 +1,231 @@
+//! Issue tickets, redeem own ones and forward those of other instances.
+
+use std::sync::Arc;
+
+use oleanderpass_ticket::answer::RecordedAnswer;
+use oleanderpass_ticket::ledger::LedgerFull;
+use oleanderpass_ticket::ledger::Use;
+use oleanderpass_ticket::ticket::Scope;
+use oleanderpass_ticket::ticket::Ticket;
+use oleanderpass_types::clock::Timestamp;
+use oleanderpass_types::error::Peer;
+use oleanderpass_types::error::Step;
+use oleanderpass_types::error::StepError;
+use oleanderpass_types::id::Digest;
+use oleanderpass_types::id::InstanceId;
+use oleanderpass_types::id::RequestId;
+use oleanderpass_types::id::RouteId;
+use oleanderpass_types::outcome::Outcome;
+use smol_str::SmolStr;
+
+use crate::action::Action;
+use crate::action::Answer;
+use crate::admission::Rejection;
+use crate::admission::authenticate;
+use crate::admission::find_organisation;
+use crate::admission::not_found;
+use crate::drain::Drain;
+use crate::event::NewRequest;
+use crate::event::Source;
+use crate::instance::Instance;
+use crate::instance::caller_error;
+use crate::instance::local_error;
+
+/// What to do with the ticket of a request.
+#[derive(Clone, Debug)]
+pub(crate) enum TicketStep {
+    /// The request has none and needs none.
+    None,
+    /// Run the request. This is the first use of an own ticket.
+    FirstUse(Ticket),
+    /// Wait for the end of an earlier use of this own ticket.
+    Wait(u64),
+    /// Answer with what an earlier use of this own ticket left.
+    Recorded {
+        /// The outcome.
+        outcome: Outcome,
+        /// The answer, if its body is held.
+        answer: Option<Arc<RecordedAnswer>>,
+    },
+    /// Hand the request to the owner of the ticket.
+    Forward(InstanceId),
+}
+
+impl Instance {
+    pub(crate) fn on_issue_ticket(
+        &mut self,
+        now: Timestamp,
+        req: RequestId,
+        key: Digest,
+        route: RouteId,
+        out: &mut Vec<Action>,
+    ) {
+        match self.issue_ticket(now, key, route) {
+            Ok(ticket) => {
+                let answer = Answer::Ticket {
+                    valid_for: now.until(ticket.expires),
+                    ticket: ticket.encode(&self.fleet_key),
+                    generation: self.generation(),
+                };
+                out.push(Action::Answer { req, answer });
+            }
+            Err(Rejection { status, error }) => {
+                self.answer(&req, Outcome::NotRun, status, Some(error), out);
+            }
+        }
+    }
+
+    fn issue_ticket(
+        &mut self,
+        now: Timestamp,
+        key: Digest,
+        route: RouteId,
+    ) -> Result<Ticket, Rejection> {
+        let unavailable = |cause| Rejection::new(503, local_error(Step::Ticket, cause));
+        if self.drain != Drain::Serving {
+            return Err(unavailable("the instance is shutting down"));
+        }
+        let Some(document) = self.document.clone() else {
+            return Err(unavailable("no document is in force"));
+        };
+        let (organisation, caller) = authenticate(&document, &Source::Caller(key))?;
+        let allowed = find_organisation(&document, &organisation)?;
+        if !allowed.routes.contains(&route) {
+            return Err(not_found(format!("unknown route `{route}`")));
+        }
+        let scope = Scope {
+            environment: document.environment.name.clone(),
+            organisation,
+            caller,
+            route,
+        };
+        Ok(self.ledger.issue(now, scope))
+    }
+
+    /// Decide what to do with a ticket, without changing anything.
+    pub(crate) fn plan_ticket_use(
+        &self,
+        now: Timestamp,
+        text: &str,
+        scope: &Scope,
+        source: &Source,
+    ) -> Result<TicketStep, Rejection> {
+        let reject =
+            |status, cause: String| Err(Rejection::new(status, caller_error(Step::Ticket, cause)));
+        let ticket = match Ticket::decode(text, &self.fleet_key) {
+            Ok(ticket) => ticket,
+            Err(error) => return reject(400, error.to_string()),
+        };
+        if let Err(error) = ticket.check(scope) {
+            return reject(403, error.to_string());
+        }
+        if !self.ledger.owns(&ticket) {
+            return self.plan_forward(ticket, source);
+        }
+        match self.ledger.look_up(now, &ticket) {
+            Use::Unused => Ok(TicketStep::FirstUse(ticket)),
+            Use::Running => Ok(TicketStep::Wait(ticket.number)),
+            Use::Ended { outcome, answer } => Ok(TicketStep::Recorded { outcome, answer }),
+            Use::Expired => reject(410, "the ticket has expired".to_owned()),
+            Use::Forgotten => reject(410, "the ticket's outcome is no longer kept".to_owned()),
+        }
+    }
+
+    fn plan_forward(&self, ticket: Ticket, source: &Source) -> Result<TicketStep, Rejection> {
+        let unreachable = |cause: &'static str| {
+            let peer = Peer::Instance(ticket.instance.as_str().into());
+            let error = StepError::new(Step::Forward, peer, cause);
+            Err(Rejection::new(502, error))
+        };
+        // A peer forwards to the owner itself, so a ticket that isn't owned here belongs to an
+        // earlier incarnation.
+        if ticket.instance == self.identity.instance || matches!(source, Source::Peer { .. }) {
+            return unreachable("the incarnation that issued the ticket is gone");
+        }
+        if self
+            .owner_addr(&ticket.instance, ticket.incarnation)
+            .is_none()
+        {
+            return unreachable("the instance that issued the ticket can't be reached");
+        }
+        Ok(TicketStep::Forward(ticket.instance))
+    }
+
+    /// Record the step in the ledger and return the number of a first use.
+    pub(crate) fn begin_ticket_step(
+        &mut self,
+        req: &RequestId,
+        step: &TicketStep,
+    ) -> Result<Option<u64>, Rejection> {
+        let full =
+            |error: LedgerFull| Rejection::new(429, local_error(Step::Ticket, error.to_string()));
+        match step {
+            TicketStep::None | TicketStep::Forward(_) | TicketStep::Recorded { .. } => Ok(None),
+            TicketStep::FirstUse(ticket) => {
+                self.ledger.begin(ticket).map_err(full)?;
+                Ok(Some(ticket.number))
+            }
+            TicketStep::Wait(number) => {
+                self.ledger.wait(*number, req.clone()).map_err(full)?;
+                Ok(None)
+            }
+        }
+    }
+
+    /// Return the outcome of a request that was rejected here: an earlier use of its ticket may
+    /// have run.
+    pub(crate) fn outcome_of_rejection(&self, now: Timestamp, new: &NewRequest) -> Outcome {
+        let Some(ticket) = new
+            .ticket
+            .as_ref()
+            .and_then(|text| Ticket::decode(text, &self.fleet_key).ok())
+        else {
+            return Outcome::NotRun;
+        };
+        if !self.ledger.owns(&ticket) {
+            return Outcome::Unknown;
+        }
+        match self.ledger.look_up(now, &ticket) {
+            Use::Unused | Use::Expired => Outcome::NotRun,
+            Use::Forgotten | Use::Running | Use::Ended { .. } => Outcome::Unknown,
+        }
+    }
+
+    pub(crate) fn forward(
+        &mut self,
+        now: Timestamp,
+        req: RequestId,
+        owner: InstanceId,
+        deadline: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
+        match self.peer_addr_of(&owner) {
+            Some(addr) => out.push(Action::Forward {
+                req,
+                owner,
+                addr,
+                deadline,
+            }),
+            None => self.on_forward_failed(now, &req, "the owner is not known".into(), out),
+        }
+    }
+
+    pub(crate) fn on_forward_ended(&mut self, req: &RequestId, outcome: Outcome) {
+        if self.requests.swap_remove(req).is_some() {
+            tracing::debug!(%req, %outcome, "the owner of the ticket answered");
+        }
+    }
+
+    pub(crate) fn on_forward_failed(
+        &mut self,
+        now: Timestamp,
+        req: &RequestId,
+        cause: SmolStr,
+        out: &mut Vec<Action>,
+    ) {
+        if self.requests.contains_key(req) {
+            let error = local_error(Step::Forward, cause);
+            self.finish(now, req, Outcome::Unknown, 502, Some(error), None, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/oleanderpass_core/tests/common/mod.rs
@@ -0,0 +1,344 @@
+//! Drive one instance with injected time.
+
+#![allow(
+    dead_code,
+    unreachable_pub,
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "each test file uses a part; a failed unwrap fails the test"
+)]
+
+use std::sync::Arc;
+
+use oleanderpass_core::action::Action;
+use oleanderpass_core::action::Answer;
+use oleanderpass_core::action::StartAttempt;
+use oleanderpass_core::event::AttemptEnd;
+use oleanderpass_core::event::Event;
+use oleanderpass_core::event::InstanceList;
+use oleanderpass_core::event::Lifecycle;
+use oleanderpass_core::event::ListedInstance;
+use oleanderpass_core::event::ListedServer;
+use oleanderpass_core::event::NewRequest;
+use oleanderpass_core::event::Priority;
+use oleanderpass_core::event::Progress;
+use oleanderpass_core::event::RecordedAnswer;
+use oleanderpass_core::event::ServerLoad;
+use oleanderpass_core::event::Source;
+use oleanderpass_core::event::Target;
+use oleanderpass_core::instance::Identity;
+use oleanderpass_core::instance::Instance;
+use oleanderpass_proto::environment;
+use oleanderpass_ticket::FleetKey;
+use oleanderpass_types::clock::Millis;
+use oleanderpass_types::clock::Timestamp;
+use oleanderpass_types::id::BackendServerId;
+use oleanderpass_types::id::Digest;
+use oleanderpass_types::id::Incarnation;
+use oleanderpass_types::id::RequestId;
+use oleanderpass_types::outcome::Outcome;
+use oleanderpass_types::size::Tokens;
+use smol_str::SmolStr;
+
+pub const DOCUMENT: &str = r#"
+generation: 1
+environment: {name: trial, zones: [north, south]}
+services:
+  - {id: skald, kind: engine, memory_tokens: 100000, prefill_tokens_per_s: 10000, token_ms: 50, concurrent_requests: 2}
+  - {id: ledger, kind: plain, concurrent_requests: 2}
+models:
+  - {id: saga, version: v1, service: skald, max_prompt_tokens: 1000000}
+routes:
+  - {id: charge, service: ledger, idempotent: false}
+  - {id: book, service: ledger, idempotent: false, ticket: optional}
+  - {id: status, service: ledger, idempotent: true}
+organisations:
+  - id: acme
+    class: large
+    models: [saga]
+    routes: [charge, book, status]
+    callers:
+      - {id: till, key_sha256: "0101010101010101010101010101010101010101010101010101010101010101"}
+      - {id: office, key_sha256: "0202020202020202020202020202020202020202020202020202020202020202"}
+"#;
+
+pub const KEY: Digest = Digest([1; 32]);
+pub const OTHER_KEY: Digest = Digest([2; 32]);
+
+pub fn ms(ms: u64) -> Timestamp {
+    Timestamp::from_millis(ms)
+}
+
+pub fn document(text: &str) -> Arc<environment::Document> {
+    Arc::new(serde_saphyr::from_str(text).unwrap())
+}
+
+pub fn server(id: &str, service: &str, zone: &str, state: Lifecycle) -> ListedServer {
+    ListedServer {
+        id: id.parse().unwrap(),
+        service: service.parse().unwrap(),
+        zone: zone.parse().unwrap(),
+        addr: "127.0.0.1:9000".parse().unwrap(),
+        state,
+    }
+}
+
+pub fn peer(id: &str) -> ListedInstance {
+    ListedInstance {
+        id: id.parse().unwrap(),
+        zone: "north".parse().unwrap(),
+        peer_addr: "127.0.0.1:7000".parse().unwrap(),
+        state: Lifecycle::Live,
+    }
+}
+
+/// What an answer said: outcome and status.
+pub type Said = (Outcome, u16);
+
+/// An instance under test with its time and its actions.
+pub struct Bed {
+    pub instance: Instance,
+    pub now: u64,
+    pub actions: Vec<Action>,
+    last: u64,
+}
+
+impl Bed {
+    /// Start an instance with a document and the given servers of `skald` and `ledger`.
+    pub fn new(engines: &[&str], workers: &[&str]) -> Self {
+        Self::named("entry-1", 1, engines, workers)
+    }
+
+    pub fn named(name: &str, incarnation: u64, engines: &[&str], workers: &[&str]) -> Self {
+        let identity = Identity {
+            instance: name.parse().unwrap(),
+            incarnation: Incarnation::new(incarnation),
+            zone: "north".parse().unwrap(),
+        };
+        let instance = Instance::new(identity, 7).with_fleet_key(FleetKey([9; 32]));
+        let mut bed = Self {
+            instance,
+            now: 1_000,
+            actions: Vec::new(),
+            last: 0,
+        };
+        bed.event(Event::Document(document(DOCUMENT)));
+        bed.list(Self::live(engines, workers));
+        bed
+    }
+
+    pub fn live(engines: &[&str], workers: &[&str]) -> Vec<ListedServer> {
+        let engines = engines
+            .iter()
+            .map(|id| server(id, "skald", "north", Lifecycle::Live));
+        let workers = workers
+            .iter()
+            .map(|id| server(id, "ledger", "north", Lifecycle::Live));
+        engines.chain(workers).collect()
+    }
+
+    pub fn list(&mut self, backend_servers: Vec<ListedServer>) {
+        let entry_instances = vec![peer("entry-1"), peer("entry-2")];
+        let list = InstanceList {
+            entry_instances,
+            backend_servers,
+        };
+        self.event(Event::InstanceList(Arc::new(list)));
+    }
+
+    pub fn event(&mut self, event: Event) {
+        self.instance.handle(ms(self.now), event, &mut self.actions);
+    }
+
+    /// Let time pass with a tick each 100 ms.
+    pub fn pass(&mut self, millis: u64) {
+        for _ in 0..millis / 100 {
+            self.now += 100;
+            self.event(Event::Tick);
+        }
+    }
+
+    /// Let time pass without a tick, as in a paused process.
+    pub fn pause(&mut self, millis: u64) {
+        self.now += millis;
+    }
+
+    pub fn request(&mut self, target: Target) -> NewRequest {
+        self.last += 1;
+        NewRequest {
+            id: RequestId {
+                instance: self.instance.identity().instance.clone(),
+                incarnation: self.instance.identity().incarnation,
+                number: self.last,
+            },
+            source: Source::Caller(KEY),
+            target,
+            ticket: None,
+            timeout: Some(Millis::from_secs(20)),
+            priority: Priority::Interactive,
+            idempotent: None,
+            prompt: Tokens::new(100),
+            max_output: Tokens::new(10),
+            prefixes: Vec::new(),
+            body_hash: self.last,
+        }
+    }
+
+    pub fn send(&mut self, new: NewRequest) -> RequestId {
+        let id = new.id.clone();
+        self.event(Event::Request(Box::new(new)));
+        id
+    }
+
+    pub fn generate(&mut self) -> RequestId {
+        let new = self.request(saga());
+        self.send(new)
+    }
+
+    pub fn call(&mut self, route: &str, ticket: Option<&SmolStr>) -> RequestId {
+        let mut new = self.request(to(route));
+        new.ticket = ticket.cloned();
+        self.send(new)
+    }
+
+    /// Issue a ticket for a route.
+    pub fn ticket(&mut self, route: &str) -> SmolStr {
+        let req = self.request(to(route)).id;
+        let route = route.parse().unwrap();
+        self.event(Event::IssueTicket {
+            req,
+            key: KEY,
+            route,
+        });
+        match self.actions.pop() {
+            Some(Action::Answer {
+                answer: Answer::Ticket { ticket, .. },
+                ..
+            }) => ticket,
+            other => panic!("no ticket: {other:?}"),
+        }
+    }
+
+    pub fn progress(&mut self, start: &StartAttempt, progress: Progress) {
+        self.event(Event::Attempt {
+            req: start.req.clone(),
+            attempt: start.attempt,
+            progress,
+        });
+    }
+
+    pub fn end(&mut self, start: &StartAttempt, end: AttemptEnd) {
+        self.progress(start, Progress::Ended(end));
+    }
+
+    /// Return all attempts that were started.
+    pub fn starts(&self) -> Vec<StartAttempt> {
+        self.actions
+            .iter()
+            .filter_map(|action| match action {
+                Action::StartAttempt(start) => Some(start.clone()),
+                _ => None,
+            })
+            .collect()
+    }
+
+    /// Return the attempts of one request that were started.
+    pub fn starts_of(&self, id: &RequestId) -> Vec<StartAttempt> {
+        let mut starts = self.starts();
+        starts.retain(|start| start.req == *id);
+        starts
+    }
+
+    /// Return the only attempt of a request.
+    pub fn only_start(&self, id: &RequestId) -> StartAttempt {
+        let starts = self.starts_of(id);
+        assert_eq!(starts.len(), 1, "attempts of {id}: {starts:?}");
+        starts[0].clone()
+    }
+
+    /// Return what a request was told, and fail when it was told twice.
+    pub fn said(&self, id: &RequestId) -> Option<Said> {
+        let answers: Vec<Said> = self
+            .actions
+            .iter()
+            .filter_map(|action| match action {
+                Action::Answer { req, answer } if req == id => match answer {
+                    Answer::End {
+                        outcome, status, ..
+                    } => Some((*outcome, *status)),
+                    Answer::Recorded {
+                        outcome, answer, ..
+                    } => Some((*outcome, answer.as_ref().map_or(0, |answer| answer.status))),
+                    Answer::Ticket { .. } => None,
+                },
+                _ => None,
+            })
+            .collect();
+        assert!(answers.len() <= 1, "{id} was answered twice: {answers:?}");
+        answers.first().copied()
+    }
+
+    pub fn outcome(&self, id: &RequestId) -> Option<Outcome> {
+        self.said(id).map(|(outcome, _)| outcome)
+    }
+
+    pub fn cancelled(&self, start: &StartAttempt) -> bool {
+        self.actions.contains(&Action::CancelAttempt {
+            req: start.req.clone(),
+            attempt: start.attempt,
+        })
+    }
+
+    pub fn exited(&self) -> bool {
+        self.actions.contains(&Action::Exit)
+    }
+
+    pub fn in_flight(&self, server: &str) -> u32 {
+        let server: BackendServerId = server.parse().unwrap();
+        self.instance.servers()[&server].in_flight
+    }
+}
+
+pub fn saga() -> Target {
+    Target::Model {
+        model: "saga".parse().unwrap(),
+        adapter: None,
+    }
+}
+
+pub fn to(route: &str) -> Target {
+    Target::Route(route.parse().unwrap())
+}
+
+pub fn completed() -> AttemptEnd {
+    let answer = RecordedAnswer {
+        status: 201,
+        content_type: "application/json".into(),
+        body: b"{}".to_vec(),
+    };
+    AttemptEnd::Completed {
+        output: Tokens::new(5),
+        answer: Some(Arc::new(answer)),
+    }
+}
+
+pub fn broken(delivered: bool) -> AttemptEnd {
+    AttemptEnd::Broken {
+        delivered,
+        cause: "connection reset".into(),
+    }
+}
+
+pub fn load(id: &str, incarnation: u64, state: Lifecycle) -> ServerLoad {
+    ServerLoad {
+        server: id.parse().unwrap(),
+        incarnation: Incarnation::new(incarnation),
+        state,
+        running: 0,
+        queued: 0,
+        queued_prefill: Tokens::ZERO,
+        memory_used: Tokens::ZERO,
+        memory: Tokens::new(100_000),
+        age: Millis::ZERO,
+    }
+}
--- /dev/null
+++ b/crates/oleanderpass_core/tests/leaving.rs
@@ -0,0 +1,127 @@
+//! Guard against new work for a backend server that is leaving.
+
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "a failed unwrap fails the test"
+)]
+
+mod common;
+
+use common::Bed;
+use common::load;
+use common::server;
+use oleanderpass_core::event::AttemptEnd;
+use oleanderpass_core::event::Event;
+use oleanderpass_core::event::Lifecycle;
+use oleanderpass_core::event::Refusal;
+use oleanderpass_types::id::BackendServerId;
+use test_case::test_case;
+
+fn bed() -> Bed {
+    let mut bed = Bed::new(&["e1"], &[]);
+    bed.event(Event::LoadReport(load("e1", 5, Lifecycle::Live)));
+    bed
+}
+
+fn list(bed: &mut Bed, state: Lifecycle) {
+    bed.list(vec![server("e1", "skald", "north", state)]);
+}
+
+fn report(bed: &mut Bed, incarnation: u64, state: Lifecycle) {
+    bed.event(Event::LoadReport(load("e1", incarnation, state)));
+}
+
+fn is_live(bed: &Bed) -> bool {
+    let id: BackendServerId = "e1".parse().unwrap();
+    bed.instance.servers()[&id].is_live()
+}
+
+fn leave(bed: &mut Bed, source: &str) {
+    match source {
+        "list" => list(bed, Lifecycle::Leaving),
+        "report" => report(bed, 5, Lifecycle::Leaving),
+        _ => {
+            let id = bed.generate();
+            let start = bed.only_start(&id);
+            bed.end(&start, AttemptEnd::Refused(Refusal::Leaving));
+        }
+    }
+}
+
+/// Guards against a lagging list, or a report sent earlier, that brings a leaving server back.
+#[test_case("list")]
+#[test_case("report")]
+#[test_case("refusal")]
+fn a_leaving_server_stays_out_in_its_incarnation(source: &str) {
+    let mut bed = bed();
+    leave(&mut bed, source);
+    list(&mut bed, Lifecycle::Live);
+    report(&mut bed, 5, Lifecycle::Live);
+    report(&mut bed, 4, Lifecycle::Live);
+    bed.pass(10_000);
+    let id = bed.generate();
+    assert!(bed.starts_of(&id).is_empty());
+}
+
+#[test_case("list")]
+#[test_case("report")]
+#[test_case("refusal")]
+fn a_new_incarnation_gets_work(source: &str) {
+    let mut bed = bed();
+    leave(&mut bed, source);
+    list(&mut bed, Lifecycle::Live);
+    report(&mut bed, 6, Lifecycle::Live);
+    assert!(is_live(&bed));
+}
+
+/// Guards against a restarted server that a list which still says `leaving` shuts out for good.
+#[test]
+fn a_lagging_list_delays_a_new_incarnation_only() {
+    let mut bed = bed();
+    leave(&mut bed, "list");
+    report(&mut bed, 6, Lifecycle::Live);
+    list(&mut bed, Lifecycle::Leaving);
+    assert!(!is_live(&bed));
+    list(&mut bed, Lifecycle::Live);
+    assert!(is_live(&bed));
+}
+
+/// Guards against a server that is shut out because the list showed the departure of its
+/// predecessor after its own first report.
+#[test]
+fn a_mark_by_the_list_alone_ends_when_the_list_can_no_longer_lag() {
+    let mut bed = bed();
+    report(&mut bed, 6, Lifecycle::Live);
+    list(&mut bed, Lifecycle::Leaving);
+    list(&mut bed, Lifecycle::Live);
+    bed.pass(59_000);
+    report(&mut bed, 6, Lifecycle::Live);
+    assert!(!is_live(&bed));
+    bed.pass(1_000);
+    report(&mut bed, 6, Lifecycle::Live);
+    assert!(is_live(&bed));
+}
+
+/// Guards against a refusal by an earlier incarnation that shuts out the present one.
+#[test]
+fn a_late_refusal_concerns_the_incarnation_that_was_asked() {
+    let mut bed = bed();
+    let id = bed.generate();
+    let start = bed.only_start(&id);
+    report(&mut bed, 6, Lifecycle::Live);
+    bed.end(&start, AttemptEnd::Refused(Refusal::Leaving));
+    assert!(is_live(&bed));
+    assert_eq!(bed.starts_of(&id).len(), 2);
+}
+
+#[test]
+fn running_work_of_a_leaving_server_goes_on() {
+    let mut bed = bed();
+    let id = bed.generate();
+    let start = bed.only_start(&id);
+    leave(&mut bed, "list");
+    bed.list(Vec::new());
+    assert!(!bed.cancelled(&start));
+    assert_eq!(bed.in_flight("e1"), 1);
+}
--- /dev/null
+++ b/crates/oleanderpass_core/tests/request_path.rs
@@ -0,0 +1,309 @@
+//! Guard against wrong outcomes, missed deadlines and mixed-up attempts.
+
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "a failed unwrap fails the test"
+)]
+
+mod common;
+
+use common::Bed;
+use common::OTHER_KEY;
+use common::broken;
+use common::completed;
+use common::saga;
+use common::to;
+use oleanderpass_core::event::AttemptEnd;
+use oleanderpass_core::event::Event;
+use oleanderpass_core::event::NewRequest;
+use oleanderpass_core::event::Priority;
+use oleanderpass_core::event::Progress;
+use oleanderpass_core::event::Refusal;
+use oleanderpass_core::event::Source;
+use oleanderpass_types::clock::Millis;
+use oleanderpass_types::id::Digest;
+use oleanderpass_types::outcome::Outcome;
+use oleanderpass_types::size::Tokens;
+use test_case::test_case;
+
+fn failed() -> AttemptEnd {
+    AttemptEnd::Failed("status 500".into())
+}
+
+fn not_sent() -> AttemptEnd {
+    AttemptEnd::NotSent("connection refused".into())
+}
+
+/// Guards against a claim about a request that the end of its attempt doesn't support.
+#[test_case("saga", completed(), false, (Outcome::Completed, 200))]
+#[test_case("saga", not_sent(), false, (Outcome::NotRun, 503))]
+#[test_case("saga", failed(), false, (Outcome::Failed, 502))]
+#[test_case("saga", broken(false), false, (Outcome::Unknown, 502); "lost before start")]
+#[test_case("saga", broken(true), true, (Outcome::Failed, 502); "lost after start")]
+#[test_case("saga", AttemptEnd::Refused(Refusal::Deadline), false, (Outcome::NotRun, 504))]
+#[test_case("book", completed(), false, (Outcome::Completed, 200); "once completed")]
+#[test_case("book", not_sent(), false, (Outcome::NotRun, 503); "once not sent")]
+#[test_case("book", failed(), false, (Outcome::Failed, 502); "once failed")]
+#[test_case("book", broken(false), false, (Outcome::Unknown, 502); "once lost before start")]
+#[test_case("book", broken(true), true, (Outcome::Unknown, 502); "once lost after start")]
+#[test_case("book", AttemptEnd::Refused(Refusal::Deadline), false, (Outcome::NotRun, 504); "once late")]
+#[test_case("book", AttemptEnd::Cancelled, true, (Outcome::Unknown, 502); "once cancelled")]
+fn the_end_of_the_only_attempt_decides(
+    target: &str,
+    end: AttemptEnd,
+    started: bool,
+    expected: (Outcome, u16),
+) {
+    let mut bed = Bed::new(&["e1", "e2"], &["w1", "w2"]);
+    let target = if target == "saga" { saga() } else { to(target) };
+    let new = bed.request(target);
+    let id = bed.send(new);
+    let start = bed.only_start(&id);
+    if started {
+        bed.progress(&start, Progress::Started);
+    }
+    bed.end(&start, end);
+    assert_eq!(bed.said(&id), Some(expected));
+    assert_eq!(bed.instance.in_flight(), 0);
+}
+
+fn with_retries(engines: &[&str]) -> Bed {
+    let mut bed = Bed::new(engines, &["w1", "w2"]);
+    for _ in 0..100 {
+        let id = bed.generate();
+        let start = bed.only_start(&id);
+        bed.end(&start, completed());
+    }
+    bed
+}
+
+/// Guards against a retry on the server that just failed, and against a second run of a request
+/// that must run once.
+#[test_case("saga", failed(), 2; "failed")]
+#[test_case("saga", broken(false), 2; "lost")]
+#[test_case("saga", not_sent(), 2; "not sent")]
+#[test_case("saga", AttemptEnd::Refused(Refusal::Leaving), 2; "leaving")]
+#[test_case("saga", broken(true), 1; "lost after delivery")]
+#[test_case("book", not_sent(), 2; "once not sent")]
+#[test_case("book", AttemptEnd::Refused(Refusal::Full), 2; "once refused")]
+#[test_case("book", failed(), 1; "once failed")]
+#[test_case("book", broken(false), 1; "once lost")]
+fn retries_go_to_another_server_and_never_repeat_a_single_run(
+    target: &str,
+    end: AttemptEnd,
+    attempts: usize,
+) {
+    let mut bed = with_retries(&["e1", "e2", "e3"]);
+    let target = if target == "saga" { saga() } else { to(target) };
+    let new = bed.request(target);
+    let id = bed.send(new);
+    let first = bed.only_start(&id);
+    bed.end(&first, end);
+    bed.pass(500);
+    let starts = bed.starts_of(&id);
+    assert_eq!(starts.len(), attempts);
+    if attempts == 2 {
+        assert_ne!(starts[0].server, starts[1].server);
+        bed.end(&starts[1], completed());
+        assert_eq!(bed.outcome(&id), Some(Outcome::Completed));
+    }
+}
+
+/// Guards against `not run` for a request of which an earlier attempt ran.
+#[test]
+fn an_earlier_run_is_not_forgotten_by_a_later_refusal() {
+    let mut bed = with_retries(&["e1", "e2"]);
+    let id = bed.generate();
+    let first = bed.only_start(&id);
+    bed.end(&first, failed());
+    bed.pass(500);
+    let second = bed.starts_of(&id)[1].clone();
+    bed.end(&second, AttemptEnd::Refused(Refusal::Deadline));
+    assert_eq!(bed.outcome(&id), Some(Outcome::Failed));
+}
+
+/// Guards against an old attempt that ends or advances the current one.
+#[test]
+fn late_progress_of_an_old_attempt_changes_nothing() {
+    let mut bed = with_retries(&["e1", "e2"]);
+    let id = bed.generate();
+    let first = bed.only_start(&id);
+    bed.end(&first, broken(false));
+    bed.pass(500);
+    let second = bed.starts_of(&id)[1].clone();
+    for progress in [
+        Progress::Started,
+        Progress::FirstToken,
+        Progress::Ended(completed()),
+    ] {
+        bed.progress(&first, progress);
+    }
+    assert_eq!(bed.said(&id), None);
+    bed.end(&second, broken(false));
+    assert_eq!(
+        bed.outcome(&id),
+        None,
+        "the second attempt counts as not started"
+    );
+}
+
+/// Guards against an answer after, or a wrong outcome at, the end of the request's time.
+#[test_case("saga", "queued", Outcome::NotRun)]
+#[test_case("saga", "sent", Outcome::Unknown)]
+#[test_case("saga", "streaming", Outcome::Failed)]
+#[test_case("book", "queued", Outcome::NotRun; "once queued")]
+#[test_case("book", "sent", Outcome::Unknown; "once sent")]
+#[test_case("book", "streaming", Outcome::Unknown; "once streaming")]
+fn the_deadline_ends_a_request_in_every_phase(target: &str, phase: &str, expected: Outcome) {
+    let mut bed = Bed::new(&["e1"], &["w1"]);
+    let target = if target == "saga" { saga() } else { to(target) };
+    if phase == "queued" {
+        for _ in 0..2 {
+            let mut holder = bed.request(target.clone());
+            holder.timeout = Some(Millis::from_secs(60));
+            bed.send(holder);
+        }
+    }
+    let new = bed.request(target);
+    let id = bed.send(new);
+    if phase == "streaming" {
+        let start = bed.only_start(&id);
+        bed.progress(&start, Progress::Started);
+    }
+    bed.pass(19_900);
+    assert_eq!(bed.said(&id), None);
+    bed.pass(100);
+    assert_eq!(bed.said(&id), Some((expected, 504)));
+    assert_eq!(bed.starts_of(&id).len(), usize::from(phase != "queued"));
+}
+
+/// Guards against a cancelled attempt whose slot is given away while it still runs, and against a
+/// second answer when it ends.
+#[test]
+fn a_cancelled_attempt_keeps_its_slot_until_it_ends() {
+    let mut bed = Bed::new(&["e1"], &[]);
+    let ids = [bed.generate(), bed.generate()];
+    let starts = ids.clone().map(|id| bed.only_start(&id));
+    bed.pass(20_000);
+    assert!(starts.iter().all(|start| bed.cancelled(start)));
+    let next = bed.generate();
+    assert!(bed.starts_of(&next).is_empty());
+    assert_eq!(bed.in_flight("e1"), 2);
+    bed.end(&starts[0], AttemptEnd::Cancelled);
+    assert_eq!(bed.starts_of(&next).len(), 1);
+    bed.end(&starts[1], completed());
+    assert_eq!(bed.outcome(&ids[1]), Some(Outcome::Unknown));
+    assert_eq!(bed.in_flight("e1"), 1);
+}
+
+/// Guards against work that is dispatched after its deadline by a process that was paused.
+#[test_case(Event::Tick; "tick first")]
+#[test_case(Event::InstanceList(std::sync::Arc::default()); "another event first")]
+fn nothing_overdue_is_dispatched_after_a_pause(first: Event) {
+    let mut bed = Bed::new(&["e1"], &[]);
+    let running = [bed.generate(), bed.generate()];
+    let queued = bed.generate();
+    let start = bed.only_start(&running[0]);
+    bed.pause(30_000);
+    bed.event(first);
+    bed.end(&start, completed());
+    bed.pass(100);
+    assert!(bed.starts_of(&queued).is_empty());
+    assert_eq!(bed.said(&queued), Some((Outcome::NotRun, 504)));
+}
+
+/// Guards against a retry after the deadline.
+#[test]
+fn an_attempt_that_ends_late_is_not_retried() {
+    let mut bed = with_retries(&["e1", "e2"]);
+    let id = bed.generate();
+    let start = bed.only_start(&id);
+    bed.pause(30_000);
+    bed.end(&start, not_sent());
+    assert_eq!(bed.said(&id), Some((Outcome::NotRun, 504)));
+}
+
+/// Guards against requests that are admitted although they must be refused.
+#[test_case(|new| new.source = Source::Caller(Digest([3; 32])), 401; "unknown key")]
+#[test_case(|new| new.target = to("refund"), 404; "unknown route")]
+#[test_case(|new| new.target = to("charge"), 428; "no ticket")]
+#[test_case(|new| new.prompt = Tokens::new(1_000_001), 413; "prompt too long")]
+#[test_case(|new| new.timeout = Some(Millis::ZERO), 504; "no time")]
+#[test_case(|new| new.prompt = Tokens::new(200_000), 503; "prefill takes all the time")]
+#[test_case(|new| new.ticket = Some("x".into()), 400; "ticket for a model")]
+fn refusals_say_that_nothing_ran(change: fn(&mut NewRequest), status: u16) {
+    let mut bed = Bed::new(&["e1"], &["w1"]);
+    let mut new = bed.request(saga());
+    change(&mut new);
+    let id = bed.send(new);
+    assert_eq!(bed.said(&id), Some((Outcome::NotRun, status)));
+    assert!(bed.starts().is_empty());
+}
+
+/// Guards against callers that share more than their organisation's document allows.
+#[test]
+fn each_caller_of_the_document_is_accepted() {
+    let mut bed = Bed::new(&["e1"], &[]);
+    let mut new = bed.request(saga());
+    new.source = Source::Caller(OTHER_KEY);
+    let id = bed.send(new);
+    assert_eq!(bed.starts_of(&id).len(), 1);
+}
+
+/// Guards against a batch request that overtakes an interactive one.
+#[test]
+fn interactive_requests_leave_the_queue_first() {
+    let mut bed = Bed::new(&["e1"], &[]);
+    let first = bed.generate();
+    bed.generate();
+    let mut batch = bed.request(saga());
+    batch.priority = Priority::Batch;
+    let batch = bed.send(batch);
+    let urgent = bed.generate();
+    let start = bed.only_start(&first);
+    bed.end(&start, completed());
+    assert_eq!(bed.starts_of(&urgent).len(), 1);
+    assert!(bed.starts_of(&batch).is_empty());
+}
+
+/// Guards against a request that keeps an engine busy for nobody, and against a non-idempotent
+/// call that is cut off when its caller disconnects.
+#[test_case("saga", true)]
+#[test_case("book", false)]
+fn only_idempotent_attempts_are_cancelled_when_the_caller_is_gone(target: &str, cancels: bool) {
+    let mut bed = Bed::new(&["e1"], &["w1"]);
+    let target = if target == "saga" { saga() } else { to(target) };
+    let new = bed.request(target);
+    let id = bed.send(new);
+    let start = bed.only_start(&id);
+    bed.event(Event::CallerGone(id.clone()));
+    assert_eq!(bed.cancelled(&start), cancels);
+    assert_eq!(bed.said(&id).is_some(), cancels);
+}
+
+/// Guards against a caller that waits for its whole time when no server exists.
+#[test]
+fn a_service_without_servers_answers_after_5_s() {
+    let mut bed = Bed::new(&[], &["w1"]);
+    let id = bed.generate();
+    bed.pass(4_900);
+    assert_eq!(bed.said(&id), None);
+    bed.pass(100);
+    assert_eq!(bed.said(&id), Some((Outcome::NotRun, 503)));
+}
+
+/// Guards against an engine of another zone that serves while an own one is ready.
+#[test]
+fn other_zones_serve_only_when_the_own_one_can_not() {
+    use oleanderpass_core::event::Lifecycle;
+    let mut bed = Bed::new(&[], &[]);
+    let far = common::server("far", "skald", "south", Lifecycle::Live);
+    let near = common::server("near", "skald", "north", Lifecycle::Live);
+    bed.list(vec![far.clone(), near]);
+    let id = bed.generate();
+    assert_eq!(bed.only_start(&id).server.as_str(), "near");
+    bed.list(vec![far]);
+    let id = bed.generate();
+    assert_eq!(bed.only_start(&id).server.as_str(), "far");
+}
--- /dev/null
+++ b/crates/oleanderpass_core/tests/retries.rs
@@ -0,0 +1,117 @@
+//! Guard against retries that multiply the load of failing servers.
+
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "a failed unwrap fails the test"
+)]
+
+mod common;
+
+use common::Bed;
+use common::broken;
+use common::completed;
+use oleanderpass_core::event::AttemptEnd;
+use oleanderpass_core::event::Refusal;
+use oleanderpass_core::retry::MAX_SAVED_RETRIES;
+use oleanderpass_core::retry::retry_delay;
+use oleanderpass_types::id::BackendServerId;
+use rand_pcg::Pcg64Mcg;
+use test_case::test_case;
+
+const ENGINES: [&str; 14] = [
+    "e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8", "e9", "e10", "e11", "e12", "e13", "e14",
+];
+
+/// Send requests for `seconds` and end every attempt at once.
+fn run(bed: &mut Bed, seconds: u64, per_second: u64, end: &AttemptEnd) -> (u64, u64) {
+    let admitted = bed.instance.admitted();
+    let sent = bed.starts().len() as u64;
+    let mut ended = bed.starts().len();
+    for _ in 0..seconds * per_second {
+        bed.generate();
+        bed.pause(1_000 / per_second);
+        bed.event(oleanderpass_core::event::Event::Tick);
+        while let Some(start) = bed.starts().get(ended).cloned() {
+            ended += 1;
+            bed.end(&start, end.clone());
+        }
+    }
+    (
+        bed.instance.admitted() - admitted,
+        bed.starts().len() as u64 - sent,
+    )
+}
+
+#[test_case(&AttemptEnd::Failed("status 500".into()); "all fail")]
+#[test_case(&AttemptEnd::NotSent("connection refused".into()); "all refuse connections")]
+#[test_case(&broken(false); "all break")]
+fn a_full_outage_multiplies_the_load_by_1_1_at_most(end: &AttemptEnd) {
+    let mut bed = Bed::new(&ENGINES, &[]);
+    let (admitted, sent) = run(&mut bed, 60, 10, end);
+    assert!(admitted >= 500, "{admitted} admitted");
+    assert!(
+        sent * 10 <= admitted * 11,
+        "{sent} sent of {admitted} admitted"
+    );
+}
+
+#[test_case(&AttemptEnd::Failed("status 500".into()); "all fail")]
+#[test_case(&AttemptEnd::NotSent("connection refused".into()); "all refuse connections")]
+fn calm_before_an_outage_adds_10_retries_at_most(end: &AttemptEnd) {
+    let mut bed = Bed::new(&ENGINES, &[]);
+    run(&mut bed, 60, 10, &completed());
+    let (admitted, sent) = run(&mut bed, 60, 10, end);
+    let saved = u64::from(MAX_SAVED_RETRIES);
+    assert!(
+        sent * 10 <= admitted * 11 + saved * 10,
+        "{sent} sent of {admitted} admitted"
+    );
+}
+
+/// Guards against queued requests that are sent to full servers over and over.
+#[test]
+fn full_servers_are_asked_less_and_less_often() {
+    let mut bed = Bed::new(&["e1", "e2"], &[]);
+    let id = bed.generate();
+    let mut ended = 0;
+    for _ in 0..190 {
+        bed.pass(100);
+        while let Some(start) = bed.starts_of(&id).get(ended).cloned() {
+            ended += 1;
+            bed.end(&start, AttemptEnd::Refused(Refusal::Full));
+        }
+    }
+    assert!((10..60).contains(&ended), "{ended} attempts in 19 s");
+    assert_eq!(bed.said(&id), None, "the request still waits");
+}
+
+/// Guards against many attempts to a dead server that fail together and count as many failures.
+#[test]
+fn failures_of_concurrent_attempts_count_once() {
+    let mut bed = Bed::new(&["e1"], &[]);
+    let ids = [bed.generate(), bed.generate()];
+    for id in &ids {
+        let start = bed.only_start(id);
+        bed.end(&start, AttemptEnd::Refused(Refusal::Full));
+    }
+    let id: BackendServerId = "e1".parse().unwrap();
+    assert_eq!(bed.instance.servers()[&id].rebuffs, 1);
+}
+
+#[test]
+fn delays_double_up_to_their_limit_and_differ() {
+    let mut rng = Pcg64Mcg::new(1);
+    for (failures, least, most) in [
+        (1, 25, 50),
+        (2, 50, 100),
+        (6, 800, 1_600),
+        (40, 1_000, 2_000),
+    ] {
+        let delays: Vec<u64> = (0..100)
+            .map(|_| retry_delay(failures, &mut rng).get())
+            .collect();
+        assert!(delays.iter().all(|delay| (least..=most).contains(delay)));
+        assert!(delays.iter().any(|delay| *delay != delays[0]));
+    }
+}
--- /dev/null
+++ b/crates/oleanderpass_core/tests/tickets.rs
@@ -0,0 +1,314 @@
+//! Guard against a second run of a non-idempotent request and wrong claims about the first.
+
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "a failed unwrap fails the test"
+)]
+
+mod common;
+
+use std::net::SocketAddr;
+
+use common::Bed;
+use common::KEY;
+use common::OTHER_KEY;
+use common::broken;
+use common::completed;
+use common::to;
+use oleanderpass_core::action::Action;
+use oleanderpass_core::event::AttemptEnd;
+use oleanderpass_core::event::Event;
+use oleanderpass_core::event::NewRequest;
+use oleanderpass_core::event::Progress;
+use oleanderpass_core::event::Refusal;
+use oleanderpass_core::event::Source;
+use oleanderpass_types::clock::Millis;
+use oleanderpass_types::id::RequestId;
+use oleanderpass_types::outcome::Outcome;
+use smol_str::SmolStr;
+use test_case::test_case;
+
+fn bed() -> Bed {
+    Bed::new(&["e1"], &["w1", "w2"])
+}
+
+fn other() -> Bed {
+    Bed::named("entry-2", 1, &["e1"], &["w1", "w2"])
+}
+
+fn forwards(bed: &Bed) -> Vec<(RequestId, String, SocketAddr)> {
+    bed.actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::Forward {
+                req, owner, addr, ..
+            } => Some((req.clone(), owner.to_string(), *addr)),
+            _ => None,
+        })
+        .collect()
+}
+
+/// Make the request that the owner receives when another instance forwards one.
+fn forwarded(owner: &mut Bed, ticket: &SmolStr) -> NewRequest {
+    let mut new = owner.request(to("charge"));
+    new.ticket = Some(ticket.clone());
+    new.source = Source::Peer {
+        instance: "entry-2".parse().unwrap(),
+        organisation: "acme".parse().unwrap(),
+        caller: "till".parse().unwrap(),
+    };
+    new
+}
+
+#[test]
+fn a_ticket_is_run_once_and_answers_each_resend() {
+    let mut bed = bed();
+    let ticket = bed.ticket("charge");
+    let first = bed.call("charge", Some(&ticket));
+    let start = bed.only_start(&first);
+    assert!(start.once);
+    bed.end(&start, completed());
+    assert_eq!(bed.said(&first), Some((Outcome::Completed, 200)));
+    for _ in 0..3 {
+        let again = bed.call("charge", Some(&ticket));
+        assert_eq!(bed.said(&again), Some((Outcome::Completed, 201)));
+    }
+    assert_eq!(bed.starts().len(), 1);
+}
+
+/// Guards against two runs of a ticket that is used twice at once.
+#[test_case(completed(), Outcome::Completed)]
+#[test_case(broken(false), Outcome::Unknown)]
+#[test_case(AttemptEnd::Failed("status 500".into()), Outcome::Failed)]
+#[test_case(AttemptEnd::Refused(Refusal::Deadline), Outcome::NotRun)]
+fn a_second_use_waits_for_the_first(end: AttemptEnd, expected: Outcome) {
+    let mut bed = bed();
+    let ticket = bed.ticket("charge");
+    let first = bed.call("charge", Some(&ticket));
+    let second = bed.call("charge", Some(&ticket));
+    assert_eq!(bed.said(&second), None);
+    let start = bed.only_start(&first);
+    bed.end(&start, end);
+    assert_eq!(bed.outcome(&first), Some(expected));
+    assert_eq!(bed.outcome(&second), Some(expected));
+    assert_eq!(bed.starts().len(), 1);
+    assert_eq!(bed.instance.in_flight(), 0);
+}
+
+#[test]
+fn a_waiting_use_keeps_its_own_deadline() {
+    let mut bed = bed();
+    let ticket = bed.ticket("charge");
+    let first = bed.call("charge", Some(&ticket));
+    let mut second = bed.request(to("charge"));
+    second.ticket = Some(ticket);
+    second.timeout = Some(Millis::from_secs(1));
+    let second = bed.send(second);
+    bed.pass(1_000);
+    assert_eq!(bed.said(&second), Some((Outcome::Unknown, 504)));
+    let start = bed.only_start(&first);
+    bed.end(&start, completed());
+    assert_eq!(bed.outcome(&first), Some(Outcome::Completed));
+}
+
+/// Guards against a resend that reaches another instance and runs there.
+#[test]
+fn another_instance_forwards_to_the_owner() {
+    let mut owner = bed();
+    let mut hop = other();
+    let ticket = owner.ticket("charge");
+    let at_hop = hop.call("charge", Some(&ticket));
+    assert!(hop.starts().is_empty());
+    let expected: SocketAddr = "127.0.0.1:7000".parse().unwrap();
+    assert_eq!(
+        forwards(&hop),
+        [(at_hop.clone(), "entry-1".to_owned(), expected)]
+    );
+
+    let new = forwarded(&mut owner, &ticket);
+    let at_owner = owner.send(new);
+    let start = owner.only_start(&at_owner);
+    owner.end(&start, completed());
+    assert_eq!(owner.outcome(&at_owner), Some(Outcome::Completed));
+    hop.event(Event::ForwardEnded {
+        req: at_hop.clone(),
+        outcome: Outcome::Completed,
+    });
+    assert_eq!(hop.instance.in_flight(), 0);
+    assert_eq!(hop.said(&at_hop), None, "the answer was relayed");
+}
+
+#[test]
+fn a_resend_through_another_instance_waits_at_the_owner() {
+    let mut owner = bed();
+    let ticket = owner.ticket("charge");
+    let first = owner.call("charge", Some(&ticket));
+    let new = forwarded(&mut owner, &ticket);
+    let second = owner.send(new);
+    let start = owner.only_start(&first);
+    owner.end(&start, completed());
+    assert_eq!(owner.said(&second), Some((Outcome::Completed, 201)));
+    assert_eq!(owner.starts().len(), 1);
+}
+
+/// Guards against `not run` from an instance that can't know it.
+#[test_case("unreachable")]
+#[test_case("silent")]
+#[test_case("not listed")]
+#[test_case("draining")]
+#[test_case("revoked key")]
+fn without_the_owner_the_outcome_is_unknown(case: &str) {
+    let mut owner = bed();
+    let mut hop = other();
+    let ticket = owner.ticket("charge");
+    let mut new = hop.request(to("charge"));
+    new.ticket = Some(ticket);
+    match case {
+        "not listed" => hop.event(Event::InstanceList(std::sync::Arc::default())),
+        "draining" => {
+            hop.event(Event::Shutdown);
+            hop.pass(5_000);
+        }
+        "revoked key" => new.source = Source::Caller(oleanderpass_types::id::Digest([5; 32])),
+        _ => {}
+    }
+    let id = hop.send(new);
+    match case {
+        "unreachable" => hop.event(Event::ForwardFailed {
+            req: id.clone(),
+            cause: "connection refused".into(),
+        }),
+        "silent" => hop.pass(20_000),
+        _ => {}
+    }
+    assert_eq!(hop.outcome(&id), Some(Outcome::Unknown));
+    assert!(hop.starts().is_empty());
+}
+
+/// Guards against a replaced owner that runs the ticket of its predecessor again.
+#[test_case(false; "sent to the successor")]
+#[test_case(true; "forwarded to the successor")]
+fn a_new_incarnation_does_not_run_old_tickets(from_peer: bool) {
+    let ticket = bed().ticket("charge");
+    let mut successor = Bed::named("entry-1", 2, &["e1"], &["w1"]);
+    let mut new = forwarded(&mut successor, &ticket);
+    if !from_peer {
+        new.source = Source::Caller(KEY);
+    }
+    let id = successor.send(new);
+    assert_eq!(successor.outcome(&id), Some(Outcome::Unknown));
+    assert!(successor.starts().is_empty());
+}
+
+/// Guards against an owner that wakes from a pause and runs a request whose caller gave up.
+#[test]
+fn a_paused_owner_does_not_run_overdue_uses() {
+    let mut owner = bed();
+    let ticket = owner.ticket("charge");
+    owner.pause(60_000);
+    let new = forwarded(&mut owner, &ticket);
+    let id = owner.send(new);
+    assert_eq!(owner.said(&id), Some((Outcome::NotRun, 410)));
+    assert!(owner.starts().is_empty());
+}
+
+#[test_case(29_900, None; "in time")]
+#[test_case(30_000, Some((Outcome::NotRun, 410)); "expired and never used")]
+#[test_case(119_900, Some((Outcome::NotRun, 410)); "a use would still be known")]
+#[test_case(120_000, Some((Outcome::Unknown, 410)); "a use may be forgotten")]
+fn an_expired_ticket_is_refused(after: u64, expected: Option<(Outcome, u16)>) {
+    let mut bed = bed();
+    let ticket = bed.ticket("charge");
+    bed.pass(after);
+    let id = bed.call("charge", Some(&ticket));
+    assert_eq!(bed.said(&id), expected);
+    assert_eq!(bed.starts().len(), usize::from(expected.is_none()));
+}
+
+#[test]
+fn an_outcome_is_kept_for_120_s_after_the_end() {
+    let mut bed = bed();
+    let ticket = bed.ticket("charge");
+    let first = bed.call("charge", Some(&ticket));
+    bed.pass(10_000);
+    let start = bed.only_start(&first);
+    bed.end(&start, completed());
+    bed.pass(119_900);
+    let kept = bed.call("charge", Some(&ticket));
+    assert_eq!(bed.outcome(&kept), Some(Outcome::Completed));
+    bed.pass(100);
+    let gone = bed.call("charge", Some(&ticket));
+    assert_eq!(bed.outcome(&gone), Some(Outcome::Unknown));
+    assert_eq!(bed.starts().len(), 1);
+}
+
+/// Guards against a ticket that opens another caller's or another route's request.
+#[test_case(|new| new.source = Source::Caller(OTHER_KEY), 403; "other caller")]
+#[test_case(|new| new.target = to("book"), 403; "other route")]
+#[test_case(|new| new.ticket = Some("forged".into()), 400; "not authentic")]
+fn a_ticket_of_something_else_is_refused(change: fn(&mut NewRequest), status: u16) {
+    let mut bed = bed();
+    let ticket = bed.ticket("charge");
+    let mut new = bed.request(to("charge"));
+    new.ticket = Some(ticket.clone());
+    change(&mut new);
+    let id = bed.send(new);
+    assert_eq!(bed.said(&id), Some((Outcome::NotRun, status)));
+    let id = bed.call("charge", Some(&ticket));
+    bed.only_start(&id);
+}
+
+#[test_case("charge", Some((Outcome::NotRun, 428)); "required")]
+#[test_case("book", None; "optional")]
+#[test_case("status", None; "idempotent")]
+fn only_routes_that_require_a_ticket_refuse_without(route: &str, expected: Option<(Outcome, u16)>) {
+    let mut bed = bed();
+    let id = bed.call(route, None);
+    assert_eq!(bed.said(&id), expected);
+}
+
+/// Guards against an outcome that stays unknown although the late end of the attempt tells it.
+#[test_case(completed(), Outcome::Completed)]
+#[test_case(AttemptEnd::NotSent("deadline passed before the write".into()), Outcome::NotRun)]
+#[test_case(AttemptEnd::Cancelled, Outcome::Unknown)]
+fn an_attempt_that_ends_after_its_deadline_settles_the_ticket(end: AttemptEnd, expected: Outcome) {
+    let mut bed = bed();
+    let ticket = bed.ticket("charge");
+    let first = bed.call("charge", Some(&ticket));
+    let start = bed.only_start(&first);
+    bed.pass(20_000);
+    assert_eq!(bed.said(&first), Some((Outcome::Unknown, 504)));
+    bed.end(&start, end);
+    let again = bed.call("charge", Some(&ticket));
+    assert_eq!(bed.outcome(&again), Some(expected));
+    assert_eq!(bed.starts().len(), 1);
+}
+
+/// Guards against a caller that loses its connection and with it the outcome.
+#[test]
+fn a_running_use_outlives_its_caller() {
+    let mut bed = bed();
+    let ticket = bed.ticket("charge");
+    let first = bed.call("charge", Some(&ticket));
+    let start = bed.only_start(&first);
+    bed.progress(&start, Progress::Started);
+    bed.event(Event::CallerGone(first));
+    let second = bed.call("charge", Some(&ticket));
+    bed.end(&start, completed());
+    assert_eq!(bed.said(&second), Some((Outcome::Completed, 201)));
+    assert!(!bed.cancelled(&start));
+}
+
+/// Guards against a ticket that is lost although nothing was sent.
+#[test]
+fn a_queued_use_whose_caller_is_gone_leaves_the_ticket_unused() {
+    let mut bed = Bed::new(&[], &[]);
+    let ticket = bed.ticket("charge");
+    let first = bed.call("charge", Some(&ticket));
+    bed.event(Event::CallerGone(first));
+    assert!(bed.instance.ledger().is_empty());
+    bed.list(Bed::live(&[], &["w1"]));
+    let second = bed.call("charge", Some(&ticket));
+    bed.only_start(&second);
+}
