Poll backend servers and keep engines' models in view

Nothing asked servers for their load, so leaving servers, new incarnations and missing models showed only by refusals. Poll the load each 2 s and the state and holds each 5 s, for the servers of the own zone and for leaving ones of other zones. A poll that isn't reported on within 5 s counts as lost. Requests go to engines that hold the model; a full own zone no longer spills into others, and a server that doesn't report is the last choice.

--- a/crates/oleanderpass_core/src/attempt.rs
+++ b/crates/oleanderpass_core/src/attempt.rs
@@ -17,6 +17,7 @@
 use crate::action::Action;
 use crate::action::Answer;
 use crate::event::AttemptEnd;
+use crate::event::Observation;
 use crate::event::Progress;
 use crate::event::RecordedAnswer;
 use crate::event::Refusal;
@@ -112,6 +113,9 @@
             return;
         };
         server.in_flight = server.in_flight.saturating_sub(1);
+        if matches!(end, AttemptEnd::Refused(Refusal::NotLoaded)) {
+            server.polls.hurry(Observation::State, now);
+        }
         match end {
             AttemptEnd::Completed { .. } => server.on_accepted(),
             AttemptEnd::Refused(Refusal::Leaving) => {
@@ -124,7 +128,8 @@
                 // Attempts that were under way when the server was left alone tell nothing new.
                 if attempt.since >= server.avoid_until || server.rebuffs == 0 {
                     let delay = retry_delay(server.rebuffs.saturating_add(2), &mut self.rng);
-                    server.on_rebuff(now, delay);
+                    let unreachable = !matches!(end, AttemptEnd::Refused(_));
+                    server.on_rebuff(now, delay, unreachable);
                 }
             }
             AttemptEnd::Refused(Refusal::Deadline)
--- a/crates/oleanderpass_core/src/dispatch.rs
+++ b/crates/oleanderpass_core/src/dispatch.rs
@@ -17,6 +17,7 @@
 use crate::action::Action;
 use crate::action::StartAttempt;
 use crate::attempt::Attempt;
+use crate::event::Target;
 use crate::instance::Instance;
 use crate::instance::local_error;
 use crate::request::Phase;
@@ -33,7 +34,7 @@
         if self.queue.is_empty() {
             return;
         }
-        let mut full: IndexSet<ServiceId> = IndexSet::new();
+        let mut blocked: IndexSet<Target> = IndexSet::new();
         let queued: Vec<RequestId> = self.queue.values().cloned().collect();
         for id in queued {
             let Some(req) = self.requests.get(&id) else {
@@ -44,16 +45,12 @@
                 continue;
             }
             let delayed = matches!(req.phase, Phase::Queued { not_before, .. } if now < not_before);
-            if delayed || full.contains(&req.service) {
+            if delayed || blocked.contains(&req.new.target) {
                 continue;
             }
             match self.pick(now, &id) {
                 Some(server) => self.start(now, &id, server, out),
-                None => {
-                    if !self.has_room(now, &id) {
-                        full.extend(self.requests.get(&id).map(|req| req.service.clone()));
-                    }
-                }
+                None => blocked.extend(self.requests.get(&id).map(|req| req.new.target.clone())),
             }
         }
     }
@@ -139,21 +136,28 @@
         }));
     }
 
-    /// Choose a backend server: of two random ones of the own zone, or else of another zone, the
-    /// one with fewer attempts.
+    /// Choose a backend server: of two random ones of the own zone, or of any zone when the own one
+    /// has none that is ready, the one with fewer attempts.
     fn pick(&mut self, now: Timestamp, id: &RequestId) -> Option<BackendServerId> {
         let req = self.requests.get(id)?;
         let mut candidates = self.candidates(now, req, |name| !req.tried.contains(name));
         if candidates.is_empty() {
             candidates = self.candidates(now, req, |_| true);
         }
-        let own_zone = |index: &usize| {
+        if self.own_zone_is_ready(req) {
+            candidates.retain(|index| {
+                self.servers
+                    .get_index(*index)
+                    .is_some_and(|(_, server)| server.zone == self.identity.zone)
+            });
+        }
+        let reports = |index: &usize| {
             self.servers
                 .get_index(*index)
-                .is_some_and(|(_, server)| server.zone == self.identity.zone)
+                .is_some_and(|(_, server)| !server.silent)
         };
-        if candidates.iter().any(own_zone) {
-            candidates.retain(own_zone);
+        if candidates.iter().any(reports) {
+            candidates.retain(reports);
         }
         if candidates.is_empty() {
             return None;
@@ -185,22 +189,28 @@
         self.servers
             .iter()
             .enumerate()
-            .filter(|(_, (name, server))| {
-                self.accepts_work(now, &req.service, server) && also(name)
-            })
+            .filter(|(_, (name, server))| self.accepts_work(now, req, server) && also(name))
             .map(|(index, _)| index)
             .collect()
     }
 
-    fn has_room(&self, now: Timestamp, id: &RequestId) -> bool {
-        self.requests.get(id).is_some_and(|req| {
-            self.servers
-                .values()
-                .any(|server| self.accepts_work(now, &req.service, server))
+    fn accepts_work(&self, now: Timestamp, req: &Request, server: &ServerView) -> bool {
+        serves(req, server) && self.has_free_slot(now, &req.service, server)
+    }
+
+    /// Return whether the own zone has a server for the request, be it busy. A full zone doesn't
+    /// spill its load into others.
+    fn own_zone_is_ready(&self, req: &Request) -> bool {
+        self.servers.values().any(|server| {
+            server.zone == self.identity.zone
+                && server.service == req.service
+                && server.is_live()
+                && server.is_reachable()
+                && serves(req, server)
         })
     }
 
-    fn accepts_work(&self, now: Timestamp, service: &ServiceId, server: &ServerView) -> bool {
+    fn has_free_slot(&self, now: Timestamp, service: &ServiceId, server: &ServerView) -> bool {
         let room = self
             .document
             .as_ref()
@@ -216,3 +226,10 @@
             .map_or(Outcome::NotRun, |req| req.execution_so_far().outcome())
     }
 }
+
+fn serves(req: &Request, server: &ServerView) -> bool {
+    match &req.new.target {
+        Target::Model { model, adapter } => server.serves(model, adapter.as_ref()),
+        Target::Route(_) => true,
+    }
+}
--- a/crates/oleanderpass_core/src/instance.rs
+++ b/crates/oleanderpass_core/src/instance.rs
@@ -174,6 +174,12 @@
             Event::Document(raw) => self.on_document(now, &raw, out),
             Event::InstanceList(list) => self.on_instance_list(now, &list, out),
             Event::LoadReport(load) => self.on_load_report(now, load, out),
+            Event::EngineState(state) => self.on_engine_state(now, *state, out),
+            Event::ObserveFailed {
+                server,
+                what,
+                cause,
+            } => self.on_observe_failed(&server, what, &cause),
             Event::Shutdown => self.on_shutdown(now),
             Event::Tick => self.on_tick(now, out),
             Event::PeerPacket { .. }
@@ -188,9 +194,7 @@
             | Event::QuotaLeased { .. }
             | Event::QuotaLeaseFailed { .. }
             | Event::InstanceListFailed { .. }
-            | Event::EngineState(_)
             | Event::HoldList { .. }
-            | Event::ObserveFailed { .. }
             | Event::OrderAnswered { .. }
             | Event::HoldAnswered { .. }
             | Event::HoldReleased { .. } => {}
@@ -202,6 +206,7 @@
         self.ledger.expire(now);
         self.dispatch_queued(now, out);
         self.end_serverless(now, out);
+        self.poll_servers(now, out);
         self.advance_drain(now, out);
     }
 }
--- a/crates/oleanderpass_core/src/lib.rs
+++ b/crates/oleanderpass_core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod drain;
 pub mod event;
 pub mod instance;
+pub mod observe;
 mod peers;
 pub mod request;
 pub mod retry;
--- /dev/null
+++ b/crates/oleanderpass_core/src/observe.rs
@@ -0,0 +1,189 @@
+//! Poll backend servers for their load, state and holds.
+
+use oleanderpass_config::document::ServiceKind;
+use oleanderpass_proto::engine;
+use oleanderpass_types::clock::Millis;
+use oleanderpass_types::clock::Timestamp;
+use oleanderpass_types::id::BackendServerId;
+use rand::RngExt;
+use smol_str::SmolStr;
+
+use crate::action::Action;
+use crate::event::Observation;
+use crate::event::ServerLoad;
+use crate::instance::Instance;
+use crate::server::ServerView;
+
+/// The time between two load polls of a server.
+pub const LOAD_PERIOD: Millis = Millis::from_secs(2);
+
+/// The time between two reads of an engine's models and role, and of its holds.
+pub const STATE_PERIOD: Millis = Millis::from_secs(5);
+
+/// The time after which a poll that the edge has not reported on counts as failed.
+pub const POLL_TIMEOUT: Millis = Millis::from_secs(5);
+
+/// The polls of one kind of one server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Poll {
+    /// The time of the next poll.
+    next: Timestamp,
+    /// The time of the poll that has not been reported on.
+    pending: Option<Timestamp>,
+}
+
+impl Poll {
+    /// Return whether a poll is due, and count it as sent.
+    fn take_due(&mut self, now: Timestamp, period: Millis) -> bool {
+        let lost = self.pending.is_some_and(|at| now.since(at) >= POLL_TIMEOUT);
+        let due = now >= self.next && (self.pending.is_none() || lost);
+        if due {
+            self.next = now + period;
+            self.pending = Some(now);
+        }
+        due
+    }
+}
+
+/// The polls of one server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Polls {
+    load: Poll,
+    state: Poll,
+    holds: Poll,
+}
+
+impl Polls {
+    /// Spread the first polls of many servers over the period.
+    pub(crate) fn starting_at(first: Timestamp) -> Self {
+        let poll = Poll {
+            next: first,
+            pending: None,
+        };
+        Self {
+            load: poll,
+            state: poll,
+            holds: poll,
+        }
+    }
+
+    fn get(&mut self, what: Observation) -> &mut Poll {
+        match what {
+            Observation::Load => &mut self.load,
+            Observation::State => &mut self.state,
+            Observation::Holds => &mut self.holds,
+        }
+    }
+
+    /// Note the answer to a poll, or its failure.
+    pub(crate) fn on_reported(&mut self, what: Observation) {
+        self.get(what).pending = None;
+    }
+
+    /// Poll again at once.
+    pub(crate) fn hurry(&mut self, what: Observation, now: Timestamp) {
+        self.get(what).next = now;
+    }
+}
+
+fn period(what: Observation) -> Millis {
+    match what {
+        Observation::Load => LOAD_PERIOD,
+        Observation::State | Observation::Holds => STATE_PERIOD,
+    }
+}
+
+impl Instance {
+    /// Draw when the polls of a new server begin.
+    pub(crate) fn first_poll(&mut self, now: Timestamp) -> Timestamp {
+        now + Millis::new(self.rng.random_range(0..LOAD_PERIOD.get()))
+    }
+
+    /// Send the polls that are due.
+    pub(crate) fn poll_servers(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let Some(document) = self.document.clone() else {
+            return;
+        };
+        let polled = self.polled_servers();
+        for id in polled {
+            let Some(view) = self.servers.get_mut(&id) else {
+                continue;
+            };
+            let kinds: &[Observation] = match document.services.get(&view.service) {
+                Some(service) if service.kind == ServiceKind::Engine => {
+                    &[Observation::Load, Observation::State, Observation::Holds]
+                }
+                _ => &[Observation::Load],
+            };
+            for what in kinds.iter().copied() {
+                if view.polls.get(what).take_due(now, period(what)) {
+                    out.push(Action::Observe {
+                        server: id.clone(),
+                        addr: view.addr,
+                        what,
+                    });
+                }
+            }
+        }
+    }
+
+    /// Return the servers that this instance polls: those of its zone, and leaving ones of other
+    /// zones, whose next incarnation it would not notice otherwise.
+    fn polled_servers(&self) -> Vec<BackendServerId> {
+        let polls = |view: &ServerView| {
+            view.listed.is_some() && (view.zone == self.identity.zone || view.leaving.is_some())
+        };
+        self.servers
+            .iter()
+            .filter(|(_, view)| polls(view))
+            .map(|(id, _)| id.clone())
+            .collect()
+    }
+
+    pub(crate) fn on_load_report(
+        &mut self,
+        now: Timestamp,
+        load: ServerLoad,
+        out: &mut Vec<Action>,
+    ) {
+        if let Some(view) = self.servers.get_mut(&load.server) {
+            view.polls.on_reported(Observation::Load);
+            view.silent = false;
+            view.on_report(now, load);
+        }
+        self.dispatch_queued(now, out);
+    }
+
+    pub(crate) fn on_engine_state(
+        &mut self,
+        now: Timestamp,
+        state: engine::EngineState,
+        out: &mut Vec<Action>,
+    ) {
+        let Ok(id) = state.server.parse::<BackendServerId>() else {
+            tracing::warn!(server = %state.server, "ignored the state of an invalid server id");
+            return;
+        };
+        if let Some(view) = self.servers.get_mut(&id) {
+            view.polls.on_reported(Observation::State);
+            view.on_state(now, state);
+        }
+        self.dispatch_queued(now, out);
+    }
+
+    pub(crate) fn on_observe_failed(
+        &mut self,
+        server: &BackendServerId,
+        what: Observation,
+        cause: &SmolStr,
+    ) {
+        let Some(view) = self.servers.get_mut(server) else {
+            return;
+        };
+        view.polls.on_reported(what);
+        if what == Observation::Load && !view.silent {
+            tracing::warn!(%server, %cause, "the backend server does not report its load");
+            view.silent = true;
+        }
+    }
+}
--- a/crates/oleanderpass_core/src/server.rs
+++ b/crates/oleanderpass_core/src/server.rs
@@ -2,20 +2,27 @@
 
 use std::net::SocketAddr;
 
+use oleanderpass_proto::engine;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::clock::Timestamp;
+use oleanderpass_types::id::AdapterId;
 use oleanderpass_types::id::Incarnation;
+use oleanderpass_types::id::ModelId;
 use oleanderpass_types::id::ServiceId;
 use oleanderpass_types::id::ZoneId;
 
 use crate::event::Lifecycle;
 use crate::event::ListedServer;
 use crate::event::ServerLoad;
+use crate::observe::Polls;
 
 /// The time after which the instance list no longer lags. A server that only the list called
 /// leaving, and that both the list and its own reports call live for this time, is live.
 pub const LIST_LAG_LIMIT: Millis = Millis::from_secs(60);
 
+/// The state of a loaded model that serves requests. Source: `LoadedModel` in `engine.proto`.
+const READY: &str = "ready";
+
 /// Who said that a server is leaving.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LeavingSource {
@@ -57,8 +64,16 @@
     pub in_flight: u32,
     /// The last load report and its arrival.
     pub load: Option<(Timestamp, ServerLoad)>,
+    /// The models and the role that the engine reported last, and when.
+    pub engine: Option<(Timestamp, Box<engine::EngineState>)>,
+    /// The last load poll failed. The server gets work only when no other one can take it.
+    pub silent: bool,
+    /// The polls of this server.
+    pub polls: Polls,
     /// Connections that failed and refusals since the last success.
     pub rebuffs: u32,
+    /// The last attempt found no server at the address or lost its connection.
+    pub unreachable: bool,
     /// The server gets no work before this time.
     pub avoid_until: Timestamp,
 }
@@ -76,7 +91,11 @@
             leaving: None,
             in_flight: 0,
             load: None,
+            engine: None,
+            silent: false,
+            polls: Polls::default(),
             rebuffs: 0,
+            unreachable: false,
             avoid_until: Timestamp::ORIGIN,
         };
         view.on_listed(now, listed);
@@ -88,6 +107,11 @@
         self.listed == Some(Lifecycle::Live) && self.leaving.is_none()
     }
 
+    /// Return whether the server answered when it was last asked.
+    pub fn is_reachable(&self) -> bool {
+        !self.silent && !self.unreachable
+    }
+
     /// Take the state from the platform's list.
     pub fn on_listed(&mut self, now: Timestamp, listed: &ListedServer) {
         self.service = listed.service.clone();
@@ -149,8 +173,33 @@
         self.clear_outdated_mark(now);
     }
 
+    /// Take the models and the role of an engine. Ignore those of an earlier incarnation.
+    pub fn on_state(&mut self, now: Timestamp, state: engine::EngineState) {
+        let incarnation = Incarnation::new(state.incarnation);
+        if self.incarnation.is_some_and(|known| incarnation < known) {
+            return;
+        }
+        if self.incarnation != Some(incarnation) {
+            self.begin_incarnation(incarnation);
+        }
+        self.engine = Some((now, Box::new(state)));
+    }
+
+    /// Return whether the engine can serve a model, as far as is known. An engine whose state is
+    /// not known yet refuses what it has not loaded.
+    pub fn serves(&self, model: &ModelId, adapter: Option<&AdapterId>) -> bool {
+        self.engine.as_ref().is_none_or(|(_, state)| {
+            state.models.iter().any(|loaded| {
+                loaded.model == model.as_str()
+                    && loaded.state == READY
+                    && adapter.is_none_or(|id| loaded.adapters.iter().any(|a| a == id.as_str()))
+            })
+        })
+    }
+
     /// Note an attempt that the server refused or didn't accept, and leave it alone for a while.
-    pub fn on_rebuff(&mut self, now: Timestamp, delay: Millis) {
+    pub fn on_rebuff(&mut self, now: Timestamp, delay: Millis, unreachable: bool) {
+        self.unreachable = unreachable;
         self.rebuffs = self.rebuffs.saturating_add(1);
         self.avoid_until = now + delay;
     }
@@ -158,11 +207,15 @@
     /// Note an attempt that the server accepted.
     pub fn on_accepted(&mut self) {
         self.rebuffs = 0;
+        self.unreachable = false;
         self.avoid_until = Timestamp::ORIGIN;
     }
 
     fn begin_incarnation(&mut self, incarnation: Incarnation) {
         self.incarnation = Some(incarnation);
+        self.engine = None;
+        self.load = None;
+        self.on_accepted();
         match &mut self.leaving {
             Some(leaving) if leaving.incarnation.is_some_and(|left| left < incarnation) => {
                 self.leaving = None;
--- a/crates/oleanderpass_core/src/servers.rs
+++ b/crates/oleanderpass_core/src/servers.rs
@@ -6,8 +6,8 @@
 
 use crate::action::Action;
 use crate::event::InstanceList;
-use crate::event::ServerLoad;
 use crate::instance::Instance;
+use crate::observe::Polls;
 use crate::server::ServerView;
 
 impl Instance {
@@ -26,7 +26,8 @@
             match self.servers.get_mut(&listed.id) {
                 Some(view) => view.on_listed(now, listed),
                 None => {
-                    let view = ServerView::new(now, listed);
+                    let mut view = ServerView::new(now, listed);
+                    view.polls = Polls::starting_at(self.first_poll(now));
                     self.servers.insert(listed.id.clone(), view);
                 }
             }
@@ -46,16 +47,4 @@
             .retain(|_, view| view.listed.is_some() || view.in_flight > 0);
         self.dispatch_queued(now, out);
     }
-
-    pub(crate) fn on_load_report(
-        &mut self,
-        now: Timestamp,
-        load: ServerLoad,
-        out: &mut Vec<Action>,
-    ) {
-        if let Some(view) = self.servers.get_mut(&load.server) {
-            view.on_report(now, load);
-        }
-        self.dispatch_queued(now, out);
-    }
 }
--- /dev/null
+++ b/crates/oleanderpass_core/tests/observe.rs
@@ -0,0 +1,116 @@
+//! Guard against servers that are polled too often, not at all, or used without the model.
+
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "a failed unwrap fails the test"
+)]
+
+mod common;
+
+use common::Bed;
+use common::load;
+use common::server;
+use oleanderpass_core::action::Action;
+use oleanderpass_core::event::Event;
+use oleanderpass_core::event::Lifecycle;
+use oleanderpass_core::event::Observation;
+use oleanderpass_proto::engine;
+use test_case::test_case;
+
+fn polls(bed: &Bed, id: &str, kind: Observation) -> usize {
+    let matches = |action: &&Action| matches!(action, Action::Observe { server, what, .. } if server.as_str() == id && *what == kind);
+    bed.actions.iter().filter(matches).count()
+}
+
+fn state(id: &str, models: &[(&str, &str)]) -> Event {
+    let models = models.iter().map(|(model, state)| engine::LoadedModel {
+        model: (*model).to_owned(),
+        state: (*state).to_owned(),
+        ..Default::default()
+    });
+    Event::EngineState(Box::new(engine::EngineState {
+        server: id.to_owned(),
+        incarnation: 1,
+        models: models.collect(),
+        ..Default::default()
+    }))
+}
+
+/// Let time pass and answer the load polls.
+fn pass_answering(bed: &mut Bed, millis: u64, ids: &[&str]) {
+    for _ in 0..millis / 100 {
+        bed.pass(100);
+        for id in ids {
+            bed.event(Event::LoadReport(load(id, 1, Lifecycle::Live)));
+        }
+    }
+}
+
+#[test]
+fn servers_are_polled_at_their_period() {
+    let mut bed = Bed::new(&["e1"], &["w1"]);
+    pass_answering(&mut bed, 22_000, &["e1", "w1"]);
+    for id in ["e1", "w1"] {
+        let count = polls(&bed, id, Observation::Load);
+        assert!(
+            (10..=11).contains(&count),
+            "{count} load polls of {id} in 22 s"
+        );
+    }
+    assert_eq!(
+        polls(&bed, "w1", Observation::State),
+        0,
+        "plain services have no state"
+    );
+}
+
+/// Guards against polls that pile up at a server that doesn't answer, and against an end of the
+/// polls after one that was lost.
+#[test]
+fn an_unanswered_poll_is_repeated_after_its_timeout_only() {
+    let mut bed = Bed::new(&["e1"], &[]);
+    bed.pass(2_000);
+    assert_eq!(polls(&bed, "e1", Observation::Load), 1);
+    bed.pass(20_000);
+    assert_eq!(polls(&bed, "e1", Observation::Load), 5);
+}
+
+#[test]
+fn servers_of_other_zones_are_polled_while_they_are_leaving() {
+    let mut bed = Bed::new(&[], &[]);
+    let far = |state| server("far", "skald", "south", state);
+    bed.list(vec![far(Lifecycle::Live)]);
+    bed.pass(4_000);
+    assert_eq!(polls(&bed, "far", Observation::Load), 0);
+    bed.list(vec![far(Lifecycle::Leaving)]);
+    bed.pass(4_000);
+    assert_eq!(polls(&bed, "far", Observation::Load), 1);
+}
+
+#[test_case(&[("saga", "ready")], true; "ready")]
+#[test_case(&[("saga", "loading")], false; "loading")]
+#[test_case(&[("other", "ready")], false; "another model")]
+#[test_case(&[], false; "nothing")]
+fn only_engines_with_the_model_get_its_requests(models: &[(&str, &str)], used: bool) {
+    let mut bed = Bed::new(&["e1"], &[]);
+    bed.event(state("e1", models));
+    let id = bed.generate();
+    assert_eq!(bed.starts_of(&id).len(), usize::from(used));
+    bed.event(state("e1", &[("saga", "ready")]));
+    assert_eq!(bed.starts_of(&id).len(), 1);
+}
+
+/// Guards against requests that find out one by one that a server is dead.
+#[test]
+fn a_server_that_does_not_report_is_the_last_choice() {
+    let mut bed = Bed::new(&["e1", "e2"], &[]);
+    bed.event(Event::ObserveFailed {
+        server: "e1".parse().unwrap(),
+        what: Observation::Load,
+        cause: "timeout".into(),
+    });
+    let ids = [bed.generate(), bed.generate(), bed.generate()];
+    let used = ids.map(|id| bed.only_start(&id).server.to_string());
+    assert_eq!(used, ["e2", "e2", "e1"]);
+}
