Add suspicion and quarantine of requests that crash servers

A request that crashes each server that runs it would take down a fleet one retry at a time. The table derives from merged crash evidence how a signature may run: free, apart from the other suspects, alone, or refused for 10 minutes.

Evidence stays within two pieces of 16 signatures a datagram, the table within 4,096 signatures.

--- /dev/null
+++ b/crates/oleanderpass_quarantine/src/evidence.rs
@@ -0,0 +1,49 @@
+//! Describe a crash and the requests that were in flight.
+
+use std::fmt;
+
+use oleanderpass_types::clock::Millis;
+use oleanderpass_types::id::BackendServerId;
+use oleanderpass_types::id::Incarnation;
+
+/// The time for which a crash counts against its suspects. Source: design section 4.8.
+pub const EVIDENCE_LIFETIME: Millis = Millis::from_secs(600);
+
+/// The signatures in one piece of evidence. A crash with more suspects is sent in several pieces.
+pub const MAX_SIGNATURES_PER_EVIDENCE: usize = 16;
+
+/// The pieces of evidence in one datagram. Two pieces with the longest server ids take about 430 of
+/// the 1,200 bytes, which leaves room for membership updates.
+pub const MAX_EVIDENCE_PER_PACKET: usize = 2;
+
+/// The hash of a request's organisation, route and body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Signature(pub u64);
+
+impl fmt::Display for Signature {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+/// A crash: the end of one incarnation of a backend server.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct CrashId {
+    /// The server.
+    pub server: BackendServerId,
+    /// The incarnation that crashed.
+    pub incarnation: Incarnation,
+}
+
+/// What one instance knows of a crash.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Evidence {
+    /// The crash.
+    pub crash: CrashId,
+    /// The signatures of requests in flight there.
+    pub signatures: Vec<Signature>,
+    /// The only request was run alone.
+    pub alone: bool,
+    /// The time since the crash.
+    pub age: Millis,
+}
--- /dev/null
+++ b/crates/oleanderpass_quarantine/src/table.rs
@@ -0,0 +1,233 @@
+//! Keep the crashes of the last ten minutes and their suspects.
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+use oleanderpass_types::clock::Millis;
+use oleanderpass_types::clock::Timestamp;
+
+use crate::evidence::CrashId;
+use crate::evidence::EVIDENCE_LIFETIME;
+use crate::evidence::Evidence;
+use crate::evidence::MAX_EVIDENCE_PER_PACKET;
+use crate::evidence::MAX_SIGNATURES_PER_EVIDENCE;
+use crate::evidence::Signature;
+use crate::rule::RunRule;
+
+/// The signatures that one instance keeps. At about 200 bytes each with their crash records they
+/// take less than 1 MB of the 64 MB for control work.
+pub const MAX_SIGNATURES: usize = 4_096;
+
+/// The crashes that one instance keeps. A crash without suspects is not kept.
+pub const MAX_CRASHES: usize = 1_024;
+
+/// The crashes after which a signature runs alone.
+const CRASHES_BEFORE_ALONE: usize = 2;
+
+/// A crash within its lifetime.
+#[derive(Clone, Debug)]
+struct Crash {
+    at: Timestamp,
+    alone: bool,
+    /// The signatures in flight, each with the number of times that it was sent to peers. Cleared
+    /// signatures stay, so that late evidence of the same crash doesn't accuse them again.
+    signatures: IndexMap<Signature, u32>,
+}
+
+/// The suspects and quarantined signatures that one instance knows.
+#[derive(Clone, Debug, Default)]
+pub struct Quarantine {
+    crashes: IndexMap<CrashId, Crash>,
+    /// The crashes of each signature that is not cleared.
+    suspects: IndexMap<Signature, IndexSet<CrashId>>,
+}
+
+impl Quarantine {
+    /// Create an empty table.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Return the number of signatures that are suspects or quarantined.
+    pub fn suspects(&self) -> usize {
+        self.suspects.len()
+    }
+
+    /// Return the number of signatures in quarantine.
+    pub fn quarantined(&self, now: Timestamp) -> usize {
+        let refused = |sig: &&Signature| matches!(self.rule(now, **sig), RunRule::Refused { .. });
+        self.suspects.keys().filter(refused).count()
+    }
+
+    /// Take a crash that this instance saw or evidence of a peer.
+    ///
+    /// Evidence of one crash is merged: if two instances name different signatures, the request that
+    /// one of them ran alone was not alone.
+    pub fn on_crash(&mut self, now: Timestamp, evidence: &Evidence) {
+        if evidence.signatures.is_empty() || evidence.age >= EVIDENCE_LIFETIME {
+            return;
+        }
+        let crash = self
+            .crashes
+            .entry(evidence.crash.clone())
+            .or_insert_with(|| Crash {
+                at: now - evidence.age,
+                alone: true,
+                signatures: IndexMap::new(),
+            });
+        crash.alone &= evidence.alone;
+        for sig in &evidence.signatures {
+            if crash.signatures.len() < MAX_SIGNATURES && !crash.signatures.contains_key(sig) {
+                crash.signatures.insert(*sig, 0);
+                self.suspects
+                    .entry(*sig)
+                    .or_default()
+                    .insert(evidence.crash.clone());
+            }
+        }
+        crash.alone &= crash.signatures.len() == 1;
+        self.enforce_bounds(now);
+    }
+
+    /// Clear a signature whose run came to its regular end on a server that stayed up.
+    pub fn on_finished(&mut self, sig: Signature) {
+        self.suspects.shift_remove(&sig);
+    }
+
+    /// Drop crashes that are older than [`EVIDENCE_LIFETIME`].
+    pub fn tick(&mut self, now: Timestamp) {
+        let expired: Vec<CrashId> = self
+            .crashes
+            .iter()
+            .filter(|(_, crash)| now.since(crash.at) >= EVIDENCE_LIFETIME)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in expired {
+            self.forget_crash(&id);
+        }
+    }
+
+    /// Return how a signature may run now.
+    pub fn rule(&self, now: Timestamp, sig: Signature) -> RunRule {
+        let Some(ids) = self.suspects.get(&sig) else {
+            return RunRule::Free;
+        };
+        let live = ids.iter().filter_map(|id| {
+            let crash = self.crashes.get(id)?;
+            let left = EVIDENCE_LIFETIME.saturating_sub(now.since(crash.at));
+            (left > Millis::ZERO).then_some((crash.alone, left))
+        });
+        let mut count = 0;
+        let mut refused_for = Millis::ZERO;
+        for (alone, left) in live {
+            count += 1;
+            if alone {
+                refused_for = refused_for.max(left);
+            }
+        }
+        match count {
+            _ if refused_for > Millis::ZERO => RunRule::Refused { left: refused_for },
+            0 => RunRule::Free,
+            n if n < CRASHES_BEFORE_ALONE => RunRule::Apart,
+            _ => RunRule::Alone,
+        }
+    }
+
+    /// Return whether a request may start now on a server that runs the requests `running`, while
+    /// this instance runs `copies` other requests with the same signature anywhere.
+    pub fn may_start(
+        &self,
+        now: Timestamp,
+        sig: Signature,
+        running: &[Signature],
+        copies: usize,
+    ) -> bool {
+        let joins_alone = running
+            .iter()
+            .any(|other| self.rule(now, *other) == RunRule::Alone);
+        match self.rule(now, sig) {
+            RunRule::Free => !joins_alone,
+            RunRule::Apart => {
+                copies == 0 && !joins_alone && !running.iter().any(|o| self.share_crash(sig, *o))
+            }
+            RunRule::Alone => copies == 0 && running.is_empty(),
+            RunRule::Refused { .. } => false,
+        }
+    }
+
+    /// Return evidence to send with the next datagram, the least sent first.
+    ///
+    /// Each signature of each crash is sent `repeats` times.
+    pub fn take_evidence(&mut self, now: Timestamp, repeats: u32) -> Vec<Evidence> {
+        let mut order: Vec<(u32, usize)> = self
+            .crashes
+            .values()
+            .enumerate()
+            .filter_map(|(index, crash)| {
+                let sent = crash.signatures.values().min().copied()?;
+                (sent < repeats).then_some((sent, index))
+            })
+            .collect();
+        order.sort_unstable();
+        order.truncate(MAX_EVIDENCE_PER_PACKET);
+        order
+            .into_iter()
+            .filter_map(|(sent, index)| {
+                let (id, crash) = self.crashes.get_index_mut(index)?;
+                let mut signatures = Vec::new();
+                for (sig, count) in crash.signatures.iter_mut().filter(|(_, n)| **n <= sent) {
+                    if signatures.len() == MAX_SIGNATURES_PER_EVIDENCE {
+                        break;
+                    }
+                    *count += 1;
+                    signatures.push(*sig);
+                }
+                Some(Evidence {
+                    crash: id.clone(),
+                    signatures,
+                    alone: crash.alone,
+                    age: now.since(crash.at),
+                })
+            })
+            .collect()
+    }
+
+    fn share_crash(&self, a: Signature, b: Signature) -> bool {
+        match (self.suspects.get(&a), self.suspects.get(&b)) {
+            (Some(a), Some(b)) => a.iter().any(|id| b.contains(id)),
+            _ => false,
+        }
+    }
+
+    /// Drop the oldest suspects that are not in quarantine, then the oldest crashes.
+    fn enforce_bounds(&mut self, now: Timestamp) {
+        while self.suspects.len() > MAX_SIGNATURES {
+            let refused = |sig: &Signature| matches!(self.rule(now, *sig), RunRule::Refused { .. });
+            let index = self.suspects.keys().position(|sig| !refused(sig));
+            self.suspects.shift_remove_index(index.unwrap_or(0));
+        }
+        let held = |crashes: &IndexMap<CrashId, Crash>| {
+            crashes.values().map(|c| c.signatures.len()).sum::<usize>()
+        };
+        while self.crashes.len() > MAX_CRASHES || held(&self.crashes) > 2 * MAX_SIGNATURES {
+            let oldest = self.crashes.iter().min_by_key(|(_, crash)| crash.at);
+            let Some(id) = oldest.map(|(id, _)| id.clone()) else {
+                return;
+            };
+            self.forget_crash(&id);
+        }
+    }
+
+    fn forget_crash(&mut self, id: &CrashId) {
+        let Some(crash) = self.crashes.shift_remove(id) else {
+            return;
+        };
+        for sig in crash.signatures.keys() {
+            if let Some(ids) = self.suspects.get_mut(sig) {
+                ids.shift_remove(id);
+                if ids.is_empty() {
+                    self.suspects.shift_remove(sig);
+                }
+            }
+        }
+    }
+}
