Add the policy comparison

Nothing measured the routing policy. Play one seeded trace against small engine fakes in virtual time, with 7 entry instances behind an uneven balancer, over four policies and the split policy with each part off.

--- /dev/null
+++ b/crates/oleanderpass_bench/src/main.rs
@@ -0,0 +1,33 @@
+//! Compare routing policies and measure decision cost.
+
+use std::path::PathBuf;
+
+use clap::Parser;
+use clap::Subcommand;
+use oleanderpass_bench::pages;
+
+#[derive(Debug, Parser)]
+#[command(about = "Compare routing policies and measure decision cost")]
+struct Args {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Play one trace over all policies and write the tables and plots.
+    Policies {
+        /// The directory for `routing.md` and `plots/`.
+        #[arg(long, default_value = "docs")]
+        docs: PathBuf,
+    },
+    /// Print the goals of the comparison as measured, for one round of changes.
+    Goals,
+}
+
+fn main() -> eyre::Result<()> {
+    match Args::parse().command {
+        Command::Policies { docs } => pages::write(&docs),
+        Command::Goals => pages::print_goals(),
+    }
+}
--- /dev/null
+++ b/crates/oleanderpass_bench/src/plots.rs
@@ -0,0 +1,1 @@
+//! Draw the plots.
