Place KV cache on other engines and test tickets across instances

An attempt with holds now makes each other engine import its part before the request is sent. The first token of an answer that isn't streamed is no longer reported as delivered, so that the core may retry such a request.

--- a/crates/oleanderpass_entry/src/backend/attempt.rs
+++ b/crates/oleanderpass_entry/src/backend/attempt.rs
@@ -33,9 +33,8 @@
 /// How urgent the request is.
 pub const PRIORITY: &str = "oleanderpass-priority";
 
-/// The holds on other engines that keep the rest of the prompt, as `ADDR;HOLD;TOKENS`, separated
-/// by commas.
-pub const HOLDS: &str = "oleanderpass-holds";
+/// The hold on the engine itself that the stream takes its memory from.
+pub const HOLD: &str = "oleanderpass-hold";
 
 /// The time without a byte after which a connection to an engine counts as dead. Engines send a
 /// keep-alive each second. Source: design section 4.3.
@@ -116,22 +115,18 @@
         if !content_type.is_empty() {
             builder = builder.header(CONTENT_TYPE, content_type);
         }
-        if !self.order.holds.is_empty() {
-            builder = builder.header(HOLDS, self.holds());
+        if let Some(hold) = self.own_hold() {
+            builder = builder.header(HOLD, hold);
         }
         builder
             .body(Full::new(body))
             .map_err(|error| format_smolstr!("build the request: {error}"))
     }
 
-    fn holds(&self) -> String {
-        let texts: Vec<String> = self
-            .order
-            .holds
-            .iter()
-            .map(|hold| format!("{};{};{}", hold.addr, hold.hold, hold.tokens.get()))
-            .collect();
-        texts.join(",")
+    fn own_hold(&self) -> Option<&str> {
+        let mut holds = self.order.holds.iter();
+        let own = holds.find(|hold| hold.server == self.order.server)?;
+        Some(&own.hold)
     }
 
     /// Send a request once and wait for the head of the answer. With `silence`, a connection
--- a/crates/oleanderpass_entry/src/backend/observe.rs
+++ b/crates/oleanderpass_entry/src/backend/observe.rs
@@ -34,6 +34,9 @@
 /// The time for one exchange. It equals the period of load reports.
 const TIMEOUT: Duration = Duration::from_secs(2);
 
+/// The longest time for a transfer of KV cache: 500,000 tokens of about 100 KB at 2 GB/s.
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// The largest answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 1 << 20;
 
@@ -73,7 +76,7 @@
 
     /// Send an order.
     pub async fn order(self, order: Box<engine::Order>) -> Event {
-        let answer = self.post("/orders", order.as_ref()).await;
+        let answer = self.post("/orders", order.as_ref(), TIMEOUT).await;
         Event::OrderAnswered {
             server: self.server,
             order,
@@ -83,7 +86,8 @@
 
     /// Ask for a hold.
     pub async fn request_hold(self, hold: Box<engine::HoldRequest>) -> Event {
-        let answer: eyre::Result<engine::HoldAnswer> = self.post("/holds", hold.as_ref()).await;
+        let answer: eyre::Result<engine::HoldAnswer> =
+            self.post("/holds", hold.as_ref(), TIMEOUT).await;
         Event::HoldAnswered {
             server: self.server,
             hold: hold.id.into(),
@@ -94,7 +98,9 @@
     /// Release a hold. An engine that doesn't know the hold confirms as well.
     pub async fn release_hold(self, hold: SmolStr) -> Event {
         let path = format!("/holds/{hold}");
-        let answer = self.exchange(Method::DELETE, &path, Bytes::new()).await;
+        let answer = self
+            .exchange(Method::DELETE, &path, Bytes::new(), TIMEOUT)
+            .await;
         let confirmed = logged("release of a hold", answer)
             .is_some_and(|(status, _)| status.is_success() || status == StatusCode::NOT_FOUND);
         Event::HoldReleased {
@@ -104,13 +110,27 @@
         }
     }
 
+    /// Make the engine take a part of a stream's KV cache into a hold.
+    ///
+    /// # Errors
+    ///
+    /// Return why the part was not taken.
+    pub async fn import_kv(&self, transfer: &engine::KvTransfer) -> eyre::Result<()> {
+        let answer: engine::HoldAnswer =
+            self.post("/kv/import", transfer, TRANSFER_TIMEOUT).await?;
+        ensure!(answer.granted, "refused: {}", answer.reason);
+        Ok(())
+    }
+
     async fn load(&self) -> eyre::Result<Event> {
         let report = self.get("/load").await?;
         check_load(&self.server, &report).map(Event::LoadReport)
     }
 
     async fn get<T: DeserializeOwned>(&self, path: &str) -> eyre::Result<T> {
-        let (status, body) = self.exchange(Method::GET, path, Bytes::new()).await?;
+        let (status, body) = self
+            .exchange(Method::GET, path, Bytes::new(), TIMEOUT)
+            .await?;
         ensure!(status.is_success(), "{path}: status {status}");
         serde_json::from_slice(&body).wrap_err_with(|| format!("parse the answer to {path}"))
     }
@@ -120,9 +140,12 @@
         &self,
         path: &str,
         body: &impl Serialize,
+        limit: Duration,
     ) -> eyre::Result<T> {
         let body = serde_json::to_vec(body)?;
-        let (status, answer) = self.exchange(Method::POST, path, body.into()).await?;
+        let (status, answer) = self
+            .exchange(Method::POST, path, body.into(), limit)
+            .await?;
         serde_json::from_slice(&answer)
             .wrap_err_with(|| format!("parse the answer to {path} with status {status}"))
     }
@@ -132,8 +155,9 @@
         method: Method,
         path: &str,
         body: Bytes,
+        limit: Duration,
     ) -> eyre::Result<(StatusCode, Bytes)> {
-        let deadline = self.clock.now() + TIMEOUT.into();
+        let deadline = self.clock.now() + limit.into();
         let req = Request::builder()
             .method(method)
             .uri(path)
@@ -152,7 +176,7 @@
             self.pool.put(connection);
             Ok((status, body))
         };
-        tokio::time::timeout(TIMEOUT, exchange)
+        tokio::time::timeout(limit, exchange)
             .await
             .wrap_err("no answer in time")?
     }
--- a/crates/oleanderpass_entry/src/backend/stream.rs
+++ b/crates/oleanderpass_entry/src/backend/stream.rs
@@ -14,6 +14,7 @@
 use oleanderpass_core::stream::RESUME_TIMEOUT;
 use oleanderpass_core::stream::Recovery;
 use oleanderpass_core::stream::StreamEvent;
+use oleanderpass_proto::engine::KvTransfer;
 use oleanderpass_types::clock::Timestamp;
 use oleanderpass_types::id::StreamId;
 use oleanderpass_types::size::Tokens;
@@ -26,6 +27,7 @@
 use crate::backend::attempt::SendError;
 use crate::backend::attempt::describe;
 use crate::backend::connection::Connection;
+use crate::backend::observe::ServerCalls;
 use crate::backend::pool::Pool;
 use crate::backend::refusal;
 use crate::backend::sse::SseParser;
@@ -191,6 +193,7 @@
 
     async fn start(&mut self, body: Bytes) -> Result<Reader, AttemptEnd> {
         let cx = self.cx;
+        self.place_kv().await.map_err(AttemptEnd::NotSent)?;
         let mut connection = cx.connect().await.map_err(AttemptEnd::NotSent)?;
         let req = cx
             .request(Method::POST, "/v1/generate", JSON, body)
@@ -217,6 +220,34 @@
         Ok(Reader::new(connection, body))
     }
 
+    /// Make the other engines keep their parts of the prompt's KV cache.
+    async fn place_kv(&self) -> Result<(), SmolStr> {
+        let order = self.cx.order;
+        let mut from_token = 0;
+        let others = order.holds.iter().filter(|h| h.server != order.server);
+        for hold in others {
+            let transfer = KvTransfer {
+                hold: hold.hold.to_string(),
+                stream: self.id.to_string(),
+                from_token,
+                tokens: hold.tokens.get(),
+                source: order.addr.to_string(),
+            };
+            let engine = ServerCalls {
+                pool: self.cx.shared.pool.clone(),
+                clock: self.cx.shared.clock,
+                server: hold.server.clone(),
+                addr: hold.addr,
+            };
+            engine
+                .import_kv(&transfer)
+                .await
+                .map_err(|error| format_smolstr!("KV cache at `{}`: {error:#}", hold.server))?;
+            from_token += transfer.tokens;
+        }
+        Ok(())
+    }
+
     /// Deliver events until the stream ends, or return why the connection is of no more use.
     async fn drain(&mut self, reader: &mut Reader) -> Result<AttemptEnd, SmolStr> {
         loop {
@@ -279,7 +310,7 @@
     async fn deliver(&mut self, text: &str) {
         self.tokens += 1;
         self.sink.token(text).await;
-        if self.tokens == 1 {
+        if self.tokens == 1 && self.sink.has_delivered() {
             self.cx.progress(Progress::FirstToken);
         }
         // A slow caller may have held up the delivery.
--- a/crates/oleanderpass_entry/src/daemon.rs
+++ b/crates/oleanderpass_entry/src/daemon.rs
@@ -192,15 +192,16 @@
     }
 }
 
-/// Wait until the callers' connections have ended.
+/// Wait until callers and peers have read their answers.
 async fn flush(shared: &Shared) {
+    let metrics = &shared.metrics;
     let ended = async {
-        while shared.metrics.connections.get() > 0 {
+        while metrics.connections.get() > 0 || metrics.forwarded.get() > 0 {
             tokio::time::sleep(FLUSH_STEP).await;
         }
     };
     if tokio::time::timeout(FLUSH_TIMEOUT, ended).await.is_err() {
-        let open = shared.metrics.connections.get();
+        let open = metrics.connections.get() + metrics.forwarded.get();
         tracing::warn!(open, "callers did not read their answers in time");
     }
 }
--- a/crates/oleanderpass_entry/src/metrics.rs
+++ b/crates/oleanderpass_entry/src/metrics.rs
@@ -48,6 +48,8 @@
     pub resumes: IntCounter,
     /// Open caller connections.
     pub connections: IntGauge,
+    /// Answers that are on their way to forwarding peers.
+    pub forwarded: IntGauge,
     generation: IntGauge,
     in_flight: IntGauge,
     /// Documents from the platform that can't be parsed.
@@ -87,6 +89,11 @@
             retries: counter(&registry, "retries_total", "Attempts after the first one")?,
             resumes: counter(&registry, "resumes_total", "Resumed streams")?,
             connections: gauge(&registry, "connections", "Open caller connections")?,
+            forwarded: gauge(
+                &registry,
+                "forwarded_answers",
+                "Answers on their way to forwarding peers",
+            )?,
             generation: gauge(&registry, "generation", "Generation in force")?,
             in_flight: gauge(&registry, "in_flight", "Requests in flight")?,
             malformed_documents: counter(
--- a/crates/oleanderpass_entry/src/peer/server.rs
+++ b/crates/oleanderpass_entry/src/peer/server.rs
@@ -22,6 +22,7 @@
 use oleanderpass_types::id::InstanceId;
 use oleanderpass_types::size::Bytes;
 use oleanderpass_types::size::Tokens;
+use prometheus::IntGauge;
 use prost::Message;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -134,8 +135,11 @@
             share,
         };
         tokio::spawn(task.run());
+        let forwarded = self.shared.metrics.forwarded.clone();
+        forwarded.inc();
         Ok(ForwardAnswer {
             events,
+            forwarded,
             _guard: guard,
         })
     }
@@ -189,9 +193,16 @@
 #[derive(Debug)]
 pub struct ForwardAnswer {
     events: mpsc::Receiver<ForwardEvent>,
+    forwarded: IntGauge,
     _guard: CallerGuard,
 }
 
+impl Drop for ForwardAnswer {
+    fn drop(&mut self) {
+        self.forwarded.dec();
+    }
+}
+
 impl Stream for ForwardAnswer {
     type Item = ForwardEvent;
 
--- a/crates/oleanderpass_entry/tests/support/mod.rs
+++ b/crates/oleanderpass_entry/tests/support/mod.rs
@@ -12,13 +12,18 @@
 use std::sync::mpsc;
 use std::sync::mpsc::Receiver;
 use std::thread;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use oleanderpass_entry::core_loop::CoreSender;
 use oleanderpass_entry::daemon::Addrs;
 use oleanderpass_entry::daemon::Daemon;
 use oleanderpass_entry::settings::Settings;
+use oleanderpass_proto::platform::BackendServer;
+use oleanderpass_proto::platform::InstanceList;
 use oleanderpass_proto::settings as raw;
+use oleanderpass_stand_in::platform::Platform;
+use oleanderpass_stand_in::platform::PlatformConfig;
 use sha2::Digest;
 use sha2::Sha256;
 
@@ -32,6 +37,8 @@
 pub(crate) struct Entry {
     pub(crate) addrs: Addrs,
     core: CoreSender,
+    platform: Option<Platform>,
+    thread: Option<JoinHandle<()>>,
 }
 
 impl Drop for Entry {
@@ -64,56 +71,62 @@
     )
 }
 
-fn instance_list(engine: SocketAddr, plain: SocketAddr) -> String {
-    serde_json::json!({
-        "version": 1,
-        "entry_instances": [],
-        "backend_servers": [
-            { "id": "skald-1", "service": "skald", "zone": "hafnir", "addr": engine, "state": "live" },
-            { "id": "bokhald-1", "service": "bokhald", "zone": "hafnir", "addr": plain, "state": "live" },
-        ],
-    })
-    .to_string()
+/// Serve the document, and an instance list with both backend servers.
+pub(crate) fn spawn_platform(engine: SocketAddr, plain: SocketAddr) -> Platform {
+    let platform = Platform::start(PlatformConfig::default()).unwrap();
+    platform.set_document(document());
+    platform.set_instances(instance_list(engine, plain));
+    platform
 }
 
-/// Serve the document and the instance list.
-pub(crate) fn spawn_platform(engine: SocketAddr, plain: SocketAddr) -> SocketAddr {
-    let server = tiny_http::Server::http("127.0.0.1:0").unwrap();
-    let addr = server.server_addr().to_ip().unwrap();
-    let list = instance_list(engine, plain);
-    thread::spawn(move || {
-        for req in server.incoming_requests() {
-            let body = if req.url().starts_with("/v1/config/") {
-                document()
-            } else {
-                list.clone()
-            };
-            let _ = req.respond(tiny_http::Response::from_string(body));
-        }
-    });
-    addr
+/// Return an instance list with both backend servers and no entry instance.
+pub(crate) fn instance_list(engine: SocketAddr, plain: SocketAddr) -> InstanceList {
+    let server = |id: &str, service: &str, addr: SocketAddr| BackendServer {
+        id: id.to_owned(),
+        service: service.to_owned(),
+        zone: "hafnir".to_owned(),
+        addr: addr.to_string(),
+        state: "live".to_owned(),
+    };
+    InstanceList {
+        backend_servers: vec![
+            server("skald-1", "skald", engine),
+            server("bokhald-1", "bokhald", plain),
+        ],
+        ..InstanceList::default()
+    }
 }
 
 /// Start an instance whose engine and plain service are at the given addresses.
 pub(crate) fn spawn_entry(engine: SocketAddr, plain: SocketAddr, limits: raw::Limits) -> Entry {
+    let platform = spawn_platform(engine, plain);
+    let mut entry = spawn_instance("hafnir-1", platform.addr(), limits);
+    entry.platform = Some(platform);
+    entry
+}
+
+/// Start an instance that reads a given platform.
+pub(crate) fn spawn_instance(id: &str, platform: SocketAddr, limits: raw::Limits) -> Entry {
     let settings = raw::Settings {
-        instance: "hafnir-1".to_owned(),
+        instance: id.to_owned(),
         zone: "hafnir".to_owned(),
         caller_addr: "127.0.0.1:0".to_owned(),
         peer_addr: "127.0.0.1:0".to_owned(),
         operator_addr: "127.0.0.1:0".to_owned(),
-        platform_addr: spawn_platform(engine, plain).to_string(),
-        config_key: "trial".to_owned(),
+        platform_addr: platform.to_string(),
+        config_key: "environment".to_owned(),
         fleet_key: "5a".repeat(32),
         limits: Some(limits),
         ..raw::Settings::default()
     };
     let daemon = Daemon::bind(&Settings::try_from(&settings).unwrap()).unwrap();
-    let entry = Entry {
+    let mut entry = Entry {
         addrs: daemon.addrs(),
         core: daemon.core(),
+        platform: None,
+        thread: None,
     };
-    thread::spawn(move || daemon.run());
+    entry.thread = Some(thread::spawn(move || daemon.run()));
     entry.wait_ready();
     entry
 }
@@ -131,6 +144,16 @@
         panic!("the instance did not become ready");
     }
 
+    /// Start the graceful shutdown.
+    pub(crate) fn shut_down(&self) {
+        self.core.shut_down();
+    }
+
+    /// Wait until the instance has stopped.
+    pub(crate) fn join(mut self) {
+        self.thread.take().unwrap().join().unwrap();
+    }
+
     /// Send a request of the tests' caller and return status, head and body.
     pub(crate) fn call(&self, line: &str, headers: &[&str], body: &[u8]) -> (u16, String, String) {
         let authorization = format!("authorization: Bearer {KEY}");
