--- a/crates/oleanderpass_entry/src/backend/stream.rs
+++ b/crates/oleanderpass_entry/src/backend/stream.rs
@@ -268,7 +268,7 @@
     }
 
     async fn take(&mut self, event: EngineEvent) -> Step {
-        if !event.error.is_empty() && self.id.to_string() == event.id {
+        if !event.error.is_empty() && event.id == self.id.to_string() {
             return Step::End(AttemptEnd::Failed(event.error.into()));
         }
         let tokens = event.tokens;
--- a/crates/oleanderpass_entry/src/caller/openai.rs
+++ b/crates/oleanderpass_entry/src/caller/openai.rs
@@ -1,10 +1,11 @@
 //! Write answers of the generation interfaces.
 
 use bytes::Bytes;
-use oleanderpass_core::event::Target;
+use oleanderpass_types::id::Digest;
+use oleanderpass_types::id::Generation;
 use oleanderpass_types::outcome::Outcome;
 use oleanderpass_types::size::Tokens;
-use serde_json::Value;
+use serde::Serialize;
 use serde_json::json;
 use smol_str::SmolStr;
 
@@ -15,6 +16,12 @@
 /// The last line of a complete stream.
 pub const DONE: &[u8] = b"data: [DONE]\n\n";
 
+/// The role of generated messages.
+const ASSISTANT: &str = "assistant";
+
+/// The usual length of an event, in bytes, so that its buffer rarely grows.
+const EVENT_BYTES: usize = 256;
+
 /// The form of one answer.
 #[derive(Clone, Debug)]
 pub struct AnswerForm {
@@ -42,14 +49,6 @@
 }
 
 impl Usage {
-    fn to_json(self) -> Value {
-        json!({
-            "prompt_tokens": self.prompt,
-            "completion_tokens": self.output,
-            "total_tokens": self.prompt + self.output,
-        })
-    }
-
     fn finish_reason(self) -> &'static str {
         if self.output >= self.max_output {
             "length"
@@ -59,92 +58,168 @@
     }
 }
 
+/// The usage as callers see it.
+#[derive(Serialize)]
+struct UsageFields {
+    prompt_tokens: Tokens,
+    completion_tokens: Tokens,
+    total_tokens: Tokens,
+}
+
+impl From<Usage> for UsageFields {
+    fn from(usage: Usage) -> Self {
+        Self {
+            prompt_tokens: usage.prompt,
+            completion_tokens: usage.output,
+            total_tokens: usage.prompt + usage.output,
+        }
+    }
+}
+
+/// What the system adds to an answer.
+#[derive(Serialize)]
+struct OutcomeFields {
+    outcome: Outcome,
+    request_id: String,
+    generation: Generation,
+}
+
+impl OutcomeFields {
+    fn completed(context: &AnswerContext) -> Self {
+        Self {
+            outcome: Outcome::Completed,
+            request_id: context.req.to_string(),
+            generation: context.generation,
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct AnswerFields<'a> {
+    id: &'a str,
+    object: &'static str,
+    created: u64,
+    model: &'a str,
+    choices: [Choice<'a>; 1],
+    #[serde(skip_serializing_if = "Option::is_none")]
+    usage: Option<UsageFields>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    oleanderpass: Option<OutcomeFields>,
+}
+
+#[derive(Serialize)]
+struct Choice<'a> {
+    index: u32,
+    #[serde(flatten)]
+    content: Content<'a>,
+    finish_reason: Option<&'static str>,
+}
+
+/// The generated text in the place that the interface gives it.
+#[derive(Serialize)]
+#[serde(untagged)]
+enum Content<'a> {
+    Message { message: Text<'a> },
+    Delta { delta: Text<'a> },
+    Completion { text: &'a str, logprobs: () },
+}
+
+#[derive(Default, Serialize)]
+struct Text<'a> {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    role: Option<&'static str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    content: Option<&'a str>,
+}
+
 impl AnswerForm {
     /// Write the event of one token.
     pub fn token(&self, text: &str, is_first: bool) -> Bytes {
-        let mut delta = json!({ "content": text });
-        if is_first {
-            delta["role"] = "assistant".into();
-        }
-        self.event(&self.chunk(delta, text, Value::Null))
+        let delta = Text {
+            role: is_first.then_some(ASSISTANT),
+            content: Some(text),
+        };
+        event(&self.chunk(delta, text, None)).into()
     }
 
     /// Write the last events of a complete stream.
     pub fn end(&self, usage: Usage, context: &AnswerContext) -> Bytes {
-        let mut last = self.chunk(json!({}), "", usage.finish_reason().into());
-        if self.include_usage {
-            last["usage"] = usage.to_json();
-        }
-        last["oleanderpass"] = outcome_json(Outcome::Completed, context);
-        let mut buf = self.event(&last).to_vec();
+        let mut last = self.chunk(Text::default(), "", Some(usage.finish_reason()));
+        last.usage = self.include_usage.then(|| usage.into());
+        last.oleanderpass = Some(OutcomeFields::completed(context));
+        let mut buf = event(&last);
         buf.extend_from_slice(DONE);
         buf.into()
     }
 
     /// Write a whole answer.
     pub fn whole(&self, text: &str, usage: Usage, context: &AnswerContext) -> Bytes {
-        let reason = usage.finish_reason();
-        let (object, choice) = match self.interface {
-            Interface::Chat => (
-                "chat.completion",
-                json!({
-                    "index": 0,
-                    "message": { "role": "assistant", "content": text },
-                    "finish_reason": reason,
-                }),
-            ),
-            Interface::Completion => (
-                "text_completion",
-                json!({ "index": 0, "text": text, "logprobs": null, "finish_reason": reason }),
-            ),
+        let (object, content) = match self.interface {
+            Interface::Chat => {
+                let message = Text {
+                    role: Some(ASSISTANT),
+                    content: Some(text),
+                };
+                ("chat.completion", Content::Message { message })
+            }
+            Interface::Completion => ("text_completion", completion(text)),
         };
-        let body = json!({
-            "id": self.id,
-            "object": object,
-            "created": self.created,
-            "model": self.model.as_str(),
-            "choices": [choice],
-            "usage": usage.to_json(),
-            "oleanderpass": outcome_json(Outcome::Completed, context),
-        });
-        body.to_string().into()
+        let mut fields = self.fields(object, content, Some(usage.finish_reason()));
+        fields.usage = Some(usage.into());
+        fields.oleanderpass = Some(OutcomeFields::completed(context));
+        serde_json::to_vec(&fields).unwrap_or_default().into()
     }
 
-    fn chunk(&self, delta: Value, text: &str, reason: Value) -> Value {
-        let (object, choice) = match self.interface {
-            Interface::Chat => (
-                "chat.completion.chunk",
-                json!({ "index": 0, "delta": delta, "finish_reason": reason }),
-            ),
-            Interface::Completion => (
-                "text_completion",
-                json!({ "index": 0, "text": text, "logprobs": null, "finish_reason": reason }),
-            ),
+    fn chunk<'a>(
+        &'a self,
+        delta: Text<'a>,
+        text: &'a str,
+        finish_reason: Option<&'static str>,
+    ) -> AnswerFields<'a> {
+        let (object, content) = match self.interface {
+            Interface::Chat => ("chat.completion.chunk", Content::Delta { delta }),
+            Interface::Completion => ("text_completion", completion(text)),
         };
-        json!({
-            "id": self.id,
-            "object": object,
-            "created": self.created,
-            "model": self.model.as_str(),
-            "choices": [choice],
-        })
+        self.fields(object, content, finish_reason)
     }
 
-    fn event(&self, value: &Value) -> Bytes {
-        format!("data: {value}\n\n").into()
+    fn fields<'a>(
+        &'a self,
+        object: &'static str,
+        content: Content<'a>,
+        finish_reason: Option<&'static str>,
+    ) -> AnswerFields<'a> {
+        AnswerFields {
+            id: &self.id,
+            object,
+            created: self.created,
+            model: &self.model,
+            choices: [Choice {
+                index: 0,
+                content,
+                finish_reason,
+            }],
+            usage: None,
+            oleanderpass: None,
+        }
     }
 }
 
-fn outcome_json(outcome: Outcome, context: &AnswerContext) -> Value {
-    json!({
-        "outcome": outcome,
-        "request_id": context.req.to_string(),
-        "generation": context.generation,
-    })
+fn completion(text: &str) -> Content<'_> {
+    Content::Completion { text, logprobs: () }
+}
+
+fn event(fields: &AnswerFields<'_>) -> Vec<u8> {
+    let mut buf = Vec::with_capacity(EVENT_BYTES);
+    buf.extend_from_slice(b"data: ");
+    // Writing plain fields to memory can't fail.
+    let _ = serde_json::to_writer(&mut buf, fields);
+    buf.extend_from_slice(b"\n\n");
+    buf
 }
 
 /// Write the list of models that an organisation may use.
-pub fn model_list(snapshot: &Snapshot, key: &oleanderpass_types::id::Digest) -> Option<Bytes> {
+pub fn model_list(snapshot: &Snapshot, key: &Digest) -> Option<Bytes> {
     let document = snapshot.document.as_ref()?;
     let (organisation, _) = document.callers.get(key)?;
     let allowed = &document.organisations.get(organisation)?.models;
@@ -164,11 +239,3 @@
     }
     Some(json!({ "object": "list", "data": data }).to_string().into())
 }
-
-/// Return the name of a target, for logs.
-pub fn target_name(target: &Target) -> &str {
-    match target {
-        Target::Model { model, .. } => model.as_str(),
-        Target::Route(route) => route.as_str(),
-    }
-}
