--- /dev/null
+++ b/crates/oleanderpass_membership/tests/cost.rs
@@ -0,0 +1,44 @@
+//! Guard against a cost per instance that grows with the fleet (design section 4.5).
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "a failed unwrap fails the test"
+)]
+
+mod sim;
+
+use sim::Fleet;
+
+/// The most packets that an instance sends a second: a probe, an answer and the low-rate contacts.
+const MAX_PACKETS_PER_S: f64 = 3.0;
+
+/// The most bytes that an instance sends a second. A third of the 5 KB/s for all control work.
+const MAX_BYTES_PER_S: f64 = 1_700.0;
+
+#[test]
+fn cost_does_not_grow_with_the_fleet() {
+    for size in [3, 7, 40, 410] {
+        let mut fleet = Fleet::new(size, 20);
+        let joined = fleet.run_until(180_000, Fleet::all_alive).unwrap();
+        fleet.run(5_000);
+        let sum = |fleet: &Fleet| {
+            let packets: u64 = fleet.nodes.iter().map(|node| node.sent_packets).sum();
+            let bytes: u64 = fleet.nodes.iter().map(|node| node.sent_bytes).sum();
+            (packets, bytes)
+        };
+        let before = sum(&fleet);
+        let seconds = 10.0;
+        fleet.run(10_000);
+        let after = sum(&fleet);
+        let per_s = |count: u64| count as f64 / seconds / size as f64;
+        let packets = per_s(after.0 - before.0);
+        let bytes = per_s(after.1 - before.1);
+        println!(
+            "{size} members: {packets:.2} packets/s and {bytes:.0} bytes/s sent by each; \
+             all know all {joined} ms after a start together"
+        );
+        assert!(fleet.all_alive());
+        assert!(packets <= MAX_PACKETS_PER_S);
+        assert!(bytes <= MAX_BYTES_PER_S);
+    }
+}
