Add the distribution state machine of the environment document

A promoted document must be in force everywhere within 8 s and never revert, while the platform serves it to two readers in each zone only.

A text becomes a candidate, is announced to the readers of all zones, and comes into force after 1.5 s without another digest for its generation. What a peer has in force is fetched as a chain of RFC 6902 patches (256 KiB kept), with the digest checked, and as a whole document when the chain has a gap.

Membership gets the input `Contact`, which probes given addresses at once.

--- a/crates/oleanderpass_config/src/lib.rs
+++ b/crates/oleanderpass_config/src/lib.rs
@@ -1,6 +1,17 @@
 //! Check, compare and distribute the environment document.
 
+pub mod accept;
 pub mod canonical;
 pub mod check;
+pub mod content;
+pub mod delta;
+pub mod distribution;
 pub mod document;
 pub mod error;
+pub mod readers;
+pub mod reading;
+pub mod version;
+
+mod candidates;
+mod fetching;
+mod startup;
--- a/crates/oleanderpass_membership/src/membership.rs
+++ b/crates/oleanderpass_membership/src/membership.rs
@@ -49,6 +49,8 @@
     /// The platform lists these peer addresses. The list only says whom to contact: members come
     /// and go by what they and their peers say.
     List(&'a [SocketAddr]),
+    /// Probe these addresses now, to tell them something without delay.
+    Contact(&'a [SocketAddr]),
     /// A packet couldn't be sent to an address.
     SendFailed(SocketAddr),
     /// This instance announces that it is leaving.
@@ -165,6 +167,7 @@
                 self.contacts
                     .set_cursor(rng.random_range(0..usize::MAX / 2));
             }
+            Input::Contact(addrs) => self.on_contact(addrs, out),
             Input::SendFailed(addr) => self.on_send_failed(now, addr),
             Input::Leave => self.on_leave(rng, out),
             Input::Tick => self.on_tick(now, rng, out),
@@ -289,6 +292,14 @@
         }
     }
 
+    fn on_contact(&mut self, addrs: &[SocketAddr], out: &mut Vec<Output>) {
+        for addr in addrs {
+            let member = self.table.iter().find(|member| member.addr == *addr);
+            let id = member.map(|member| member.id.clone());
+            self.send_probe(*addr, id.as_ref(), out);
+        }
+    }
+
     fn on_send_failed(&mut self, now: Timestamp, addr: SocketAddr) {
         let Some(probe) = &mut self.outstanding else {
             return;
