Route, queue fairly and quarantine in the core

The core drew two random servers, dispatched in the order of admission and forgot what crashed its servers. Engines are now chosen by oleanderpass_routing, with one view for each model; plain services keep two random choices. The queue has a lane for each target, prompt class and priority, fair between organisations within it, and batch work, long prompts and organisations over their share are shed while short prompts wait. A lost connection makes the core ask its server at once; a server that is down or has a new incarnation crashed, and the requests in flight there become suspects. Such a retry waits 500 ms for the answer.

In oleanderpass_routing, engines that are excluded for one request no longer move the border between the short and the long part: 12 long prompts on 3 engines occupied all of them, once the long part was full.

--- a/crates/oleanderpass_core/src/admission.rs
+++ b/crates/oleanderpass_core/src/admission.rs
@@ -4,9 +4,8 @@
 
 use oleanderpass_config::document::Document;
 use oleanderpass_config::document::Organisation;
-use oleanderpass_config::document::Service;
-use oleanderpass_config::document::ServiceKind;
 use oleanderpass_config::document::TicketRule;
+use oleanderpass_quarantine::rule::RunRule;
 use oleanderpass_ticket::ticket::Scope;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::clock::Timestamp;
@@ -18,11 +17,14 @@
 use oleanderpass_types::id::RouteId;
 use oleanderpass_types::id::ServiceId;
 use oleanderpass_types::outcome::Outcome;
-use oleanderpass_types::size::Tokens;
 
 use crate::action::Action;
+use crate::dispatch::describe_refusal;
+use crate::dispatch::quarantine_error;
+use crate::dispatch::work;
 use crate::drain::Drain;
 use crate::event::NewRequest;
+use crate::event::Priority;
 use crate::event::RecordedAnswer;
 use crate::event::Source;
 use crate::event::Target;
@@ -32,15 +34,12 @@
 use crate::request::Execution;
 use crate::request::Phase;
 use crate::request::Request;
+use crate::suspicion::signature;
 use crate::tickets::TicketStep;
 
 /// Requests that wait for a backend server at the same time. At about 1 KB each they take 4 MB.
 const MAX_QUEUED: usize = 4_096;
 
-/// The generated tokens that the early refusal reckons with at most. Callers often allow far more
-/// tokens than an answer takes, so a larger part of their allowance is no estimate.
-const EXPECTED_OUTPUT: Tokens = Tokens::new(256);
-
 /// Why a request is refused before anything was sent.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Rejection {
@@ -48,11 +47,17 @@
     pub(crate) status: u16,
     /// The error.
     pub(crate) error: StepError,
+    /// The outcome, if it is another one than `not run`.
+    pub(crate) outcome: Option<Outcome>,
 }
 
 impl Rejection {
     pub(crate) fn new(status: u16, error: StepError) -> Self {
-        Self { status, error }
+        Self {
+            status,
+            error,
+            outcome: None,
+        }
     }
 }
 
@@ -94,9 +99,10 @@
                 self.answer_recorded(&id, outcome, answer, out);
             }
             Err(rejection) => {
-                let outcome = self.outcome_of_rejection(now, &new);
-                let Rejection { status, error } = rejection;
-                self.answer(&id, outcome, status, Some(error), out);
+                let outcome = rejection
+                    .outcome
+                    .unwrap_or_else(|| self.outcome_of_rejection(now, &new));
+                self.answer(&id, outcome, rejection.status, Some(rejection.error), out);
             }
         }
     }
@@ -128,18 +134,19 @@
             }
         };
         if matches!(phase, Phase::Queued { .. }) {
-            self.check_capacity(now, &document, &resolved, new, deadline)?;
+            self.check_behaviour(now, &organisation, new)?;
+            self.check_capacity(now, new, deadline)?;
         }
         let ticket = self.begin_ticket_step(&new.id, &step)?;
         Ok(Admission::Enter(Box::new(Request {
             new: Box::new(new.clone()),
+            signature: signature(&organisation, new),
             organisation,
             caller,
             service: resolved.service,
             once: !resolved.idempotent || ticket.is_some(),
             ticket,
             deadline,
-            order: 0,
             attempt: AttemptNumber(0),
             phase,
             execution: Execution::NotRun,
@@ -193,10 +200,8 @@
     }
 
     fn check_capacity(
-        &self,
+        &mut self,
         now: Timestamp,
-        document: &Document,
-        resolved: &Resolved,
         new: &NewRequest,
         deadline: Timestamp,
     ) -> Result<(), Rejection> {
@@ -208,51 +213,52 @@
             let error = caller_error(Step::Admit, "the request's time is over");
             return Err(Rejection::new(504, error));
         }
-        let service = document.services.get(&resolved.service);
-        let least = service.map_or(Millis::ZERO, |service| {
-            self.least_time(service, resolved, new)
-        });
-        if now + least > deadline {
-            let cause = format!("the estimated time of {least} ends after the deadline");
-            return Err(Rejection::new(503, local_error(Step::Admit, cause)));
+        if let Some(refusal) = self.hopeless(now, new, deadline) {
+            let (status, error) = describe_refusal(refusal);
+            return Err(Rejection::new(status, error));
         }
         Ok(())
     }
 
-    /// Estimate the least time that the request takes: the prefill that waits at the server with
-    /// the least, the own prefill and the expected output.
-    fn least_time(&self, service: &Service, resolved: &Resolved, new: &NewRequest) -> Millis {
-        if service.kind == ServiceKind::Plain {
-            return Millis::ZERO;
+    /// Refuse copies of requests that crash servers, and what is shed while the queue is too slow.
+    fn check_behaviour(
+        &mut self,
+        now: Timestamp,
+        organisation: &OrganisationId,
+        new: &NewRequest,
+    ) -> Result<(), Rejection> {
+        let signature = signature(organisation, new);
+        if let RunRule::Refused { left } = self.quarantine.rule(now, signature) {
+            return Err(Rejection {
+                status: 422,
+                error: quarantine_error(left),
+                outcome: Some(Outcome::Failed),
+            });
         }
-        let waiting = self
-            .servers
-            .values()
-            .filter(|server| server.service == resolved.service && server.is_live())
-            .map(|server| {
-                server
-                    .load
-                    .as_ref()
-                    .map_or(Tokens::ZERO, |(_, load)| load.queued_prefill)
-            })
-            .min()
-            .unwrap_or(Tokens::ZERO);
-        let prefill =
-            (waiting + new.prompt).get().saturating_mul(1_000) / service.prefill_per_s.get().max(1);
-        let output = new.max_output.min(EXPECTED_OUTPUT);
-        Millis::new(prefill) + service.token_time.saturating_mul(output.get())
+        if matches!(new.target, Target::Route(_)) {
+            return Ok(());
+        }
+        let weight = self.weight_of(organisation);
+        self.overload.count(now, organisation, weight, work(new));
+        let batch = new.priority == Priority::Batch;
+        if self
+            .overload
+            .sheds(organisation, self.length_class(new), batch)
+        {
+            let cause = format!("overloaded: {} work is shed", self.overload.level());
+            return Err(Rejection::new(503, local_error(Step::Admit, cause)));
+        }
+        Ok(())
     }
 
-    fn enter(&mut self, now: Timestamp, mut req: Request, out: &mut Vec<Action>) {
+    fn enter(&mut self, now: Timestamp, req: Request, out: &mut Vec<Action>) {
         let id = req.new.id.clone();
         match &req.phase {
             Phase::Queued { .. } => {
                 self.admitted += 1;
                 self.retry_budget.earn();
-                req.order = self.admitted;
-                self.queue
-                    .insert((std::cmp::Reverse(req.new.priority), req.order), id.clone());
-                self.requests.insert(id, req);
+                self.requests.insert(id.clone(), req);
+                self.enqueue(now, &id, Millis::ZERO);
                 self.dispatch_queued(now, out);
             }
             Phase::Forwarded { owner } => {
--- a/crates/oleanderpass_core/src/attempt.rs
+++ b/crates/oleanderpass_core/src/attempt.rs
@@ -1,8 +1,9 @@
 //! Follow attempts and end requests.
 
-use std::cmp::Reverse;
 use std::sync::Arc;
 
+use oleanderpass_quarantine::evidence::Signature;
+use oleanderpass_routing::view::Dispatch;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::clock::Timestamp;
 use oleanderpass_types::error::Peer;
@@ -10,6 +11,7 @@
 use oleanderpass_types::error::StepError;
 use oleanderpass_types::id::BackendServerId;
 use oleanderpass_types::id::Incarnation;
+use oleanderpass_types::id::ModelId;
 use oleanderpass_types::id::RequestId;
 use oleanderpass_types::id::StreamId;
 use oleanderpass_types::outcome::Outcome;
@@ -27,6 +29,7 @@
 use crate::request::Request;
 use crate::retry::retry_delay;
 use crate::server::LeavingSource;
+use crate::suspicion::CRASH_CHECK_TIME;
 use crate::verdict::Facts;
 use crate::verdict::Retry;
 use crate::verdict::Verdict;
@@ -43,6 +46,12 @@
     pub(crate) ticket: Option<u64>,
     /// When it was issued.
     pub(crate) since: Timestamp,
+    /// What identifies its request if it crashes servers.
+    pub(crate) signature: Signature,
+    /// It was given a server of its own, because its request may crash it.
+    pub(crate) alone: bool,
+    /// What it adds to the engines in the view of its model.
+    pub(crate) dispatch: Option<(ModelId, Dispatch)>,
 }
 
 /// The status for a caller that disconnected. It is only logged.
@@ -65,12 +74,18 @@
     }
 
     fn on_started(&mut self, stream: &StreamId, delivered: bool) {
-        let Some(attempt) = self.attempts.get(stream) else {
+        let Some(attempt) = self.attempts.get_mut(stream) else {
             return;
         };
         if let Some(server) = self.servers.get_mut(&attempt.server) {
             server.on_accepted();
         }
+        if delivered
+            && let Some((model, dispatch)) = &mut attempt.dispatch
+            && let Some(view) = self.views.get_mut(model)
+        {
+            view.first_token(dispatch);
+        }
         let Some(req) = self.requests.get_mut(&stream.req) else {
             return;
         };
@@ -89,10 +104,15 @@
         end: AttemptEnd,
         out: &mut Vec<Action>,
     ) {
-        let Some(attempt) = self.attempts.swap_remove(stream) else {
+        let Some(mut attempt) = self.attempts.swap_remove(stream) else {
             tracing::debug!(%stream, "ignored the end of an attempt that has ended");
             return;
         };
+        if let Some((model, dispatch)) = attempt.dispatch.take()
+            && let Some(view) = self.views.get_mut(&model)
+        {
+            view.ended(dispatch);
+        }
         self.note_end_at_server(now, &attempt, &end);
         let current = self
             .requests
@@ -117,7 +137,10 @@
             server.polls.hurry(Observation::State, now);
         }
         match end {
-            AttemptEnd::Completed { .. } => server.on_accepted(),
+            AttemptEnd::Completed { .. } => {
+                server.on_accepted();
+                self.quarantine.on_finished(attempt.signature);
+            }
             AttemptEnd::Refused(Refusal::Leaving) => {
                 let incarnation = attempt.incarnation.or(server.incarnation);
                 server.mark_leaving(now, incarnation, LeavingSource::Server);
@@ -132,10 +155,20 @@
                     server.on_rebuff(now, delay, unreachable);
                 }
             }
-            AttemptEnd::Refused(Refusal::Deadline)
-            | AttemptEnd::Failed(_)
-            | AttemptEnd::Cancelled => {}
+            AttemptEnd::Failed(_) => self.quarantine.on_finished(attempt.signature),
+            AttemptEnd::Refused(Refusal::Deadline) | AttemptEnd::Cancelled => {}
+        }
+        if matches!(end, AttemptEnd::Broken { .. }) {
+            let Attempt {
+                server,
+                incarnation,
+                signature,
+                alone,
+                ..
+            } = attempt;
+            self.on_connection_lost(now, server, *incarnation, *signature, *alone);
         }
+        self.update_views(&attempt.server);
     }
 
     fn on_current_end(
@@ -178,11 +211,14 @@
         if now >= req.deadline {
             self.end_attempted(now, id, 504, error, out);
         } else if retry == Retry::Free {
-            self.requeue(now, id, Millis::ZERO);
+            self.enqueue(now, id, Millis::ZERO);
         } else if retry == Retry::Budgeted && self.retry_budget.take() {
             let failures = self.requests.get(id).map_or(1, |req| req.attempt.0);
-            let delay = retry_delay(failures, &mut self.rng);
-            self.requeue(now, id, delay);
+            let mut delay = retry_delay(failures, &mut self.rng);
+            if matches!(end, AttemptEnd::Broken { .. }) {
+                delay = delay.max(CRASH_CHECK_TIME);
+            }
+            self.enqueue(now, id, delay);
         } else {
             let status = match (&end, execution) {
                 (AttemptEnd::Refused(Refusal::Deadline), _) => 504,
@@ -303,9 +339,7 @@
             return;
         };
         match req.phase {
-            Phase::Queued { .. } => {
-                self.queue.remove(&(Reverse(req.new.priority), req.order));
-            }
+            Phase::Queued { .. } => self.queue.remove(id),
             Phase::Waiting { ticket } => self.ledger.stop_waiting(ticket, id),
             Phase::Running { .. } | Phase::Forwarded { .. } => {}
         }
--- a/crates/oleanderpass_core/src/dispatch.rs
+++ b/crates/oleanderpass_core/src/dispatch.rs
@@ -1,60 +1,141 @@
 //! Hand queued requests to backend servers.
 
-use std::cmp::Reverse;
-
 use indexmap::IndexSet;
+use oleanderpass_config::document::OrganisationClass;
+use oleanderpass_quarantine::rule::RunRule;
+use oleanderpass_routing::policy::Refusal;
+use oleanderpass_routing::request::LengthClass;
+use oleanderpass_routing::view::Dispatch;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::clock::Timestamp;
 use oleanderpass_types::error::Step;
+use oleanderpass_types::error::StepError;
 use oleanderpass_types::id::AttemptNumber;
 use oleanderpass_types::id::BackendServerId;
+use oleanderpass_types::id::ModelId;
+use oleanderpass_types::id::OrganisationId;
 use oleanderpass_types::id::RequestId;
 use oleanderpass_types::id::ServiceId;
 use oleanderpass_types::id::StreamId;
 use oleanderpass_types::outcome::Outcome;
-use rand::RngExt;
+use oleanderpass_types::size::Tokens;
 
 use crate::action::Action;
 use crate::action::StartAttempt;
 use crate::attempt::Attempt;
+use crate::event::NewRequest;
+use crate::event::Priority;
 use crate::event::Target;
 use crate::instance::Instance;
 use crate::instance::local_error;
+use crate::placement::Place;
+use crate::placement::expected_output;
+use crate::queue::Entry;
+use crate::queue::Lane;
 use crate::request::Phase;
 use crate::request::Request;
-use crate::server::ServerView;
 
 /// The time for which a request waits while its service has no live server at all. The instance
 /// list and load reports show a new server within this time.
 const NO_SERVER_WAIT: Millis = Millis::from_secs(5);
 
+/// What became of the attempt to dispatch a request.
+enum Dispatched {
+    /// The request has left the queue.
+    Left,
+    /// It waits for a server, as all requests of its lane do.
+    Waits,
+    /// It alone waits, because it must not run together with others.
+    WaitsApart,
+}
+
 impl Instance {
-    /// Dispatch what can be dispatched, urgent requests first, then in the order of admission.
+    /// Dispatch what can be dispatched, urgent requests first, fairly between organisations.
     pub(crate) fn dispatch_queued(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         if self.queue.is_empty() {
             return;
         }
-        let mut blocked: IndexSet<Target> = IndexSet::new();
-        let queued: Vec<RequestId> = self.queue.values().cloned().collect();
-        for id in queued {
-            let Some(req) = self.requests.get(&id) else {
-                continue;
-            };
-            if now >= req.deadline {
-                self.end_overdue_request(now, &id, out);
-                continue;
+        self.queue.release_due(now);
+        for id in self.queue.apart() {
+            self.dispatch(now, &id, out);
+        }
+        for lane in self.queue.lanes() {
+            while let Some(id) = self.queue.head(&lane) {
+                match self.dispatch(now, &id, out) {
+                    Dispatched::Left => {}
+                    Dispatched::WaitsApart => self.queue.set_apart(&id),
+                    Dispatched::Waits => break,
+                }
             }
-            let delayed = matches!(req.phase, Phase::Queued { not_before, .. } if now < not_before);
-            if delayed || blocked.contains(&req.new.target) {
-                continue;
+        }
+    }
+
+    fn dispatch(&mut self, now: Timestamp, id: &RequestId, out: &mut Vec<Action>) -> Dispatched {
+        let Some(req) = self.requests.get(id) else {
+            self.queue.remove(id);
+            return Dispatched::Left;
+        };
+        if now >= req.deadline {
+            self.end_overdue_request(now, id, out);
+            return Dispatched::Left;
+        }
+        let rule = self.quarantine.rule(now, req.signature);
+        if let RunRule::Refused { left } = rule {
+            self.refuse_quarantined(now, id, left, out);
+            return Dispatched::Left;
+        }
+        match self.place(now, id) {
+            Place::Run {
+                server,
+                dispatch,
+                low_priority,
+            } => {
+                self.start(now, id, server, dispatch, low_priority, out);
+                Dispatched::Left
             }
-            match self.pick(now, &id) {
-                Some(server) => self.start(now, &id, server, out),
-                None => blocked.extend(self.requests.get(&id).map(|req| req.new.target.clone())),
+            Place::Refuse(refusal) => {
+                let outcome = self.outcome_now(id);
+                let (status, error) = describe_refusal(refusal);
+                self.finish(now, id, outcome, status, Some(error), None, out);
+                Dispatched::Left
             }
+            Place::Wait if rule != RunRule::Free => Dispatched::WaitsApart,
+            Place::Wait => Dispatched::Waits,
         }
     }
 
+    /// Answer a copy of a request that crashed a server while it ran alone.
+    fn refuse_quarantined(
+        &mut self,
+        now: Timestamp,
+        id: &RequestId,
+        left: Millis,
+        out: &mut Vec<Action>,
+    ) {
+        let error = quarantine_error(left);
+        self.finish(now, id, Outcome::Failed, 422, Some(error), None, out);
+    }
+
+    /// Tell the overload control how long a short, interactive generation waits.
+    pub(crate) fn observe_wait(&mut self, now: Timestamp) {
+        let wait = self
+            .queue
+            .ids()
+            .filter_map(|id| self.requests.get(id))
+            .filter(|req| {
+                matches!(req.new.target, Target::Model { .. })
+                    && req.new.priority == Priority::Interactive
+                    && req.attempt.0 == 0
+                    && self.length_class(&req.new) == LengthClass::Short
+            })
+            .filter_map(|req| match req.phase {
+                Phase::Queued { since, .. } => Some(now.since(since)),
+                _ => None,
+            })
+            .max();
+        self.overload.observe(now, wait.unwrap_or(Millis::ZERO));
+    }
+
     /// End requests that wait for a service without any live server.
     pub(crate) fn end_serverless(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         let live: IndexSet<&ServiceId> = self
@@ -65,7 +146,7 @@
             .collect();
         let over: Vec<RequestId> = self
             .queue
-            .values()
+            .ids()
             .filter(|id| {
                 self.requests.get(*id).is_some_and(|req| {
                     let Phase::Queued { since, .. } = req.phase else {
@@ -83,15 +164,57 @@
         }
     }
 
-    /// Put a request back into the queue.
-    pub(crate) fn requeue(&mut self, now: Timestamp, id: &RequestId, delay: Millis) {
-        if let Some(req) = self.requests.get_mut(id) {
-            req.phase = Phase::Queued {
-                since: now,
-                not_before: now + delay,
-            };
-            self.queue
-                .insert((Reverse(req.new.priority), req.order), id.clone());
+    /// Put a request into the queue, to be dispatched after a delay.
+    pub(crate) fn enqueue(&mut self, now: Timestamp, id: &RequestId, delay: Millis) {
+        let Some(req) = self.requests.get_mut(id) else {
+            return;
+        };
+        let not_before = now + delay;
+        req.phase = Phase::Queued {
+            since: now,
+            not_before,
+        };
+        let Some(entry) = self.requests.get(id).map(|req| self.queue_entry(req)) else {
+            return;
+        };
+        self.queue.push(entry, now, not_before);
+    }
+
+    fn queue_entry(&self, req: &Request) -> Entry {
+        Entry {
+            id: req.new.id.clone(),
+            lane: Lane {
+                priority: req.new.priority,
+                class: self.length_class(&req.new),
+                target: req.new.target.clone(),
+            },
+            organisation: req.organisation.clone(),
+            weight: self.weight_of(&req.organisation),
+            cost: work(&req.new),
+        }
+    }
+
+    pub(crate) fn length_class(&self, new: &NewRequest) -> LengthClass {
+        let long = self
+            .document
+            .as_ref()
+            .map_or(Tokens::new(u64::MAX), |document| {
+                document.defaults.long_prompt
+            });
+        LengthClass::of(new.prompt, long)
+    }
+
+    /// Return the organisation's share of the queue: a class has twice that of the next smaller.
+    pub(crate) fn weight_of(&self, organisation: &OrganisationId) -> u32 {
+        let class = self
+            .document
+            .as_ref()
+            .and_then(|document| document.organisations.get(organisation))
+            .map(|organisation| organisation.class);
+        match class {
+            Some(OrganisationClass::Large) => 4,
+            Some(OrganisationClass::Standard) => 2,
+            Some(OrganisationClass::Small) | None => 1,
         }
     }
 
@@ -100,13 +223,20 @@
         now: Timestamp,
         id: &RequestId,
         server: BackendServerId,
+        dispatch: Option<(ModelId, Dispatch)>,
+        low_priority: bool,
         out: &mut Vec<Action>,
     ) {
         let (Some(req), Some(view)) = (self.requests.get_mut(id), self.servers.get_mut(&server))
         else {
             return;
         };
-        self.queue.remove(&(Reverse(req.new.priority), req.order));
+        self.queue.remove(id);
+        if let Some((model, dispatch)) = &dispatch
+            && let Some(view) = self.views.get_mut(model)
+        {
+            view.dispatched(now, dispatch, &req.new.prefixes);
+        }
         view.in_flight += 1;
         req.attempt = AttemptNumber(req.attempt.0 + 1);
         req.phase = Phase::Running {
@@ -122,103 +252,28 @@
             incarnation: view.incarnation,
             ticket: req.ticket,
             since: now,
+            signature: req.signature,
+            alone: self.quarantine.rule(now, req.signature) == RunRule::Alone,
+            dispatch,
         };
         self.attempts.insert(stream, attempt);
+        let priority = if low_priority {
+            Priority::Batch
+        } else {
+            req.new.priority
+        };
         out.push(Action::StartAttempt(StartAttempt {
             req: id.clone(),
             attempt: req.attempt,
             server,
             addr: view.addr,
             deadline: req.deadline,
-            priority: req.new.priority,
+            priority,
             once: req.once,
             holds: Vec::new(),
         }));
     }
 
-    /// Choose a backend server: of two random ones of the own zone, or of any zone when the own one
-    /// has none that is ready, the one with fewer attempts.
-    fn pick(&mut self, now: Timestamp, id: &RequestId) -> Option<BackendServerId> {
-        let req = self.requests.get(id)?;
-        let mut candidates = self.candidates(now, req, |name| !req.tried.contains(name));
-        if candidates.is_empty() {
-            candidates = self.candidates(now, req, |_| true);
-        }
-        if self.own_zone_is_ready(req) {
-            candidates.retain(|index| {
-                self.servers
-                    .get_index(*index)
-                    .is_some_and(|(_, server)| server.zone == self.identity.zone)
-            });
-        }
-        let reports = |index: &usize| {
-            self.servers
-                .get_index(*index)
-                .is_some_and(|(_, server)| !server.silent)
-        };
-        if candidates.iter().any(reports) {
-            candidates.retain(reports);
-        }
-        if candidates.is_empty() {
-            return None;
-        }
-        let first = candidates.swap_remove(self.rng.random_range(0..candidates.len()));
-        let second = match candidates.len() {
-            0 => first,
-            len => candidates[self.rng.random_range(0..len)],
-        };
-        let cost = |index: usize| {
-            self.servers
-                .get_index(index)
-                .map(|(_, view)| view.in_flight)
-        };
-        let choice = if cost(second) < cost(first) {
-            second
-        } else {
-            first
-        };
-        self.servers.get_index(choice).map(|(name, _)| name.clone())
-    }
-
-    fn candidates(
-        &self,
-        now: Timestamp,
-        req: &Request,
-        also: impl Fn(&BackendServerId) -> bool,
-    ) -> Vec<usize> {
-        self.servers
-            .iter()
-            .enumerate()
-            .filter(|(_, (name, server))| self.accepts_work(now, req, server) && also(name))
-            .map(|(index, _)| index)
-            .collect()
-    }
-
-    fn accepts_work(&self, now: Timestamp, req: &Request, server: &ServerView) -> bool {
-        serves(req, server) && self.has_free_slot(now, &req.service, server)
-    }
-
-    /// Return whether the own zone has a server for the request, be it busy. A full zone doesn't
-    /// spill its load into others.
-    fn own_zone_is_ready(&self, req: &Request) -> bool {
-        self.servers.values().any(|server| {
-            server.zone == self.identity.zone
-                && server.service == req.service
-                && server.is_live()
-                && server.is_reachable()
-                && serves(req, server)
-        })
-    }
-
-    fn has_free_slot(&self, now: Timestamp, service: &ServiceId, server: &ServerView) -> bool {
-        let room = self
-            .document
-            .as_ref()
-            .and_then(|document| document.services.get(service))
-            .is_some_and(|checked| server.in_flight < checked.concurrent_requests);
-        room && server.service == *service && server.is_live() && now >= server.avoid_until
-    }
-
     /// Return the outcome of a request that ends now.
     pub(crate) fn outcome_now(&self, id: &RequestId) -> Outcome {
         self.requests
@@ -227,9 +282,31 @@
     }
 }
 
-fn serves(req: &Request, server: &ServerView) -> bool {
-    match &req.new.target {
-        Target::Model { model, adapter } => server.serves(model, adapter.as_ref()),
-        Target::Route(_) => true,
+/// Return the work of a request for the shares of organisations.
+pub(crate) fn work(new: &NewRequest) -> Tokens {
+    match &new.target {
+        Target::Model { .. } => new.prompt + expected_output(new),
+        Target::Route(_) => Tokens::new(1),
     }
 }
+
+/// Return the status and the error of a request that no engine can take.
+pub(crate) fn describe_refusal(refusal: Refusal) -> (u16, StepError) {
+    match refusal {
+        Refusal::NoServer => (503, local_error(Step::Queue, "no backend server is usable")),
+        Refusal::TooLarge => {
+            let cause = "the prompt needs more memory than the usable engines have together";
+            (503, local_error(Step::Admit, cause))
+        }
+        Refusal::Deadline => {
+            let cause = "the estimated finish is after the deadline";
+            (503, local_error(Step::Admit, cause))
+        }
+    }
+}
+
+/// Return the error of a request in quarantine.
+pub(crate) fn quarantine_error(left: Millis) -> StepError {
+    let cause = format!("the request crashed backend servers; it is refused for another {left}");
+    local_error(Step::Admit, cause)
+}
--- a/crates/oleanderpass_core/src/documents.rs
+++ b/crates/oleanderpass_core/src/documents.rs
@@ -20,6 +20,7 @@
             Ok(document) if document.generation > self.generation() => {
                 tracing::info!(generation = %document.generation, "document is in force");
                 self.document = Some(Arc::new(document));
+                self.rebuild_views();
                 self.dispatch_queued(now, out);
             }
             Ok(_) => {}
--- a/crates/oleanderpass_core/src/event.rs
+++ b/crates/oleanderpass_core/src/event.rs
@@ -6,6 +6,7 @@
 use oleanderpass_proto::engine;
 use oleanderpass_proto::environment;
 use oleanderpass_proto::peer;
+pub use oleanderpass_routing::request::Prefix;
 pub use oleanderpass_ticket::answer::RecordedAnswer;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::id::AdapterId;
@@ -252,15 +253,6 @@
     Interactive,
 }
 
-/// A prefix of a prompt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct Prefix {
-    /// The hash of the prefix.
-    pub hash: u64,
-    /// The length of the prefix.
-    pub tokens: Tokens,
-}
-
 /// A request as it arrives.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct NewRequest {
--- a/crates/oleanderpass_core/src/instance.rs
+++ b/crates/oleanderpass_core/src/instance.rs
@@ -1,12 +1,13 @@
 //! Decide for one entry instance.
 
-use std::cmp::Reverse;
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use indexmap::IndexMap;
 use oleanderpass_config::document::Document;
+use oleanderpass_quarantine::table::Quarantine;
+use oleanderpass_routing::overload::Overload;
+use oleanderpass_routing::view::View;
 use oleanderpass_ticket::FleetKey;
 use oleanderpass_ticket::ledger::Ledger;
 use oleanderpass_types::clock::Timestamp;
@@ -17,6 +18,7 @@
 use oleanderpass_types::id::Generation;
 use oleanderpass_types::id::Incarnation;
 use oleanderpass_types::id::InstanceId;
+use oleanderpass_types::id::ModelId;
 use oleanderpass_types::id::RequestId;
 use oleanderpass_types::id::StreamId;
 use oleanderpass_types::id::ZoneId;
@@ -27,7 +29,7 @@
 use crate::attempt::Attempt;
 use crate::drain::Drain;
 use crate::event::Event;
-use crate::event::Priority;
+use crate::queue::Queue;
 use crate::request::Request;
 use crate::retry::RetryBudget;
 use crate::server::ServerView;
@@ -57,7 +59,11 @@
     pub(crate) servers: IndexMap<BackendServerId, ServerView>,
     pub(crate) requests: IndexMap<RequestId, Request>,
     /// Requests that wait for a backend server, in the order of dispatch.
-    pub(crate) queue: BTreeMap<(Reverse<Priority>, u64), RequestId>,
+    pub(crate) queue: Queue,
+    /// What the routing policy knows of the engines, by model.
+    pub(crate) views: IndexMap<ModelId, View>,
+    pub(crate) overload: Overload,
+    pub(crate) quarantine: Quarantine,
     /// Attempts that hold a slot of their server, also those whose request was answered.
     pub(crate) attempts: IndexMap<StreamId, Attempt>,
     pub(crate) admitted: u64,
@@ -80,7 +86,10 @@
             listed_peers: IndexMap::new(),
             servers: IndexMap::new(),
             requests: IndexMap::new(),
-            queue: BTreeMap::new(),
+            queue: Queue::default(),
+            views: IndexMap::new(),
+            overload: Overload::default(),
+            quarantine: Quarantine::new(),
             attempts: IndexMap::new(),
             admitted: 0,
             retry_budget: RetryBudget::default(),
@@ -151,6 +160,11 @@
         &self.servers
     }
 
+    /// Return the requests that are suspected of crashing servers.
+    pub fn quarantine(&self) -> &Quarantine {
+        &self.quarantine
+    }
+
     /// Return the ledger of this instance's tickets.
     pub fn ledger(&self) -> &Ledger {
         &self.ledger
@@ -179,11 +193,11 @@
                 server,
                 what,
                 cause,
-            } => self.on_observe_failed(&server, what, &cause),
+            } => self.on_observe_failed(now, &server, what, &cause),
             Event::Shutdown => self.on_shutdown(now),
             Event::Tick => self.on_tick(now, out),
-            Event::PeerPacket { .. }
-            | Event::PeerUnreachable(_)
+            Event::PeerPacket { packet, .. } => self.on_peer_packet(now, &packet, out),
+            Event::PeerUnreachable(_)
             | Event::DocumentUnchanged
             | Event::DocumentMalformed { .. }
             | Event::DocumentReadFailed { .. }
@@ -204,6 +218,8 @@
     fn on_tick(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         self.end_overdue(now, out);
         self.ledger.expire(now);
+        self.quarantine.tick(now);
+        self.observe_wait(now);
         self.dispatch_queued(now, out);
         self.end_serverless(now, out);
         self.poll_servers(now, out);
--- a/crates/oleanderpass_core/src/observe.rs
+++ b/crates/oleanderpass_core/src/observe.rs
@@ -146,10 +146,14 @@
         load: ServerLoad,
         out: &mut Vec<Action>,
     ) {
-        if let Some(view) = self.servers.get_mut(&load.server) {
+        let id = load.server.clone();
+        if let Some(view) = self.servers.get_mut(&id) {
             view.polls.on_reported(Observation::Load);
             view.silent = false;
-            view.on_report(now, load);
+            view.on_report(now, load.clone());
+            self.check_crash(now, &id);
+            self.update_views(&id);
+            self.report_to_views(now, &load);
         }
         self.dispatch_queued(now, out);
     }
@@ -167,12 +171,14 @@
         if let Some(view) = self.servers.get_mut(&id) {
             view.polls.on_reported(Observation::State);
             view.on_state(now, state);
+            self.update_views(&id);
         }
         self.dispatch_queued(now, out);
     }
 
     pub(crate) fn on_observe_failed(
         &mut self,
+        now: Timestamp,
         server: &BackendServerId,
         what: Observation,
         cause: &SmolStr,
@@ -184,6 +190,10 @@
         if what == Observation::Load && !view.silent {
             tracing::warn!(%server, %cause, "the backend server does not report its load");
             view.silent = true;
+            self.update_views(server);
+        }
+        if what == Observation::Load {
+            self.check_crash(now, server);
         }
     }
 }
--- a/crates/oleanderpass_core/src/request.rs
+++ b/crates/oleanderpass_core/src/request.rs
@@ -1,5 +1,6 @@
 //! Keep the state of one request.
 
+use oleanderpass_quarantine::evidence::Signature;
 use oleanderpass_types::clock::Timestamp;
 use oleanderpass_types::error::StepError;
 use oleanderpass_types::id::AttemptNumber;
@@ -69,6 +70,8 @@
 pub struct Request {
     /// The request as it arrived.
     pub new: Box<NewRequest>,
+    /// What identifies it if it crashes servers.
+    pub signature: Signature,
     /// The organisation of its caller.
     pub organisation: OrganisationId,
     /// The caller.
@@ -81,8 +84,6 @@
     pub ticket: Option<u64>,
     /// The end of its time.
     pub deadline: Timestamp,
-    /// The order of its admission.
-    pub order: u64,
     /// The number of the last attempt.
     pub attempt: AttemptNumber,
     /// Where it stands.
--- a/crates/oleanderpass_core/src/server.rs
+++ b/crates/oleanderpass_core/src/server.rs
@@ -15,6 +15,7 @@
 use crate::event::ListedServer;
 use crate::event::ServerLoad;
 use crate::observe::Polls;
+use crate::suspicion::Loss;
 
 /// The time after which the instance list no longer lags. A server that only the list called
 /// leaving, and that both the list and its own reports call live for this time, is live.
@@ -74,6 +75,8 @@
     pub rebuffs: u32,
     /// The last attempt found no server at the address or lost its connection.
     pub unreachable: bool,
+    /// Attempts whose connection was lost, until it is known whether the server crashed.
+    pub losses: Vec<Loss>,
     /// The server gets no work before this time.
     pub avoid_until: Timestamp,
 }
@@ -96,6 +99,7 @@
             polls: Polls::default(),
             rebuffs: 0,
             unreachable: false,
+            losses: Vec::new(),
             avoid_until: Timestamp::ORIGIN,
         };
         view.on_listed(now, listed);
--- a/crates/oleanderpass_core/src/servers.rs
+++ b/crates/oleanderpass_core/src/servers.rs
@@ -45,6 +45,7 @@
         // A view is kept while attempts run there, so that their slots stay counted.
         self.servers
             .retain(|_, view| view.listed.is_some() || view.in_flight > 0);
+        self.rebuild_views();
         self.dispatch_queued(now, out);
     }
 }
--- /dev/null
+++ b/crates/oleanderpass_core/src/suspicion.rs
@@ -0,0 +1,181 @@
+//! Notice crashes of backend servers and keep their suspects apart.
+
+use oleanderpass_proto::peer;
+use oleanderpass_quarantine::evidence::CrashId;
+use oleanderpass_quarantine::evidence::Evidence;
+use oleanderpass_quarantine::evidence::Signature;
+use oleanderpass_quarantine::rule::RunRule;
+use oleanderpass_routing::rendezvous::node_key;
+use oleanderpass_routing::rendezvous::weight;
+use oleanderpass_types::clock::Millis;
+use oleanderpass_types::clock::Timestamp;
+use oleanderpass_types::id::BackendServerId;
+use oleanderpass_types::id::Incarnation;
+use oleanderpass_types::id::OrganisationId;
+
+use crate::event::NewRequest;
+use crate::event::Observation;
+use crate::event::Target;
+use crate::instance::Instance;
+
+/// The time for which a lost connection counts towards a crash that shows later. A crashed server
+/// refuses its next load poll, or reports a new incarnation, well within it.
+const LOSS_WINDOW: Millis = Millis::from_secs(10);
+
+/// The delay before the retry of a request whose connection was lost: the time of a load poll that
+/// tells a crash from a broken connection.
+pub(crate) const CRASH_CHECK_TIME: Millis = Millis::new(500);
+
+/// An attempt whose connection was lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Loss {
+    at: Timestamp,
+    signature: Signature,
+    incarnation: Option<Incarnation>,
+    alone: bool,
+}
+
+/// Compute the signature of a request: the hash of its organisation, target and body.
+pub fn signature(organisation: &OrganisationId, new: &NewRequest) -> Signature {
+    let target = match &new.target {
+        Target::Model { model, .. } => format!("{organisation} model {model}"),
+        Target::Route(route) => format!("{organisation} route {route}"),
+    };
+    Signature(weight(new.body_hash, node_key(&target)))
+}
+
+impl Instance {
+    /// Note an attempt whose connection was lost, and ask its server whether it is up.
+    pub(crate) fn on_connection_lost(
+        &mut self,
+        now: Timestamp,
+        server: &BackendServerId,
+        incarnation: Option<Incarnation>,
+        signature: Signature,
+        alone: bool,
+    ) {
+        if let Some(view) = self.servers.get_mut(server) {
+            view.losses.retain(|loss| now.since(loss.at) < LOSS_WINDOW);
+            view.losses.push(Loss {
+                at: now,
+                signature,
+                incarnation,
+                alone,
+            });
+            view.polls.hurry(Observation::Load, now);
+        }
+    }
+
+    /// Record a crash if a connection to the incarnation was lost and the server is now down or
+    /// has a new one.
+    pub(crate) fn check_crash(&mut self, now: Timestamp, server: &BackendServerId) {
+        let Some(view) = self.servers.get_mut(server) else {
+            return;
+        };
+        let current = (!view.silent).then_some(view.incarnation).flatten();
+        let lost = view.losses.iter().find(|loss| {
+            now.since(loss.at) < LOSS_WINDOW && (current.is_none() || loss.incarnation < current)
+        });
+        let Some(incarnation) = lost.map(|loss| loss.incarnation) else {
+            // The server is up in the incarnation that lost connections: they broke on the way.
+            if current.is_some() {
+                view.losses.clear();
+            }
+            return;
+        };
+        let losses = std::mem::take(&mut view.losses);
+        let mut signatures: Vec<Signature> = losses.iter().map(|loss| loss.signature).collect();
+        let running = self
+            .attempts
+            .values()
+            .filter(|attempt| attempt.server == *server && attempt.incarnation == incarnation);
+        signatures.extend(running.map(|attempt| attempt.signature));
+        signatures.sort_unstable();
+        signatures.dedup();
+        let alone = signatures.len() == 1 && losses.iter().any(|loss| loss.alone);
+        tracing::warn!(%server, suspects = signatures.len(), alone, "a backend server crashed");
+        let evidence = Evidence {
+            crash: CrashId {
+                server: server.clone(),
+                incarnation: incarnation.unwrap_or_default(),
+            },
+            signatures,
+            alone,
+            age: Millis::ZERO,
+        };
+        self.quarantine.on_crash(now, &evidence);
+    }
+
+    /// Return whether the quarantine lets a request start on a server.
+    pub(crate) fn may_run_on(
+        &self,
+        now: Timestamp,
+        signature: Signature,
+        server: &BackendServerId,
+    ) -> bool {
+        if self.quarantine.suspects() == 0 {
+            return true;
+        }
+        let running: Vec<Signature> = self
+            .attempts
+            .values()
+            .filter(|attempt| attempt.server == *server)
+            .map(|attempt| attempt.signature)
+            .collect();
+        let copies = self
+            .attempts
+            .values()
+            .filter(|attempt| attempt.signature == signature)
+            .count();
+        let idle = self.servers.get(server).is_some_and(|view| {
+            view.load
+                .as_ref()
+                .is_none_or(|(_, load)| load.running + load.queued == 0)
+        });
+        let rule = self.quarantine.rule(now, signature);
+        (rule != RunRule::Alone || idle)
+            && self.quarantine.may_start(now, signature, &running, copies)
+    }
+
+    /// Take the evidence of a peer.
+    pub(crate) fn on_peer_evidence(&mut self, now: Timestamp, crashes: &[peer::CrashEvidence]) {
+        for raw in crashes {
+            let Ok(server) = raw.server.parse() else {
+                continue;
+            };
+            let evidence = Evidence {
+                crash: CrashId {
+                    server,
+                    incarnation: Incarnation::new(raw.server_incarnation),
+                },
+                signatures: raw.signatures.iter().copied().map(Signature).collect(),
+                alone: raw.alone,
+                age: Millis::new(raw.age_ms),
+            };
+            self.quarantine.on_crash(now, &evidence);
+        }
+    }
+
+    /// Return evidence for the next datagram.
+    #[expect(
+        dead_code,
+        reason = "datagrams are sent once the membership is in place"
+    )]
+    pub(crate) fn evidence_for_peers(
+        &mut self,
+        now: Timestamp,
+        repeats: u32,
+    ) -> Vec<peer::CrashEvidence> {
+        self.quarantine
+            .take_evidence(now, repeats)
+            .into_iter()
+            .map(|evidence| peer::CrashEvidence {
+                server: evidence.crash.server.to_string(),
+                server_incarnation: evidence.crash.incarnation.get(),
+                signatures: evidence.signatures.iter().map(|sig| sig.0).collect(),
+                alone: evidence.alone,
+                age_ms: evidence.age.get(),
+            })
+            .collect()
+    }
+}
--- a/crates/oleanderpass_core/src/tickets.rs
+++ b/crates/oleanderpass_core/src/tickets.rs
@@ -69,7 +69,7 @@
                 };
                 out.push(Action::Answer { req, answer });
             }
-            Err(Rejection { status, error }) => {
+            Err(Rejection { status, error, .. }) => {
                 self.answer(&req, Outcome::NotRun, status, Some(error), out);
             }
         }
--- a/crates/oleanderpass_core/tests/leaving.rs
+++ b/crates/oleanderpass_core/tests/leaving.rs
@@ -8,6 +8,8 @@
 
 mod common;
 
+use std::sync::Arc;
+
 use common::Bed;
 use common::load;
 use common::server;
@@ -15,6 +17,7 @@
 use oleanderpass_core::event::Event;
 use oleanderpass_core::event::Lifecycle;
 use oleanderpass_core::event::Refusal;
+use oleanderpass_proto::peer;
 use oleanderpass_types::id::BackendServerId;
 use test_case::test_case;
 
@@ -41,6 +44,19 @@
     match source {
         "list" => list(bed, Lifecycle::Leaving),
         "report" => report(bed, 5, Lifecycle::Leaving),
+        "peer" => {
+            let leaving = peer::LeavingServer {
+                server: "e1".to_owned(),
+                incarnation: 5,
+            };
+            bed.event(Event::PeerPacket {
+                from: "127.0.0.1:7000".parse().unwrap(),
+                packet: Arc::new(peer::Packet {
+                    leaving_servers: vec![leaving],
+                    ..Default::default()
+                }),
+            });
+        }
         _ => {
             let id = bed.generate();
             let start = bed.only_start(&id);
@@ -53,6 +69,7 @@
 #[test_case("list")]
 #[test_case("report")]
 #[test_case("refusal")]
+#[test_case("peer")]
 fn a_leaving_server_stays_out_in_its_incarnation(source: &str) {
     let mut bed = bed();
     leave(&mut bed, source);
@@ -67,6 +84,7 @@
 #[test_case("list")]
 #[test_case("report")]
 #[test_case("refusal")]
+#[test_case("peer")]
 fn a_new_incarnation_gets_work(source: &str) {
     let mut bed = bed();
     leave(&mut bed, source);
--- /dev/null
+++ b/crates/oleanderpass_core/tests/queue.rs
@@ -0,0 +1,117 @@
+//! Guard against requests that hold up others for longer than their share.
+
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "a failed unwrap fails the test"
+)]
+
+mod common;
+
+use common::Bed;
+use common::completed;
+use common::document;
+use common::saga;
+use common::to;
+use oleanderpass_core::event::Event;
+use oleanderpass_core::event::Source;
+use oleanderpass_types::clock::Millis;
+use oleanderpass_types::id::Digest;
+use oleanderpass_types::outcome::Outcome;
+use oleanderpass_types::size::Tokens;
+
+const SECOND: &str = r#"
+  - id: globex
+    class: large
+    models: [saga]
+    routes: [status]
+    callers:
+      - {id: desk, key_sha256: "0909090909090909090909090909090909090909090909090909090909090909"}
+"#;
+
+fn bed(engines: &[&str]) -> Bed {
+    let mut bed = Bed::new(engines, &["w1"]);
+    let text = common::DOCUMENT.replace("generation: 1", "generation: 2");
+    let text = format!("{}{SECOND}", text.trim_end_matches('\n').to_owned() + "");
+    bed.event(Event::Document(document(&text)));
+    bed
+}
+
+/// Guards against a flood of one organisation that delays another one by all of it.
+#[test]
+fn a_flood_of_one_organisation_delays_that_one_only() {
+    let mut bed = bed(&["e1"]);
+    let flood: Vec<_> = (0..50).map(|_| bed.generate()).collect();
+    let mut new = bed.request(saga());
+    new.source = Source::Caller(Digest([9; 32]));
+    let other = bed.send(new);
+    for id in &flood[..2] {
+        let start = bed.only_start(id);
+        bed.end(&start, completed());
+    }
+    assert_eq!(bed.starts_of(&other).len(), 1);
+}
+
+/// Guards against calls of plain services that wait behind generations.
+#[test]
+fn a_full_engine_does_not_hold_up_services() {
+    let mut bed = bed(&["e1"]);
+    for _ in 0..10 {
+        bed.generate();
+    }
+    let id = bed.call("status", None);
+    bed.only_start(&id);
+}
+
+/// Guards against long prompts at the head of the queue that hold up short ones, and against long
+/// prompts that run at the same priority.
+#[test]
+fn long_prompts_leave_short_ones_their_engines() {
+    let mut bed = bed(&["e1", "e2", "e3"]);
+    let mut long = Vec::new();
+    for _ in 0..12 {
+        let mut new = bed.request(saga());
+        new.prompt = Tokens::new(50_000);
+        new.timeout = Some(Millis::from_secs(600));
+        long.push(bed.send(new));
+    }
+    let started = long.iter().filter(|id| !bed.starts_of(id).is_empty());
+    assert!((1..=4).contains(&started.count()));
+    let start = bed.starts()[0].clone();
+    assert_eq!(start.priority, oleanderpass_core::event::Priority::Batch);
+    let short = bed.generate();
+    bed.only_start(&short);
+}
+
+/// Guards against an instance whose memory a burst uses up.
+#[test]
+fn the_queue_is_bounded() {
+    let mut bed = bed(&[]);
+    for _ in 0..4_096 {
+        let mut new = bed.request(to("charge"));
+        new.target = to("status");
+        new.timeout = Some(Millis::from_secs(60));
+        bed.send(new);
+    }
+    let queued = bed.instance.queued();
+    assert!(queued >= 4_000, "{queued} wait");
+    let ids: Vec<_> = (0..4).map(|_| bed.call("status", None)).collect();
+    let last = bed.said(&ids[3]);
+    assert_eq!(last, Some((Outcome::NotRun, 503)));
+}
+
+/// Guards against work that is admitted although the queue is far too slow for it.
+#[test]
+fn batch_work_is_shed_first_while_short_prompts_wait() {
+    let mut bed = bed(&["e1"]);
+    for _ in 0..8 {
+        bed.generate();
+    }
+    bed.pass(4_000);
+    let mut batch = bed.request(saga());
+    batch.priority = oleanderpass_core::event::Priority::Batch;
+    let batch = bed.send(batch);
+    assert_eq!(bed.said(&batch), Some((Outcome::NotRun, 503)));
+    let urgent = bed.generate();
+    assert_eq!(bed.said(&urgent), None);
+}
--- a/crates/oleanderpass_routing/src/policy.rs
+++ b/crates/oleanderpass_routing/src/policy.rs
@@ -170,15 +170,21 @@
     req: &Request<'_>,
     rng: &mut impl Rng,
 ) -> Choice {
-    let split = if options.long_part {
-        view.long_part().min(pool.len())
+    // Engines that are excluded, because they are full for example, don't move the border between
+    // the parts.
+    let part = if options.long_part {
+        view.long_part()
     } else {
         0
     };
+    let split = view.pool()[..part]
+        .iter()
+        .filter(|index| !req.excluded.contains(&view.at(**index).id))
+        .count();
     let (long, short) = pool.split_at(split);
     let (own, borrowed) = match class {
-        LengthClass::Short if !short.is_empty() => (short, long),
-        LengthClass::Long if !long.is_empty() => (long, &[][..]),
+        LengthClass::Short if part < view.pool().len() => (short, long),
+        LengthClass::Long if part > 0 => (long, &[][..]),
         _ => (pool, &[][..]),
     };
     let mut candidates = Vec::with_capacity(2 + 2 * RANDOM_CANDIDATES);
@@ -189,7 +195,9 @@
         candidates.extend(top_two(key, nodes).into_iter().flatten());
     }
     for _ in 0..RANDOM_CANDIDATES {
-        candidates.push(random(own, rng));
+        if !own.is_empty() {
+            candidates.push(random(own, rng));
+        }
         if !borrowed.is_empty() {
             let index = random(borrowed, rng);
             if is_idle(view, view.at(index), now, options) {
@@ -197,6 +205,9 @@
             }
         }
     }
+    if candidates.is_empty() {
+        return Choice::Refuse(Refusal::NoServer);
+    }
     let (index, best) = cheapest(view, &candidates, now, req, options.cost());
     if cannot_finish(now, req, best) {
         return Choice::Refuse(Refusal::Deadline);
