Read engines' cache events

The routing view could take cache events, but nothing read them. Read them with the load polls from a cursor for each engine; a gap in their numbers makes the view forget what it expected of that engine's cache. The edge gets one arm for the new observation.

--- a/crates/oleanderpass_core/src/event.rs
+++ b/crates/oleanderpass_core/src/event.rs
@@ -152,6 +152,13 @@
         /// The holds.
         list: Box<engine::HoldList>,
     },
+    /// An engine listed changes of its prefix cache.
+    CacheEvents {
+        /// The engine.
+        server: BackendServerId,
+        /// The changes.
+        events: Box<engine::CacheEvents>,
+    },
     /// A backend server did not answer an [`crate::action::Action::Observe`].
     ObserveFailed {
         /// The server.
@@ -208,6 +215,11 @@
     State,
     /// Its holds: `GET /holds`.
     Holds,
+    /// The changes of its prefix cache: `GET /events`.
+    CacheEvents {
+        /// The first event to read.
+        after: u64,
+    },
 }
 
 /// Where a request comes from.
--- a/crates/oleanderpass_core/src/instance.rs
+++ b/crates/oleanderpass_core/src/instance.rs
@@ -189,6 +189,7 @@
             Event::InstanceList(list) => self.on_instance_list(now, &list, out),
             Event::LoadReport(load) => self.on_load_report(now, load, out),
             Event::EngineState(state) => self.on_engine_state(now, *state, out),
+            Event::CacheEvents { server, events } => self.on_cache_events(&server, &events),
             Event::ObserveFailed {
                 server,
                 what,
--- a/crates/oleanderpass_core/src/observe.rs
+++ b/crates/oleanderpass_core/src/observe.rs
@@ -51,6 +51,9 @@
     load: Poll,
     state: Poll,
     holds: Poll,
+    cache: Poll,
+    /// The first cache event that was not read.
+    cache_cursor: u64,
 }
 
 impl Polls {
@@ -64,6 +67,8 @@
             load: poll,
             state: poll,
             holds: poll,
+            cache: poll,
+            cache_cursor: 0,
         }
     }
 
@@ -72,6 +77,7 @@
             Observation::Load => &mut self.load,
             Observation::State => &mut self.state,
             Observation::Holds => &mut self.holds,
+            Observation::CacheEvents { .. } => &mut self.cache,
         }
     }
 
@@ -88,7 +94,7 @@
 
 fn period(what: Observation) -> Millis {
     match what {
-        Observation::Load => LOAD_PERIOD,
+        Observation::Load | Observation::CacheEvents { .. } => LOAD_PERIOD,
         Observation::State | Observation::Holds => STATE_PERIOD,
     }
 }
@@ -176,6 +182,31 @@
         self.dispatch_queued(now, out);
     }
 
+    /// Bring the expected content of an engine's prefix cache in line with its events.
+    pub(crate) fn on_cache_events(&mut self, id: &BackendServerId, read: &engine::CacheEvents) {
+        let Some(server) = self.servers.get_mut(id) else {
+            return;
+        };
+        let what = Observation::CacheEvents { after: 0 };
+        server.polls.on_reported(what);
+        let cursor = std::mem::replace(&mut server.polls.cache_cursor, read.next);
+        let mut due = cursor;
+        let complete = read.next >= cursor
+            && read.events.iter().all(|event| {
+                due += 1;
+                event.number + 1 == due
+            })
+            && (read.events.is_empty() || due == read.next);
+        for view in self.views.values_mut() {
+            if !complete {
+                view.lost_cache_events(id);
+            }
+            for event in &read.events {
+                view.apply_cache_event(id, event.prefix, event.evicted);
+            }
+        }
+    }
+
     pub(crate) fn on_observe_failed(
         &mut self,
         now: Timestamp,
--- a/crates/oleanderpass_core/tests/observe.rs
+++ b/crates/oleanderpass_core/tests/observe.rs
@@ -15,7 +15,9 @@
 use oleanderpass_core::event::Event;
 use oleanderpass_core::event::Lifecycle;
 use oleanderpass_core::event::Observation;
+use oleanderpass_core::event::Prefix;
 use oleanderpass_proto::engine;
+use oleanderpass_types::size::Tokens;
 use test_case::test_case;
 
 fn polls(bed: &Bed, id: &str, kind: Observation) -> usize {
@@ -122,3 +124,48 @@
     bed.pass(100);
     assert_eq!(bed.only_start(&ids[2]).server.as_str(), "e1");
 }
+
+/// Return the engine that gets a request, when one of two engines reported that it holds the
+/// request's prefix, and some event after that was lost or not.
+fn placed(holder: &str, lost: bool) -> String {
+    let mut bed = Bed::new(&["e1", "e2"], &[]);
+    let mut read = |number, prefix| {
+        let event = engine::CacheEvent {
+            number,
+            evicted: false,
+            prefix,
+            tokens: 20_000,
+        };
+        bed.event(Event::CacheEvents {
+            server: holder.parse().unwrap(),
+            events: Box::new(engine::CacheEvents {
+                next: number + 1,
+                first: 0,
+                events: vec![event],
+            }),
+        });
+    };
+    read(0, 99);
+    read(if lost { 2 } else { 1 }, 5);
+    let mut new = bed.request(common::saga());
+    new.prompt = Tokens::new(21_000);
+    new.prefixes = vec![Prefix {
+        hash: 99,
+        tokens: Tokens::new(20_000),
+    }];
+    let id = bed.send(new);
+    bed.only_start(&id).server.to_string()
+}
+
+/// Guards against requests that miss the engine that holds their prefix.
+#[test_case("e1")]
+#[test_case("e2")]
+fn cache_events_attract_requests(holder: &str) {
+    assert_eq!(placed(holder, false), holder);
+}
+
+/// Guards against trust in a cache whose evictions may be among the events that were lost.
+#[test]
+fn lost_cache_events_end_the_attraction() {
+    assert_eq!(placed("e1", true), placed("e2", true));
+}
--- a/crates/oleanderpass_entry/src/backend/observe.rs
+++ b/crates/oleanderpass_entry/src/backend/observe.rs
@@ -63,6 +63,13 @@
                 server: self.server.clone(),
                 list: Box::new(list),
             }),
+            Observation::CacheEvents { after } => self
+                .get(&format!("/events?after={after}"))
+                .await
+                .map(|events| Event::CacheEvents {
+                    server: self.server.clone(),
+                    events: Box::new(events),
+                }),
         };
         observed.unwrap_or_else(|error| Event::ObserveFailed {
             server: self.server,
