--- a/crates/oleanderpass_core/src/observe.rs
+++ b/crates/oleanderpass_core/src/observe.rs
@@ -51,6 +51,9 @@
     load: Poll,
     state: Poll,
     holds: Poll,
+    cache: Poll,
+    /// The first cache event that was not read.
+    cache_cursor: u64,
 }
 
 impl Polls {
@@ -64,6 +67,8 @@
             load: poll,
             state: poll,
             holds: poll,
+            cache: poll,
+            cache_cursor: 0,
         }
     }
 
@@ -72,6 +77,7 @@
             Observation::Load => &mut self.load,
             Observation::State => &mut self.state,
             Observation::Holds => &mut self.holds,
+            Observation::CacheEvents { .. } => &mut self.cache,
         }
     }
 
@@ -88,7 +94,7 @@
 
 fn period(what: Observation) -> Millis {
     match what {
-        Observation::Load => LOAD_PERIOD,
+        Observation::Load | Observation::CacheEvents { .. } => LOAD_PERIOD,
         Observation::State | Observation::Holds => STATE_PERIOD,
     }
 }
@@ -146,10 +152,14 @@
         load: ServerLoad,
         out: &mut Vec<Action>,
     ) {
-        if let Some(view) = self.servers.get_mut(&load.server) {
+        let id = load.server.clone();
+        if let Some(view) = self.servers.get_mut(&id) {
             view.polls.on_reported(Observation::Load);
             view.silent = false;
-            view.on_report(now, load);
+            view.on_report(now, load.clone());
+            self.check_crash(now, &id);
+            self.update_views(&id);
+            self.report_to_views(now, &load);
         }
         self.dispatch_queued(now, out);
     }
@@ -167,12 +177,39 @@
         if let Some(view) = self.servers.get_mut(&id) {
             view.polls.on_reported(Observation::State);
             view.on_state(now, state);
+            self.update_views(&id);
         }
         self.dispatch_queued(now, out);
     }
 
+    /// Bring the expected content of an engine's prefix cache in line with its events.
+    pub(crate) fn on_cache_events(&mut self, id: &BackendServerId, read: &engine::CacheEvents) {
+        let Some(server) = self.servers.get_mut(id) else {
+            return;
+        };
+        let what = Observation::CacheEvents { after: 0 };
+        server.polls.on_reported(what);
+        let cursor = std::mem::replace(&mut server.polls.cache_cursor, read.next);
+        let mut due = cursor;
+        let complete = read.next >= cursor
+            && read.events.iter().all(|event| {
+                due += 1;
+                event.number + 1 == due
+            })
+            && (read.events.is_empty() || due == read.next);
+        for view in self.views.values_mut() {
+            if !complete {
+                view.lost_cache_events(id);
+            }
+            for event in &read.events {
+                view.apply_cache_event(id, event.prefix, event.evicted);
+            }
+        }
+    }
+
     pub(crate) fn on_observe_failed(
         &mut self,
+        now: Timestamp,
         server: &BackendServerId,
         what: Observation,
         cause: &SmolStr,
@@ -184,6 +221,10 @@
         if what == Observation::Load && !view.silent {
             tracing::warn!(%server, %cause, "the backend server does not report its load");
             view.silent = true;
+            self.update_views(server);
+        }
+        if what == Observation::Load {
+            self.check_crash(now, server);
         }
     }
 }
