Leave engine memory to short prompts

Short prompts waited for memory that long prompts held. A long prompt now goes only to an engine that keeps a fifth of its memory free, and one that needs more joins engines. Joins and the split move to modules of their own.

--- /dev/null
+++ b/crates/oleanderpass_routing/src/join.rs
@@ -0,0 +1,105 @@
+//! Choose the engines of a prompt that is larger than one engine.
+
+use std::cmp::Reverse;
+
+use oleanderpass_types::size::Tokens;
+
+use crate::cost::CostOptions;
+use crate::cost::Estimate;
+use crate::cost::estimate;
+use crate::cost::free_memory;
+use crate::policy::Choice;
+use crate::policy::Placement;
+use crate::policy::Refusal;
+use crate::policy::SIMPLE_COST;
+use crate::request::Request;
+
+/// How a policy joins engines.
+pub(crate) struct JoinRules {
+    /// The information for the estimate.
+    pub(crate) cost: CostOptions,
+    /// The memory to leave free on each engine.
+    pub(crate) reserve: Tokens,
+    /// Send the parts at lower priority.
+    pub(crate) low_priority: bool,
+    /// Refuse what can't finish in time.
+    pub(crate) refuse: bool,
+}
+
+impl Default for JoinRules {
+    fn default() -> Self {
+        Self {
+            cost: SIMPLE_COST,
+            reserve: Tokens::ZERO,
+            low_priority: false,
+            refuse: false,
+        }
+    }
+}
+
+/// Choose the least number of engines whose memory is enough, those with the most free memory
+/// first, or wait until they have it.
+///
+/// When all engines with their reserve are too small, the reserve is used.
+pub(crate) fn choose(placement: &Placement<'_>, pool: &[usize], rules: &JoinRules) -> Choice {
+    let view = placement.view;
+    let mut engines = pool.to_vec();
+    engines.sort_by_key(|index| Reverse(free_memory(view.at(*index))));
+    let (count, reserve) = match fitting(placement, &engines, rules.reserve) {
+        Some(count) => (count, rules.reserve),
+        None => match fitting(placement, &engines, Tokens::ZERO) {
+            Some(count) => (count, Tokens::ZERO),
+            None => return Choice::Refuse(Refusal::TooLarge),
+        },
+    };
+    engines.truncate(count);
+    let Some(slowest) = slowest_part(placement, &engines, rules.cost) else {
+        return Choice::Refuse(Refusal::NoServer);
+    };
+    if rules.refuse && placement.cannot_finish(slowest) {
+        return Choice::Refuse(Refusal::Deadline);
+    }
+    let need = part_memory(placement, count) + reserve;
+    if engines
+        .iter()
+        .any(|index| free_memory(view.at(*index)) < need)
+    {
+        return Choice::Wait;
+    }
+    placement.run(&engines, slowest, rules.low_priority)
+}
+
+fn part_memory(placement: &Placement<'_>, count: usize) -> Tokens {
+    Tokens::new(placement.req.memory().get().div_ceil(count as u64))
+}
+
+/// Return the least number of engines, from two on, whose memory is enough.
+fn fitting(placement: &Placement<'_>, engines: &[usize], reserve: Tokens) -> Option<usize> {
+    (2..=engines.len()).find(|count| {
+        let need = part_memory(placement, *count) + reserve;
+        engines[..*count]
+            .iter()
+            .all(|index| placement.view.at(*index).spec.memory >= need)
+    })
+}
+
+/// Estimate the part that takes longest, with the generation of the whole answer.
+fn slowest_part(
+    placement: &Placement<'_>,
+    engines: &[usize],
+    options: CostOptions,
+) -> Option<Estimate> {
+    let count = engines.len() as u64;
+    let part = Request {
+        prompt: Tokens::new(placement.req.prompt.get().div_ceil(count)),
+        prefixes: &[],
+        ..*placement.req
+    };
+    engines
+        .iter()
+        .map(|index| {
+            let server = placement.view.at(*index);
+            estimate(placement.view, server, placement.now, &part, options)
+        })
+        .max_by_key(|estimate| estimate.ttft)
+}
--- a/crates/oleanderpass_routing/src/lib.rs
+++ b/crates/oleanderpass_routing/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod cost;
 pub mod fair;
+mod join;
 pub mod overload;
 pub mod policy;
 pub mod polling;
@@ -12,4 +13,5 @@
 pub mod rendezvous;
 pub mod request;
 pub mod share;
+mod split;
 pub mod view;
--- /dev/null
+++ b/crates/oleanderpass_routing/src/split.rs
@@ -0,0 +1,150 @@
+//! Choose by length split with prefix affinity, two choices and aged load.
+
+use oleanderpass_types::clock::Millis;
+use oleanderpass_types::size::Tokens;
+use rand::Rng;
+
+use crate::cost::CostOptions;
+use crate::cost::free_memory;
+use crate::cost::others_prefill;
+use crate::join;
+use crate::join::JoinRules;
+use crate::policy::Choice;
+use crate::policy::Placement;
+use crate::policy::Refusal;
+use crate::policy::SplitOptions;
+use crate::policy::random;
+use crate::rendezvous::top_two;
+use crate::request::LengthClass;
+
+/// The estimated wait above which a short prompt stays in the local queue.
+///
+/// It keeps engines busy over one poll period, and leaves the order of the rest to the fair queue.
+const SHORT_WAIT_LIMIT: Millis = Millis::from_secs(2);
+
+/// The estimated wait above which a long prompt stays in the local queue.
+const LONG_WAIT_LIMIT: Millis = Millis::from_secs(10);
+
+/// The prompt tokens of other instances up to which an engine of the long part counts as idle.
+const IDLE_PREFILL: Tokens = Tokens::new(2_048);
+
+/// The engines drawn at random for one request, in each part.
+const RANDOM_CANDIDATES: usize = 2;
+
+/// The part of an engine's memory that long prompts leave to short ones: one in five.
+///
+/// A short prompt that finds no memory waits for the end of a long one. One fifth of 450,000
+/// tokens holds about 15 short requests, and three engines still hold 1,000,000 tokens.
+const RESERVE_DIVISOR: u64 = 5;
+
+pub(crate) fn choose(
+    placement: &Placement<'_>,
+    pool: &[usize],
+    options: SplitOptions,
+    rng: &mut impl Rng,
+) -> Choice {
+    match placement.class() {
+        LengthClass::Short => choose_short(placement, pool, options, rng),
+        LengthClass::Long => choose_long(placement, pool, options),
+    }
+}
+
+fn cost(options: SplitOptions) -> CostOptions {
+    CostOptions {
+        affinity: options.affinity,
+        aging: options.aging,
+        priorities: options.priorities,
+    }
+}
+
+/// Return the engines for long prompts and the rest.
+fn parts<'p>(
+    placement: &Placement<'_>,
+    pool: &'p [usize],
+    options: SplitOptions,
+) -> (&'p [usize], &'p [usize]) {
+    if !options.long_part || pool.len() < 2 {
+        return (pool, pool);
+    }
+    pool.split_at(placement.view.long_part().clamp(1, pool.len() - 1))
+}
+
+fn choose_short(
+    placement: &Placement<'_>,
+    pool: &[usize],
+    options: SplitOptions,
+    rng: &mut impl Rng,
+) -> Choice {
+    let (long, own) = parts(placement, pool, options);
+    let mut candidates = Vec::with_capacity(2 + 2 * RANDOM_CANDIDATES);
+    if options.affinity
+        && let Some(key) = placement.req.affinity_key()
+    {
+        let nodes = own
+            .iter()
+            .map(|index| (placement.view.at(*index).key, *index));
+        candidates.extend(top_two(key, nodes).into_iter().flatten());
+    }
+    for _ in 0..RANDOM_CANDIDATES {
+        candidates.push(random(own, rng));
+        let borrowed = random(long, rng);
+        if is_idle(placement, borrowed, options) {
+            candidates.push(borrowed);
+        }
+    }
+    let (index, best) = placement.cheapest(&candidates, cost(options));
+    if placement.cannot_finish(best) {
+        return Choice::Refuse(Refusal::Deadline);
+    }
+    if options.local_queue && best.wait > SHORT_WAIT_LIMIT {
+        return Choice::Wait;
+    }
+    placement.run(&[index], best, false)
+}
+
+fn is_idle(placement: &Placement<'_>, index: usize, options: SplitOptions) -> bool {
+    let server = placement.view.at(index);
+    let others = others_prefill(placement.view, server, placement.now, options.aging);
+    server.own.long_prefill == Tokens::ZERO && others <= IDLE_PREFILL
+}
+
+/// Choose among all engines of the long part: long prompts are rare, and each one weighs much.
+fn choose_long(placement: &Placement<'_>, pool: &[usize], options: SplitOptions) -> Choice {
+    let reserve = reserve(placement, pool, options);
+    if placement.needs_join(pool, reserve) {
+        let rules = JoinRules {
+            cost: cost(options),
+            reserve,
+            low_priority: options.priorities,
+            refuse: true,
+        };
+        return join::choose(placement, pool, &rules);
+    }
+    let (part, _) = parts(placement, pool, options);
+    let (_, best) = placement.cheapest(part, cost(options));
+    if placement.cannot_finish(best) {
+        return Choice::Refuse(Refusal::Deadline);
+    }
+    let need = placement.req.memory() + reserve;
+    let has_room =
+        |index: &usize| !options.memory_reserve || free_memory(placement.view.at(*index)) >= need;
+    let roomy: Vec<usize> = part.iter().copied().filter(has_room).collect();
+    if roomy.is_empty() {
+        return Choice::Wait;
+    }
+    let (index, best) = placement.cheapest(&roomy, cost(options));
+    if options.local_queue && best.wait > LONG_WAIT_LIMIT {
+        return Choice::Wait;
+    }
+    placement.run(&[index], best, options.priorities)
+}
+
+fn reserve(placement: &Placement<'_>, pool: &[usize], options: SplitOptions) -> Tokens {
+    if !options.memory_reserve {
+        return Tokens::ZERO;
+    }
+    let memory = pool
+        .iter()
+        .map(|index| placement.view.at(*index).spec.memory.get());
+    Tokens::new(memory.max().unwrap_or_default() / RESERVE_DIVISOR)
+}
