Estimate short queues without long work

A load report doesn't tell priorities apart, so a short prompt counted the long prompts that it overtakes as its wait, and the average spread that error over all engines. A queue longer than one short prompt now counts as long work, and the average of the other engines stands in for its short part.

--- a/crates/oleanderpass_routing/src/cost.rs
+++ b/crates/oleanderpass_routing/src/cost.rs
@@ -47,19 +47,35 @@
     pub priorities: bool,
 }
 
-/// Return the prompt tokens that other instances queue on an engine, by report and age.
-pub fn others_prefill(view: &View, server: &Server, now: Timestamp, aging: bool) -> Tokens {
-    let mean = view.mean_others_prefill().get();
+/// Return the prompt tokens of other instances that a request waits for, by report and age.
+///
+/// A short prompt that overtakes long ones waits for short ones only. Where a report shows long
+/// work, the share of short work in it is unknown and the average of other engines is used.
+pub fn others_prefill(
+    view: &View,
+    server: &Server,
+    now: Timestamp,
+    overtakes: bool,
+    aging: bool,
+) -> Tokens {
+    let mean = if overtakes {
+        view.mean_others_short_prefill()
+    } else {
+        view.mean_others_prefill()
+    };
     let Some(seen) = server.report else {
-        return Tokens::new(mean);
+        return mean;
     };
-    let reported = seen.others.queued_prefill.get();
+    if overtakes && view.shows_long_work(&seen) {
+        return mean;
+    }
+    let reported = seen.others.queued_prefill;
     if !aging {
-        return Tokens::new(reported);
+        return reported;
     }
     let half = REPORT_HALF_AGE.get();
     let age = now.since(seen.taken).get().min(1_000 * half);
-    Tokens::new((reported * half + mean * age) / (half + age))
+    Tokens::new((reported.get() * half + mean.get() * age) / (half + age))
 }
 
 /// Return the memory of an engine that no request is known to hold.
@@ -81,9 +97,9 @@
     req: &Request<'_>,
     options: CostOptions,
 ) -> Estimate {
-    let class = LengthClass::of(req.prompt, view.long_prompt);
-    let others = others_prefill(view, server, now, options.aging);
+    let class = LengthClass::of(req.prompt, view.long_prompt());
     let overtakes = options.priorities && class == LengthClass::Short;
+    let others = others_prefill(view, server, now, overtakes, options.aging);
     let ahead = if overtakes {
         server.own.short_prefill + others
     } else {
--- a/crates/oleanderpass_routing/src/policy.rs
+++ b/crates/oleanderpass_routing/src/policy.rs
@@ -146,7 +146,7 @@
 
 impl Placement<'_> {
     pub(crate) fn class(&self) -> LengthClass {
-        LengthClass::of(self.req.prompt, self.view.long_prompt)
+        LengthClass::of(self.req.prompt, self.view.long_prompt())
     }
 
     pub(crate) fn estimate(&self, index: usize, options: CostOptions) -> Estimate {
--- a/crates/oleanderpass_routing/src/split.rs
+++ b/crates/oleanderpass_routing/src/split.rs
@@ -104,7 +104,7 @@
 
 fn is_idle(placement: &Placement<'_>, index: usize, options: SplitOptions) -> bool {
     let server = placement.view.at(index);
-    let others = others_prefill(placement.view, server, placement.now, options.aging);
+    let others = others_prefill(placement.view, server, placement.now, false, options.aging);
     server.own.long_prefill == Tokens::ZERO && others <= IDLE_PREFILL
 }
 
--- a/crates/oleanderpass_routing/src/view.rs
+++ b/crates/oleanderpass_routing/src/view.rs
@@ -149,6 +149,29 @@
     pub started: bool,
 }
 
+/// The sum of the queues in some reports, without own work.
+#[derive(Clone, Copy, Debug, Default)]
+struct QueueSum {
+    tokens: u64,
+    reports: u64,
+}
+
+impl QueueSum {
+    fn add(&mut self, seen: &SeenReport) {
+        self.tokens += seen.others.queued_prefill.get();
+        self.reports += 1;
+    }
+
+    fn subtract(&mut self, seen: &SeenReport) {
+        self.tokens -= seen.others.queued_prefill.get();
+        self.reports -= 1;
+    }
+
+    fn mean(&self) -> Tokens {
+        Tokens::new(self.tokens / self.reports.max(1))
+    }
+}
+
 /// The view of the engines of one service that hold one model.
 #[derive(Clone, Debug)]
 pub struct View {
@@ -157,10 +180,11 @@
     /// Usable engines to choose from, in the order of the long part.
     pool: Vec<usize>,
     pool_is_stale: bool,
-    /// The sum of `others.queued_prefill` and the number of engines with a report.
-    reported: (u64, u64),
-    /// Prompts longer than this are long.
-    pub long_prompt: Tokens,
+    /// The reported queues of all engines.
+    reported: QueueSum,
+    /// The reported queues of engines without long work.
+    reported_short: QueueSum,
+    long_prompt: Tokens,
     /// The measured long share of the work.
     pub long_share: LongShare,
     /// The expected content of the prefix caches.
@@ -177,7 +201,8 @@
             servers: IndexMap::new(),
             pool: Vec::new(),
             pool_is_stale: false,
-            reported: (0, 0),
+            reported: QueueSum::default(),
+            reported_short: QueueSum::default(),
             long_prompt: DEFAULT_LONG_PROMPT,
             long_share: LongShare::default(),
             prefixes: PrefixIndex::default(),
@@ -185,6 +210,22 @@
         }
     }
 
+    /// Return the length from which a prompt is long.
+    pub fn long_prompt(&self) -> Tokens {
+        self.long_prompt
+    }
+
+    /// Set the length from which a prompt is long. Source: the environment document.
+    pub fn set_long_prompt(&mut self, long_prompt: Tokens) {
+        self.long_prompt = long_prompt;
+        self.reported_short = QueueSum::default();
+        for seen in self.servers.values().filter_map(|server| server.report) {
+            if !self.shows_long_work(&seen) {
+                self.reported_short.add(&seen);
+            }
+        }
+    }
+
     /// Return the view of an engine.
     pub fn server(&self, id: &BackendServerId) -> Option<&Server> {
         self.servers.get(id)
@@ -273,7 +314,20 @@
 
     /// Return the average prompt tokens that other instances queue on an engine.
     pub fn mean_others_prefill(&self) -> Tokens {
-        Tokens::new(self.reported.0 / self.reported.1.max(1))
+        self.reported.mean()
+    }
+
+    /// Return the average over the engines that have no long work in their report.
+    pub fn mean_others_short_prefill(&self) -> Tokens {
+        self.reported_short.mean()
+    }
+
+    /// Return whether a report shows long work: the queue is longer than one short prompt.
+    ///
+    /// Reports don't tell the priorities apart. Instances keep short prompts in their local queues
+    /// before an engine's queue of them gets this long.
+    pub fn shows_long_work(&self, seen: &SeenReport) -> bool {
+        seen.others.queued_prefill > self.long_prompt
     }
 
     /// Take a load report whose figures have the given age on arrival. An older one is ignored.
@@ -382,10 +436,17 @@
     }
 
     fn count_report(&mut self, old: Option<SeenReport>, new: Option<SeenReport>) {
-        let tokens = |seen: SeenReport| seen.others.queued_prefill.get();
-        self.reported.0 -= old.map_or(0, tokens);
-        self.reported.0 += new.map_or(0, tokens);
-        self.reported.1 -= u64::from(old.is_some());
-        self.reported.1 += u64::from(new.is_some());
+        if let Some(seen) = old {
+            self.reported.subtract(&seen);
+            if !self.shows_long_work(&seen) {
+                self.reported_short.subtract(&seen);
+            }
+        }
+        if let Some(seen) = new {
+            self.reported.add(&seen);
+            if !self.shows_long_work(&seen) {
+                self.reported_short.add(&seen);
+            }
+        }
     }
 }
--- a/crates/oleanderpass_routing/tests/view.rs
+++ b/crates/oleanderpass_routing/tests/view.rs
@@ -121,7 +121,7 @@
         for (number, tokens, start) in work {
             let mut dispatch = Dispatch {
                 servers: vec![engine(number)],
-                class: LengthClass::of(Tokens::new(tokens), view.long_prompt),
+                class: LengthClass::of(Tokens::new(tokens), view.long_prompt()),
                 prefill: Tokens::new(tokens),
                 memory: Tokens::new(tokens),
                 started: false,
