Borrow engines of the long part by cost

Short prompts used the long part only when a report showed it idle, which it rarely was, and queued on the rest.

--- a/crates/oleanderpass_routing/src/cost.rs
+++ b/crates/oleanderpass_routing/src/cost.rs
@@ -111,7 +111,10 @@
         Tokens::ZERO
     };
     let mut wait = server.spec.prefill_time(ahead) + memory_penalty(server, req);
-    if overtakes && server.own.long_prefill > Tokens::ZERO {
+    let reported_long = server
+        .report
+        .is_some_and(|seen| view.shows_long_work(&seen));
+    if overtakes && (server.own.long_prefill > Tokens::ZERO || reported_long) {
         wait = wait + SHARED_ENGINE_PENALTY;
     }
     let ttft = wait + server.spec.prefill_time(req.prompt.saturating_sub(hit));
--- a/crates/oleanderpass_routing/src/split.rs
+++ b/crates/oleanderpass_routing/src/split.rs
@@ -6,7 +6,6 @@
 
 use crate::cost::CostOptions;
 use crate::cost::free_memory;
-use crate::cost::others_prefill;
 use crate::join;
 use crate::join::JoinRules;
 use crate::policy::Choice;
@@ -25,9 +24,6 @@
 /// The estimated wait above which a long prompt stays in the local queue.
 const LONG_WAIT_LIMIT: Millis = Millis::from_secs(10);
 
-/// The prompt tokens of other instances up to which an engine of the long part counts as idle.
-const IDLE_PREFILL: Tokens = Tokens::new(2_048);
-
 /// The engines drawn at random for one request, in each part.
 const RANDOM_CANDIDATES: usize = 2;
 
@@ -87,10 +83,7 @@
     }
     for _ in 0..RANDOM_CANDIDATES {
         candidates.push(random(own, rng));
-        let borrowed = random(long, rng);
-        if is_idle(placement, borrowed, options) {
-            candidates.push(borrowed);
-        }
+        candidates.push(random(long, rng));
     }
     let (index, best) = placement.cheapest(&candidates, cost(options));
     if placement.cannot_finish(best) {
@@ -102,12 +95,6 @@
     placement.run(&[index], best, false)
 }
 
-fn is_idle(placement: &Placement<'_>, index: usize, options: SplitOptions) -> bool {
-    let server = placement.view.at(index);
-    let others = others_prefill(placement.view, server, placement.now, false, options.aging);
-    server.own.long_prefill == Tokens::ZERO && others <= IDLE_PREFILL
-}
-
 /// Choose among all engines of the long part: long prompts are rare, and each one weighs much.
 fn choose_long(placement: &Placement<'_>, pool: &[usize], options: SplitOptions) -> Choice {
     let reserve = reserve(placement, pool, options);
