Join more engines when they have the memory now

A prompt larger than one engine waited until the least number of engines had the memory free, and many missed their deadline in zones of four engines. It now takes smaller parts on more engines when those fit.

--- a/crates/oleanderpass_bench/src/main.rs
+++ b/crates/oleanderpass_bench/src/main.rs
@@ -23,11 +23,14 @@
     },
     /// Print the goals of the comparison as measured, for one round of changes.
     Goals,
+    /// Print each long prompt that missed its deadline at 70% load.
+    Missed,
 }
 
 fn main() -> eyre::Result<()> {
     match Args::parse().command {
         Command::Policies { docs } => pages::write(&docs),
         Command::Goals => pages::print_goals(),
+        Command::Missed => pages::print_missed(),
     }
 }
--- a/crates/oleanderpass_bench/src/pages.rs
+++ b/crates/oleanderpass_bench/src/pages.rs
@@ -6,12 +6,19 @@
 use oleanderpass_routing::policy::SplitOptions;
 use strum::IntoEnumIterator;
 
+use crate::engine::EngineFigures;
+use crate::fleet::End;
+use crate::fleet::play;
 use crate::measure::BUCKET_NAMES;
 use crate::measure::Measures;
 use crate::runs::play_all;
 use crate::scenario::Condition;
 use crate::scenario::Deployment;
+use crate::scenario::INSTANCE_SHARES;
+use crate::scenario::INSTANCE_ZONES;
 use crate::scenario::Scenario;
+use crate::trace::SECOND;
+use crate::trace::pick;
 
 /// The seeds of the comparison; the samples of all are pooled.
 const SEEDS: [u64; 3] = [11, 12, 13];
@@ -100,6 +107,44 @@
     Ok(())
 }
 
+/// Print each long prompt that missed its deadline under the split policy at 70% load.
+///
+/// # Errors
+///
+/// Return an error when a run fails.
+pub fn print_missed() -> eyre::Result<()> {
+    for deployment in Deployment::iter() {
+        for seed in SEEDS {
+            let scenario = Scenario {
+                policy: Policy::Split(SplitOptions::default()),
+                deployment,
+                condition: Condition::Healthy,
+                load: 0.7,
+                without_long: false,
+                burst: false,
+                seed,
+            };
+            let played = play(scenario, &EngineFigures::default())?;
+            for (req, record) in played.trace.iter().zip(&played.records) {
+                if req.is_long() && record.end != End::Completed {
+                    println!(
+                        "{deployment} seed {seed} at {:.1} s: {} prompt tokens, {} output tokens, \
+                         {} s to finish, zone {}, first token {:?} ms, {:?}",
+                        req.at as f64 / SECOND as f64,
+                        req.prompt,
+                        req.output,
+                        req.timeout / SECOND,
+                        INSTANCE_ZONES[pick(&INSTANCE_SHARES, req.balance)],
+                        record.ttft.map(|ttft| ttft / 1_000),
+                        record.end,
+                    );
+                }
+            }
+        }
+    }
+    Ok(())
+}
+
 fn line(with: &Measures, without: &Measures) -> String {
     let p = |q: f64| {
         (
--- a/crates/oleanderpass_routing/src/join.rs
+++ b/crates/oleanderpass_routing/src/join.rs
@@ -37,33 +37,33 @@
     }
 }
 
-/// Choose the least number of engines whose memory is enough, those with the most free memory
-/// first, or wait until they have it.
+/// Choose the least number of engines that have the memory free now, those with the most free
+/// memory first, or wait until some have it.
 ///
-/// When all engines with their reserve are too small, the reserve is used.
+/// More engines than the least number take smaller parts, which fit earlier. When all engines with
+/// their reserve are too small, the reserve is used.
 pub(crate) fn choose(placement: &Placement<'_>, pool: &[usize], rules: &JoinRules) -> Choice {
     let view = placement.view;
+    let memory = |index: usize| view.at(index).spec.memory;
     let mut engines = pool.to_vec();
     engines.sort_by_key(|index| Reverse(free_memory(view.at(*index))));
-    let (count, reserve) = match fitting(placement, &engines, rules.reserve) {
-        Some(count) => (count, rules.reserve),
-        None => match fitting(placement, &engines, Tokens::ZERO) {
-            Some(count) => (count, Tokens::ZERO),
+    let (least, reserve) = match fitting(placement, &engines, 2, rules.reserve, memory) {
+        Some(least) => (least, rules.reserve),
+        None => match fitting(placement, &engines, 2, Tokens::ZERO, memory) {
+            Some(least) => (least, Tokens::ZERO),
             None => return Choice::Refuse(Refusal::TooLarge),
         },
     };
-    engines.truncate(count);
+    let free = |index: usize| free_memory(view.at(index));
+    let room = fitting(placement, &engines, least, reserve, free);
+    engines.truncate(room.unwrap_or(least));
     let Some(slowest) = slowest_part(placement, &engines, rules.cost) else {
         return Choice::Refuse(Refusal::NoServer);
     };
     if rules.refuse && placement.cannot_finish(slowest) {
         return Choice::Refuse(Refusal::Deadline);
     }
-    let need = part_memory(placement, count) + reserve;
-    if engines
-        .iter()
-        .any(|index| free_memory(view.at(*index)) < need)
-    {
+    if room.is_none() {
         return Choice::Wait;
     }
     placement.run(&engines, slowest, rules.low_priority)
@@ -73,13 +73,17 @@
     Tokens::new(placement.req.memory().get().div_ceil(count as u64))
 }
 
-/// Return the least number of engines, from two on, whose memory is enough.
-fn fitting(placement: &Placement<'_>, engines: &[usize], reserve: Tokens) -> Option<usize> {
-    (2..=engines.len()).find(|count| {
+/// Return the least number of engines, from `least` on, that have memory for a part each.
+fn fitting(
+    placement: &Placement<'_>,
+    engines: &[usize],
+    least: usize,
+    reserve: Tokens,
+    memory: impl Fn(usize) -> Tokens,
+) -> Option<usize> {
+    (least..=engines.len()).find(|count| {
         let need = part_memory(placement, *count) + reserve;
-        engines[..*count]
-            .iter()
-            .all(|index| placement.view.at(*index).spec.memory >= need)
+        engines[..*count].iter().all(|index| memory(*index) >= need)
     })
 }
 
