Let waiting long prompts pass and serve urgent ones first

One long prompt that waited for memory kept all others of its instance waiting, also those that fitted. Others now pass it until a third of its time is over; then it goes first and the memory that becomes free is left to it.

--- a/crates/oleanderpass_bench/src/fleet.rs
+++ b/crates/oleanderpass_bench/src/fleet.rs
@@ -4,9 +4,13 @@
 use std::collections::BinaryHeap;
 
 use oleanderpass_routing::fair::FairQueue;
+use oleanderpass_routing::fair::LONG_QUEUE_SCAN;
+use oleanderpass_routing::fair::Place;
+use oleanderpass_routing::fair::URGENT_DIVISOR;
 use oleanderpass_routing::overload::Overload;
 use oleanderpass_routing::policy::Choice;
 use oleanderpass_routing::policy::Policy;
+use oleanderpass_routing::policy::Refusal;
 use oleanderpass_routing::policy::choose;
 use oleanderpass_routing::request::LengthClass;
 use oleanderpass_routing::request::Request;
@@ -133,6 +137,15 @@
     last_wait: Millis,
 }
 
+impl Entry {
+    fn queue(&mut self, class: LengthClass) -> &mut FairQueue<usize> {
+        match class {
+            LengthClass::Short => &mut self.short,
+            LengthClass::Long => &mut self.long,
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct Live {
     instance: usize,
@@ -318,10 +331,7 @@
     fn enqueue(&mut self, instance: usize, req: usize) {
         let new = &self.trace[req];
         let entry = &mut self.entries[instance];
-        let queue = match length_class(new) {
-            LengthClass::Short => &mut entry.short,
-            LengthClass::Long => &mut entry.long,
-        };
+        let queue = entry.queue(length_class(new));
         let organisation = self.organisations[new.organisation].clone();
         queue.push(
             organisation,
@@ -348,32 +358,44 @@
             .observe(Timestamp::from_millis(now / 1_000), wait);
     }
 
-    /// Dispatch from the local queues until their heads have to wait.
+    /// Dispatch from the local queues until their requests have to wait.
     fn pump(&mut self, instance: usize) {
         self.entries[instance].view.refresh();
         for class in [LengthClass::Short, LengthClass::Long] {
-            while self.pump_one(instance, class) {}
+            while self.pump_class(instance, class) {}
+        }
+    }
+
+    /// Dispatch or end one request of a class and return whether there was one.
+    fn pump_class(&mut self, instance: usize, class: LengthClass) -> bool {
+        let limit = match (class, self.scenario.policy) {
+            (LengthClass::Long, Policy::Split(_)) => LONG_QUEUE_SCAN,
+            _ => 1,
+        };
+        let is_urgent = |req: &usize| {
+            let new = &self.trace[*req];
+            self.now - new.at > new.timeout / URGENT_DIVISOR
+        };
+        for (place, urgent) in self.entries[instance].queue(class).order(limit, is_urgent) {
+            if self.try_place(instance, class, place) {
+                return true;
+            }
+            if urgent {
+                return false;
+            }
         }
+        false
     }
 
-    fn pump_one(&mut self, instance: usize, class: LengthClass) -> bool {
+    /// Dispatch or end the request at a place of a queue, unless it has to wait.
+    fn try_place(&mut self, instance: usize, class: LengthClass, place: Place) -> bool {
         let now = self.time();
         let entry = &mut self.entries[instance];
-        let queue = match class {
-            LengthClass::Short => &mut entry.short,
-            LengthClass::Long => &mut entry.long,
-        };
-        let Some((_, req)) = queue.peek() else {
+        let Some(req) = entry.queue(class).get(place).copied() else {
             return false;
         };
-        let req = *req;
         let new = &self.trace[req];
         let deadline = new.at + new.timeout;
-        if deadline <= self.now {
-            queue.pop();
-            self.records[req].end = End::Late;
-            return true;
-        }
         let request = Request {
             prompt: Tokens::new(new.prompt),
             expected_output: Tokens::new(MEAN_OUTPUT as u64),
@@ -381,30 +403,34 @@
             deadline: Timestamp::from_millis(deadline / 1_000),
             excluded: &self.live[req].excluded,
         };
-        let choice = choose(
-            self.scenario.policy,
-            &entry.view,
-            now,
-            &request,
-            &mut entry.rng,
-        );
+        let choice = if deadline <= self.now {
+            Choice::Refuse(Refusal::Deadline)
+        } else {
+            choose(
+                self.scenario.policy,
+                &entry.view,
+                now,
+                &request,
+                &mut entry.rng,
+            )
+        };
+        if choice == Choice::Wait {
+            return false;
+        }
+        entry.queue(class).take(place);
         match choice {
-            Choice::Wait => return false,
-            Choice::Refuse(_) => {
-                queue.pop();
-                self.records[req].end = End::Refused;
-            }
             Choice::Run {
                 dispatch,
                 estimate,
                 low_priority,
             } => {
-                queue.pop();
                 if class == LengthClass::Short {
                     entry.last_wait = estimate.wait;
                 }
                 self.dispatch(instance, req, dispatch, low_priority);
             }
+            Choice::Refuse(_) if deadline <= self.now => self.records[req].end = End::Late,
+            Choice::Refuse(_) | Choice::Wait => self.records[req].end = End::Refused,
         }
         true
     }
--- a/crates/oleanderpass_routing/src/fair.rs
+++ b/crates/oleanderpass_routing/src/fair.rs
@@ -13,6 +13,19 @@
 /// The scale of virtual time, so that large weights don't round work down to nothing.
 const SCALE: u64 = 1_024;
 
+/// The waiting long prompts that an instance tries to place at one time.
+pub const LONG_QUEUE_SCAN: usize = 8;
+
+/// A long prompt is urgent after this part of its time: one third.
+pub const URGENT_DIVISOR: u64 = 3;
+
+/// The place of a request in a queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Place {
+    finish: u64,
+    number: u64,
+}
+
 /// A waiting request.
 #[derive(Clone, Debug)]
 struct Waiting<T> {
@@ -24,7 +37,7 @@
 /// A queue in weighted fair order.
 #[derive(Clone, Debug)]
 pub struct FairQueue<T> {
-    waiting: BTreeMap<(u64, u64), Waiting<T>>,
+    waiting: BTreeMap<Place, Waiting<T>>,
     finish: IndexMap<OrganisationId, u64>,
     virtual_time: u64,
     number: u64,
@@ -57,7 +70,8 @@
             start,
             item,
         };
-        self.waiting.insert((finish, self.number), waiting);
+        let number = self.number;
+        self.waiting.insert(Place { finish, number }, waiting);
     }
 
     /// Return the next request without taking it.
@@ -69,7 +83,13 @@
 
     /// Take the next request.
     pub fn pop(&mut self) -> Option<(OrganisationId, T)> {
-        let (_, waiting) = self.waiting.pop_first()?;
+        let place = *self.waiting.first_key_value()?.0;
+        self.take(place)
+    }
+
+    /// Take the request at a place.
+    pub fn take(&mut self, place: Place) -> Option<(OrganisationId, T)> {
+        let waiting = self.waiting.remove(&place)?;
         self.virtual_time = self.virtual_time.max(waiting.start);
         if self.waiting.is_empty() {
             self.finish.clear();
@@ -77,6 +97,27 @@
         Some((waiting.organisation, waiting.item))
     }
 
+    /// Return the places of the first `limit` requests to try: urgent ones first, each kind in fair
+    /// order, with whether they are urgent.
+    ///
+    /// Dispatch them in this order. One that has to wait lets later ones pass, but an urgent one
+    /// doesn't: then the memory that becomes free is left to it.
+    pub fn order(&self, limit: usize, urgent: impl Fn(&T) -> bool) -> Vec<(Place, bool)> {
+        let mut places: Vec<(Place, bool)> = self
+            .waiting
+            .iter()
+            .map(|(place, waiting)| (*place, urgent(&waiting.item)))
+            .collect();
+        places.sort_by_key(|(_, urgent)| !urgent);
+        places.truncate(limit);
+        places
+    }
+
+    /// Return the request at a place.
+    pub fn get(&self, place: Place) -> Option<&T> {
+        self.waiting.get(&place).map(|waiting| &waiting.item)
+    }
+
     /// Keep the requests for which `keep` holds and return the others.
     pub fn remove_unless(&mut self, mut keep: impl FnMut(&T) -> bool) -> Vec<T> {
         let waiting = std::mem::take(&mut self.waiting);
--- a/crates/oleanderpass_routing/tests/queue.rs
+++ b/crates/oleanderpass_routing/tests/queue.rs
@@ -60,6 +60,23 @@
     assert_eq!(queue.len(), 2);
 }
 
+/// Guards against urgent requests that wait behind others, and against an unbounded scan.
+#[test]
+fn urgent_requests_go_first() {
+    let mut queue = FairQueue::default();
+    for number in 0..20 {
+        queue.push(organisation("a"), 1, Tokens::new(1), number);
+    }
+    let order = queue.order(3, |number| *number == 17);
+    let numbers: Vec<_> = order
+        .iter()
+        .map(|(place, urgent)| (*queue.get(*place).unwrap(), *urgent))
+        .collect();
+    assert_eq!(numbers, [(17, true), (0, false), (1, false)]);
+    assert_eq!(queue.take(order[0].0).unwrap().1, 17);
+    assert_eq!(queue.len(), 19);
+}
+
 /// Guards against shedding in another order than batch, long, over share, and against a level that
 /// stays up when load falls.
 #[test]
