Let urgent long prompts use the reserve and all engines of the zone

The long prompts that still missed their deadline waited for the memory reserve in zones of four engines.

--- a/crates/oleanderpass_bench/src/fleet.rs
+++ b/crates/oleanderpass_bench/src/fleet.rs
@@ -377,7 +377,7 @@
             self.now - new.at > new.timeout / URGENT_DIVISOR
         };
         for (place, urgent) in self.entries[instance].queue(class).order(limit, is_urgent) {
-            if self.try_place(instance, class, place) {
+            if self.try_place(instance, class, place, urgent) {
                 return true;
             }
             if urgent {
@@ -388,7 +388,13 @@
     }
 
     /// Dispatch or end the request at a place of a queue, unless it has to wait.
-    fn try_place(&mut self, instance: usize, class: LengthClass, place: Place) -> bool {
+    fn try_place(
+        &mut self,
+        instance: usize,
+        class: LengthClass,
+        place: Place,
+        urgent: bool,
+    ) -> bool {
         let now = self.time();
         let entry = &mut self.entries[instance];
         let Some(req) = entry.queue(class).get(place).copied() else {
@@ -401,6 +407,7 @@
             expected_output: Tokens::new(MEAN_OUTPUT as u64),
             prefixes: &new.prefixes,
             deadline: Timestamp::from_millis(deadline / 1_000),
+            urgent,
             excluded: &self.live[req].excluded,
         };
         let choice = if deadline <= self.now {
--- a/crates/oleanderpass_routing/src/request.rs
+++ b/crates/oleanderpass_routing/src/request.rs
@@ -52,6 +52,8 @@
     pub prefixes: &'a [Prefix],
     /// The end of the request's time.
     pub deadline: Timestamp,
+    /// The request has waited long: it may use what is reserved for others.
+    pub urgent: bool,
     /// Backend servers that failed or refused this request.
     pub excluded: &'a [BackendServerId],
 }
--- a/crates/oleanderpass_routing/src/split.rs
+++ b/crates/oleanderpass_routing/src/split.rs
@@ -107,7 +107,10 @@
         };
         return join::choose(placement, pool, &rules);
     }
-    let (part, _) = parts(placement, pool, options);
+    let part = match placement.req.urgent {
+        true => pool,
+        false => parts(placement, pool, options).0,
+    };
     let (_, best) = placement.cheapest(part, cost(options));
     if placement.cannot_finish(best) {
         return Choice::Refuse(Refusal::Deadline);
@@ -127,7 +130,7 @@
 }
 
 fn reserve(placement: &Placement<'_>, pool: &[usize], options: SplitOptions) -> Tokens {
-    if !options.memory_reserve {
+    if !options.memory_reserve || placement.req.urgent {
         return Tokens::ZERO;
     }
     let memory = pool
--- a/crates/oleanderpass_routing/tests/common/mod.rs
+++ b/crates/oleanderpass_routing/tests/common/mod.rs
@@ -51,6 +51,7 @@
         expected_output: Tokens::new(200),
         prefixes: &[],
         deadline: Timestamp::from_millis(300_000),
+        urgent: false,
         excluded: &[],
     }
 }
