Test the deadline at a freed slot, late reports and idle servers

Three rules of the core could be removed without a failing test: the deadline check when a slot becomes free after a pause, the refusal of reports of an earlier incarnation, and the idle server for a request after two crashes.

--- a/crates/oleanderpass_core/tests/leaving.rs
+++ b/crates/oleanderpass_core/tests/leaving.rs
@@ -93,6 +93,18 @@
     assert!(is_live(&bed));
 }
 
+/// Guards against a report that was delayed and speaks for an earlier incarnation.
+#[test]
+fn a_late_report_of_an_earlier_incarnation_changes_nothing() {
+    let mut bed = bed();
+    report(&mut bed, 6, Lifecycle::Live);
+    report(&mut bed, 5, Lifecycle::Leaving);
+    assert!(is_live(&bed));
+    report(&mut bed, 6, Lifecycle::Leaving);
+    report(&mut bed, 5, Lifecycle::Live);
+    assert!(!is_live(&bed));
+}
+
 /// Guards against a restarted server that a list which still says `leaving` shuts out for good.
 #[test]
 fn a_lagging_list_delays_a_new_incarnation_only() {
--- a/crates/oleanderpass_core/tests/request_path.rs
+++ b/crates/oleanderpass_core/tests/request_path.rs
@@ -198,15 +198,17 @@
 }
 
 /// Guards against work that is dispatched after its deadline by a process that was paused.
-#[test_case(Event::Tick; "tick first")]
-#[test_case(Event::InstanceList(std::sync::Arc::default()); "another event first")]
-fn nothing_overdue_is_dispatched_after_a_pause(first: Event) {
-    let mut bed = Bed::new(&["e1"], &[]);
-    let running = [bed.generate(), bed.generate()];
-    let queued = bed.generate();
+#[test_case(true; "tick first")]
+#[test_case(false; "free slot first")]
+fn nothing_overdue_is_dispatched_after_a_pause(tick_first: bool) {
+    let mut bed = Bed::new(&[], &["w1"]);
+    let running = [bed.call("status", None), bed.call("status", None)];
+    let queued = bed.call("status", None);
     let start = bed.only_start(&running[0]);
     bed.pause(30_000);
-    bed.event(first);
+    if tick_first {
+        bed.event(Event::Tick);
+    }
     bed.end(&start, completed());
     bed.pass(100);
     assert!(bed.starts_of(&queued).is_empty());
--- a/crates/oleanderpass_core/tests/suspicion.rs
+++ b/crates/oleanderpass_core/tests/suspicion.rs
@@ -98,6 +98,27 @@
     bed.only_start(&innocent);
 }
 
+/// Guards against a third crash that takes down the requests of other instances.
+#[test]
+fn after_two_crashes_only_an_idle_server_is_used() {
+    let mut bed = bed();
+    let id = send(&mut bed, BAD);
+    for attempt in 0..2 {
+        let start = bed.starts_of(&id)[attempt].clone();
+        crash(&mut bed, &start);
+        bed.pass(1_000);
+        if attempt == 0 {
+            for id in ENGINES.iter().filter(|id| **id != "e3") {
+                let mut busy = load(id, 3, Lifecycle::Live);
+                busy.running = 1;
+                bed.event(Event::LoadReport(busy));
+            }
+        }
+    }
+    assert_eq!(bed.starts_of(&id).len(), 3);
+    assert_eq!(bed.starts_of(&id)[2].server.as_str(), "e3");
+}
+
 #[test]
 fn the_quarantine_ends_after_10_min() {
     let mut bed = bed();
