--- a/crates/oleanderpass/src/main.rs
+++ b/crates/oleanderpass/src/main.rs
@@ -1,6 +1,7 @@
 //! Run the command line.
 
 mod check;
+mod demo;
 mod serve;
 mod status;
 
@@ -21,6 +22,8 @@
 
 #[derive(Debug, Subcommand)]
 enum Command {
+    /// Run a fleet in this process, send requests through it and check the answers.
+    Demo,
     /// Run an entry instance.
     Serve {
         /// The settings file (YAML).
@@ -52,6 +55,7 @@
 
 fn main() -> ExitCode {
     let result = match Args::parse().command {
+        Command::Demo => demo::run(),
         Command::Serve { settings } => serve::run(&settings),
         Command::Status { addr } => status::run(addr),
         Command::Check { file } => check::run(&file),
--- a/crates/oleanderpass_stand_in/src/output.rs
+++ b/crates/oleanderpass_stand_in/src/output.rs
@@ -7,6 +7,7 @@
 use oleanderpass_types::size::Bytes;
 use oleanderpass_types::size::Tokens;
 use serde::Deserialize;
+use serde_json::Value;
 use xxhash_rust::xxh3::xxh3_64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -24,7 +25,24 @@
 #[derive(Deserialize)]
 struct Message {
     #[serde(default)]
-    content: String,
+    role: String,
+    #[serde(default)]
+    content: Value,
+}
+
+impl Message {
+    /// Write the message as entry instances do before they hash its prefixes.
+    fn text(&self) -> String {
+        let part = |part: &Value| match part {
+            Value::String(text) => text.clone(),
+            part => part["text"].as_str().unwrap_or_default().to_owned(),
+        };
+        let content = match &self.content {
+            Value::Array(parts) => parts.iter().map(part).collect(),
+            content => part(content),
+        };
+        format!("{}\n{content}\n", self.role)
+    }
 }
 
 /// The parts of a caller's JSON that an engine uses.
@@ -41,10 +59,10 @@
 }
 
 impl GenerateRequest {
-    /// Return the prompt: the field `prompt`, or the contents of all messages in order.
+    /// Return the prompt: the field `prompt`, or the roles and contents of all messages in order.
     pub(crate) fn prompt(&self) -> String {
-        let contents: String = self.messages.iter().map(|m| m.content.as_str()).collect();
-        format!("{}{contents}", self.prompt)
+        let messages: String = self.messages.iter().map(Message::text).collect();
+        format!("{}{messages}", self.prompt)
     }
 
     pub(crate) fn max_tokens(&self) -> u64 {
