Run membership and document distribution in the core

The core put a document in force as soon as it was read, believed the platform's list about its peers and let the edges poll the platform. A forward whose owner dies or is replaced is answered unknown at once. A newer incarnation makes the old one shut down. What is known of a server outlives its entry in the list by 10 min, so that a list that lags doesn't bring a leaving server back.

Edges: the platform reader hands over the text of the document, and the core loop no longer reads the platform by itself.

In simulated time with 7 instances (tests/fleet.rs), a document that one of them reads is in force everywhere, a server's refusal is known everywhere and crash evidence is known everywhere within the limits of 8, 3 and 10 s that the tests check.

--- a/crates/oleanderpass_core/src/admission.rs
+++ b/crates/oleanderpass_core/src/admission.rs
@@ -108,8 +108,8 @@
     }
 
     fn admit(&mut self, now: Timestamp, new: &NewRequest) -> Result<Admission, Rejection> {
-        let document = self.document.clone().ok_or_else(|| {
-            Rejection::new(503, local_error(Step::Admit, "no document is in force"))
+        let document = self.serving_document().ok_or_else(|| {
+            Rejection::new(503, local_error(Step::Admit, "the instance is not ready"))
         })?;
         let (organisation, caller) = authenticate(&document, &new.source)?;
         let resolved = resolve(&document, &organisation, new)?;
@@ -123,8 +123,9 @@
                 not_before: now,
             },
             TicketStep::Wait(ticket) => Phase::Waiting { ticket: *ticket },
-            TicketStep::Forward(owner) => Phase::Forwarded {
-                owner: owner.clone(),
+            TicketStep::Forward(ticket) => Phase::Forwarded {
+                owner: ticket.instance.clone(),
+                incarnation: ticket.incarnation,
             },
             TicketStep::Recorded { outcome, answer } => {
                 return Ok(Admission::Recorded {
@@ -261,7 +262,7 @@
                 self.enqueue(now, &id, Millis::ZERO);
                 self.dispatch_queued(now, out);
             }
-            Phase::Forwarded { owner } => {
+            Phase::Forwarded { owner, .. } => {
                 let owner = owner.clone();
                 let deadline = req.deadline;
                 self.requests.insert(id.clone(), req);
--- a/crates/oleanderpass_core/src/attempt.rs
+++ b/crates/oleanderpass_core/src/attempt.rs
@@ -143,7 +143,8 @@
             }
             AttemptEnd::Refused(Refusal::Leaving) => {
                 let incarnation = attempt.incarnation.or(server.incarnation);
-                server.mark_leaving(now, incarnation, LeavingSource::Server);
+                let source = LeavingSource::Server;
+                self.mark_leaving(now, &attempt.server, incarnation, source);
             }
             AttemptEnd::NotSent(_)
             | AttemptEnd::Refused(Refusal::Full | Refusal::NotLoaded)
@@ -404,7 +405,7 @@
 fn current_peer(req: &Request) -> Peer {
     match &req.phase {
         Phase::Running { server, .. } => Peer::BackendServer(server.as_str().into()),
-        Phase::Forwarded { owner } => Peer::Instance(owner.as_str().into()),
+        Phase::Forwarded { owner, .. } => Peer::Instance(owner.as_str().into()),
         Phase::Queued { .. } | Phase::Waiting { .. } => Peer::Local,
     }
 }
--- a/crates/oleanderpass_core/src/documents.rs
+++ b/crates/oleanderpass_core/src/documents.rs
@@ -1,30 +1,159 @@
-//! Put documents in force.
+//! Bring documents into force and hand them to peers.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 
+use oleanderpass_config::canonical::canonical_json;
+use oleanderpass_config::distribution::Distribution;
+use oleanderpass_config::distribution::Input;
+use oleanderpass_config::distribution::Output;
 use oleanderpass_config::document::Document;
+use oleanderpass_config::readers::readers;
+use oleanderpass_config::version::Version;
 use oleanderpass_proto::environment;
+use oleanderpass_proto::peer;
 use oleanderpass_types::clock::Timestamp;
+use oleanderpass_types::id::InstanceId;
 
 use crate::action::Action;
+use crate::event::CallId;
 use crate::instance::Instance;
 
 impl Instance {
+    /// Start the distribution with the first event, because only events tell the time.
+    pub(crate) fn begin_distribution(&mut self, now: Timestamp) {
+        if self.distribution.is_none() {
+            let me = self.identity.instance.clone();
+            self.distribution = Some(Distribution::new(now, me));
+        }
+    }
+
     pub(crate) fn on_document(
         &mut self,
         now: Timestamp,
         raw: &environment::Document,
         out: &mut Vec<Action>,
     ) {
-        match Document::try_from(raw) {
-            Ok(document) if document.generation > self.generation() => {
-                tracing::info!(generation = %document.generation, "document is in force");
-                self.document = Some(Arc::new(document));
-                self.rebuild_views();
-                self.dispatch_queued(now, out);
+        // The canonical form is JSON, and so YAML.
+        let text = canonical_json(raw).map(String::from_utf8);
+        match text {
+            Ok(Ok(text)) => self.distribute(now, Input::Text(&text), out),
+            _ => tracing::error!("a parsed document has no canonical form"),
+        }
+    }
+
+    pub(crate) fn on_fetch_call(
+        &mut self,
+        call: CallId,
+        query: &peer::FetchDocumentRequest,
+        out: &mut Vec<Action>,
+    ) {
+        let answer = self
+            .distribution
+            .as_ref()
+            .and_then(|distribution| distribution.answer(query))
+            .unwrap_or_default();
+        let answer = Box::new(answer);
+        out.push(Action::AnswerFetch { call, answer });
+    }
+
+    /// Hand an input to the distribution and carry out its outputs.
+    pub(crate) fn distribute(&mut self, now: Timestamp, input: Input<'_>, out: &mut Vec<Action>) {
+        let Some(distribution) = &mut self.distribution else {
+            return;
+        };
+        let mut outputs = Vec::new();
+        distribution.handle(now, input, &mut outputs);
+        let mut queue = VecDeque::from(outputs);
+        while let Some(output) = queue.pop_front() {
+            let unreachable = self.carry_out(now, output, out);
+            if let (Some(peer), Some(distribution)) = (unreachable, &mut self.distribution) {
+                let mut outputs = Vec::new();
+                distribution.handle(now, Input::FetchFailed(&peer), &mut outputs);
+                queue.extend(outputs);
+            }
+        }
+    }
+
+    /// Carry out one output. Return the peer of a fetch that has no known address.
+    fn carry_out(
+        &mut self,
+        now: Timestamp,
+        output: Output,
+        out: &mut Vec<Action>,
+    ) -> Option<InstanceId> {
+        match output {
+            Output::Read(read) => out.push(Action::ReadDocument {
+                after: read.after,
+                wait: read.wait,
+            }),
+            Output::Fetch { peer, held, wanted } => {
+                let Some(addr) = self.peer_addr_of(&peer) else {
+                    return Some(peer);
+                };
+                let query = peer::FetchDocumentRequest {
+                    proof: None,
+                    held: held.map(|version| version.to_message(false)),
+                    wanted: Some(wanted.to_message(false)),
+                };
+                out.push(Action::FetchDocument {
+                    from: peer,
+                    addr,
+                    query: Box::new(query),
+                });
             }
-            Ok(_) => {}
-            Err(errors) => tracing::warn!(%errors, "rejected a document"),
+            Output::Announce => self.contact_readers(now, out),
+            Output::InForce(document) => self.put_in_force(now, document, out),
+            Output::Rejected(rejection) => {
+                tracing::warn!(%rejection, "rejected a document");
+                self.rejected_documents += 1;
+                self.last_rejection = Some(rejection.to_string().into());
+            }
+            Output::Split { kept, lost } => {
+                tracing::error!(%kept, %lost, "two contents of one generation were in force");
+                self.document_splits += 1;
+            }
+            Output::Ready => tracing::info!("the instance is ready"),
         }
+        None
+    }
+
+    fn put_in_force(&mut self, now: Timestamp, document: Arc<Document>, out: &mut Vec<Action>) {
+        tracing::info!(generation = %document.generation, "a document is in force");
+        self.document = Some(document);
+        self.rebuild_views();
+        self.dispatch_queued(now, out);
+    }
+
+    /// Tell the readers of all zones at once what this instance announces.
+    fn contact_readers(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let addrs: Vec<_> = self
+            .readers_of_all_zones()
+            .iter()
+            .filter_map(|id| self.peer_addr_of(id))
+            .collect();
+        self.contact(now, &addrs, out);
+    }
+
+    fn readers_of_all_zones(&self) -> Vec<InstanceId> {
+        let Some(membership) = &self.membership else {
+            return Vec::new();
+        };
+        let usable = || membership.present().filter(|member| member.takes_work());
+        let mut zones: Vec<_> = usable().map(|member| &member.zone).collect();
+        zones.sort();
+        zones.dedup();
+        zones
+            .into_iter()
+            .flat_map(|zone| {
+                let members = usable().filter(|member| member.zone == *zone);
+                readers(members.map(|member| &member.id))
+            })
+            .collect()
+    }
+
+    /// Return the version in force.
+    pub fn version_in_force(&self) -> Option<Version> {
+        self.distribution.as_ref().and_then(Distribution::in_force)
     }
 }
--- a/crates/oleanderpass_core/src/drain.rs
+++ b/crates/oleanderpass_core/src/drain.rs
@@ -1,5 +1,6 @@
 //! Shut the instance down without interrupting a request.
 
+use oleanderpass_membership::membership::Input;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::clock::Timestamp;
 
@@ -26,12 +27,13 @@
 }
 
 impl Instance {
-    pub(crate) fn on_shutdown(&mut self, now: Timestamp) {
+    pub(crate) fn on_shutdown(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         if self.drain == Drain::Serving {
             tracing::info!(in_flight = self.requests.len(), "shutting down");
             self.drain = Drain::Announced {
                 until: now + BALANCER_LAG,
             };
+            self.run_membership(now, Input::Leave, out);
         }
     }
 
--- a/crates/oleanderpass_core/src/event.rs
+++ b/crates/oleanderpass_core/src/event.rs
@@ -78,7 +78,9 @@
     },
     /// A connection to a peer could not be opened or broke.
     PeerUnreachable(InstanceId),
-    /// A document was read from the platform.
+    /// The text of a document was read from the platform.
+    DocumentText(Arc<str>),
+    /// A document was read from the platform and parsed.
     Document(Arc<environment::Document>),
     /// The platform holds no later document than the one that was asked for.
     DocumentUnchanged,
--- a/crates/oleanderpass_core/src/instance.rs
+++ b/crates/oleanderpass_core/src/instance.rs
@@ -4,7 +4,10 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
+use oleanderpass_config::distribution::Distribution;
+use oleanderpass_config::distribution::Input;
 use oleanderpass_config::document::Document;
+use oleanderpass_membership::membership::Membership;
 use oleanderpass_quarantine::table::Quarantine;
 use oleanderpass_routing::overload::Overload;
 use oleanderpass_routing::view::View;
@@ -53,7 +56,16 @@
     pub(crate) fleet_key: FleetKey,
     pub(crate) peer_addr: Option<SocketAddr>,
     pub(crate) seeds: Vec<SocketAddr>,
+    pub(crate) distribution: Option<Distribution>,
+    pub(crate) membership: Option<Membership>,
+    /// The document in force.
     pub(crate) document: Option<Arc<Document>>,
+    pub(crate) rejected_documents: u64,
+    pub(crate) last_rejection: Option<SmolStr>,
+    pub(crate) document_splits: u64,
+    pub(crate) next_list_read: Timestamp,
+    /// Leaving servers to tell peers of, with the number of datagrams that carried each.
+    pub(crate) leaving_news: IndexMap<BackendServerId, (Incarnation, u32)>,
     /// The peers in the platform's list.
     pub(crate) listed_peers: IndexMap<InstanceId, SocketAddr>,
     pub(crate) servers: IndexMap<BackendServerId, ServerView>,
@@ -82,7 +94,14 @@
             fleet_key: FleetKey::default(),
             peer_addr: None,
             seeds: Vec::new(),
+            distribution: None,
+            membership: None,
             document: None,
+            rejected_documents: 0,
+            last_rejection: None,
+            document_splits: 0,
+            next_list_read: Timestamp::ORIGIN,
+            leaving_news: IndexMap::new(),
             listed_peers: IndexMap::new(),
             servers: IndexMap::new(),
             requests: IndexMap::new(),
@@ -132,7 +151,35 @@
 
     /// Return whether the balancer should send callers here.
     pub fn is_ready(&self) -> bool {
-        self.document.is_some() && self.drain == Drain::Serving
+        self.serving_document().is_some() && self.drain == Drain::Serving
+    }
+
+    /// Return the document in force, once the instance knows that it is current.
+    pub(crate) fn serving_document(&self) -> Option<Arc<Document>> {
+        self.distribution
+            .as_ref()
+            .filter(|distribution| distribution.is_ready())
+            .and(self.document.clone())
+    }
+
+    /// Return the distribution of documents, once the first event has come.
+    pub fn distribution(&self) -> Option<&Distribution> {
+        self.distribution.as_ref()
+    }
+
+    /// Return the view of the other instances, if this one has an address for peers.
+    pub fn membership(&self) -> Option<&Membership> {
+        self.membership.as_ref()
+    }
+
+    /// Return how many documents were rejected, and why the last one.
+    pub fn rejected_documents(&self) -> (u64, Option<&str>) {
+        (self.rejected_documents, self.last_rejection.as_deref())
+    }
+
+    /// Return how often two contents of one generation were found in force.
+    pub fn document_splits(&self) -> u64 {
+        self.document_splits
     }
 
     /// Return where the instance stands in its shutdown.
@@ -172,6 +219,8 @@
 
     /// Take an event and append the resulting actions to `out`.
     pub fn handle(&mut self, now: Timestamp, event: Event, out: &mut Vec<Action>) {
+        self.begin_distribution(now);
+        self.begin_membership(now);
         match event {
             Event::Request(new) => self.on_request(now, new, out),
             Event::IssueTicket { req, key, route } => {
@@ -195,20 +244,31 @@
                 what,
                 cause,
             } => self.on_observe_failed(now, &server, what, &cause),
-            Event::Shutdown => self.on_shutdown(now),
+            Event::Shutdown => self.on_shutdown(now, out),
             Event::Tick => self.on_tick(now, out),
-            Event::PeerPacket { packet, .. } => self.on_peer_packet(now, &packet, out),
-            Event::PeerUnreachable(_)
-            | Event::DocumentUnchanged
-            | Event::DocumentMalformed { .. }
-            | Event::DocumentReadFailed { .. }
-            | Event::DocumentFetched { .. }
-            | Event::DocumentFetchFailed { .. }
-            | Event::FetchDocumentCall { .. }
-            | Event::LeaseQuotaCall { .. }
+            Event::PeerPacket { from, packet } => self.on_peer_packet(now, from, &packet, out),
+            Event::PeerUnreachable(peer) => self.on_peer_unreachable(now, &peer, out),
+            Event::DocumentText(text) => self.distribute(now, Input::Text(&text), out),
+            Event::DocumentUnchanged => self.distribute(now, Input::NoNews, out),
+            Event::DocumentMalformed { cause } | Event::DocumentReadFailed { cause } => {
+                tracing::warn!(%cause, "could not read the document");
+                self.distribute(now, Input::ReadFailed, out);
+            }
+            Event::DocumentFetched { from, answer } => {
+                let (peer, answer) = (&from, answer.as_ref());
+                self.distribute(now, Input::Fetched { peer, answer }, out);
+            }
+            Event::DocumentFetchFailed { from, cause } => {
+                tracing::info!(peer = %from, %cause, "could not fetch a document");
+                self.distribute(now, Input::FetchFailed(&from), out);
+            }
+            Event::FetchDocumentCall { call, query } => self.on_fetch_call(call, &query, out),
+            Event::InstanceListFailed { cause } => {
+                tracing::warn!(%cause, "could not read the instance list");
+            }
+            Event::LeaseQuotaCall { .. }
             | Event::QuotaLeased { .. }
             | Event::QuotaLeaseFailed { .. }
-            | Event::InstanceListFailed { .. }
             | Event::HoldList { .. }
             | Event::OrderAnswered { .. }
             | Event::HoldAnswered { .. }
@@ -217,6 +277,9 @@
     }
 
     fn on_tick(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        self.run_membership(now, oleanderpass_membership::membership::Input::Tick, out);
+        self.distribute(now, Input::Tick, out);
+        self.read_list(now, out);
         self.end_overdue(now, out);
         self.ledger.expire(now);
         self.quarantine.tick(now);
--- a/crates/oleanderpass_core/src/observe.rs
+++ b/crates/oleanderpass_core/src/observe.rs
@@ -2,6 +2,10 @@
 
 use oleanderpass_config::document::ServiceKind;
 use oleanderpass_proto::engine;
+use oleanderpass_routing::polling::POLL_ALL_LIMIT;
+use oleanderpass_routing::polling::POLL_PERIOD;
+use oleanderpass_routing::polling::polls;
+use oleanderpass_routing::rendezvous::node_key;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::clock::Timestamp;
 use oleanderpass_types::id::BackendServerId;
@@ -15,7 +19,7 @@
 use crate::server::ServerView;
 
 /// The time between two load polls of a server.
-pub const LOAD_PERIOD: Millis = Millis::from_secs(2);
+pub const LOAD_PERIOD: Millis = POLL_PERIOD;
 
 /// The time between two reads of an engine's models and role, and of its holds.
 pub const STATE_PERIOD: Millis = Millis::from_secs(5);
@@ -133,15 +137,24 @@
         }
     }
 
-    /// Return the servers that this instance polls: those of its zone, and leaving ones of other
-    /// zones, whose next incarnation it would not notice otherwise.
+    /// Return the servers that this instance polls: its part of those of its zone, and leaving ones
+    /// of other zones, whose next incarnation it would not notice otherwise.
     fn polled_servers(&self) -> Vec<BackendServerId> {
-        let polls = |view: &ServerView| {
-            view.listed.is_some() && (view.zone == self.identity.zone || view.leaving.is_some())
+        let in_zone = |view: &ServerView| view.zone == self.identity.zone;
+        let count = self.servers.values().filter(|view| in_zone(view)).count();
+        let own = node_key(self.identity.instance.as_str());
+        let mut instances = vec![own];
+        if count > POLL_ALL_LIMIT {
+            let peers = self.live_peers_of_zone();
+            instances.extend(peers.iter().map(|id| node_key(id.as_str())));
+        }
+        let polled = |id: &BackendServerId, view: &ServerView| {
+            let part = || polls(own, &instances, node_key(id.as_str()), count);
+            view.listed.is_some() && (view.leaving.is_some() || (in_zone(view) && part()))
         };
         self.servers
             .iter()
-            .filter(|(_, view)| polls(view))
+            .filter(|(id, view)| polled(id, view))
             .map(|(id, _)| id.clone())
             .collect()
     }
@@ -156,7 +169,9 @@
         if let Some(view) = self.servers.get_mut(&id) {
             view.polls.on_reported(Observation::Load);
             view.silent = false;
-            view.on_report(now, load.clone());
+            if view.on_report(now, load.clone()) {
+                self.spread_leaving(&id);
+            }
             self.check_crash(now, &id);
             self.update_views(&id);
             self.report_to_views(now, &load);
--- a/crates/oleanderpass_core/src/peers.rs
+++ b/crates/oleanderpass_core/src/peers.rs
@@ -1,54 +1,293 @@
-//! Reach other entry instances.
+//! Talk with other entry instances.
 
 use std::net::SocketAddr;
 
+use oleanderpass_config::distribution::Input as DocumentInput;
+use oleanderpass_membership::member::Liveness;
+use oleanderpass_membership::member::Member;
+use oleanderpass_membership::membership::Identity;
+use oleanderpass_membership::membership::Input;
+use oleanderpass_membership::membership::Membership;
+use oleanderpass_membership::membership::Output;
+use oleanderpass_membership::packet::Extra;
+use oleanderpass_membership::packet::attach;
 use oleanderpass_proto::peer;
 use oleanderpass_types::clock::Timestamp;
+use oleanderpass_types::error::Peer;
+use oleanderpass_types::error::Step;
+use oleanderpass_types::error::StepError;
 use oleanderpass_types::id::BackendServerId;
 use oleanderpass_types::id::Incarnation;
 use oleanderpass_types::id::InstanceId;
+use oleanderpass_types::id::RequestId;
+use oleanderpass_types::outcome::Outcome;
 
 use crate::action::Action;
 use crate::instance::Instance;
+use crate::request::Phase;
 use crate::server::LeavingSource;
 
+/// The leaving servers in one datagram. Four with the longest ids take 310 of the 468 bytes that
+/// member updates leave.
+const MAX_LEAVING_PER_PACKET: usize = 4;
+
 impl Instance {
+    /// Start the membership with the first event, because only events tell the time.
+    pub(crate) fn begin_membership(&mut self, now: Timestamp) {
+        let (None, Some(addr)) = (&self.membership, self.peer_addr) else {
+            return;
+        };
+        let identity = Identity {
+            id: self.identity.instance.clone(),
+            incarnation: self.identity.incarnation,
+            zone: self.identity.zone.clone(),
+            addr,
+        };
+        self.membership = Some(Membership::new(now, identity, self.seeds.clone()));
+    }
+
     pub(crate) fn on_peer_packet(
         &mut self,
         now: Timestamp,
+        source: SocketAddr,
         packet: &peer::Packet,
         out: &mut Vec<Action>,
     ) {
+        self.run_membership(now, Input::Packet { source, packet }, out);
+        if let Ok(peer) = packet.from.parse::<InstanceId>()
+            && peer != self.identity.instance
+        {
+            let heard = DocumentInput::Heard {
+                peer: &peer,
+                in_force: packet.in_force.as_ref(),
+                candidates: &packet.candidates,
+            };
+            self.distribute(now, heard, out);
+        }
         self.on_peer_evidence(now, &packet.crashes);
         self.on_peer_leaving(now, &packet.leaving_servers);
         self.dispatch_queued(now, out);
     }
 
+    pub(crate) fn on_peer_unreachable(
+        &mut self,
+        now: Timestamp,
+        peer: &InstanceId,
+        out: &mut Vec<Action>,
+    ) {
+        if let Some(addr) = self.peer_addr_of(peer) {
+            self.run_membership(now, Input::SendFailed(addr), out);
+        }
+    }
+
+    /// Tell some addresses at once what this instance has to say.
+    pub(crate) fn contact(&mut self, now: Timestamp, addrs: &[SocketAddr], out: &mut Vec<Action>) {
+        self.run_membership(now, Input::Contact(addrs), out);
+    }
+
+    /// Hand an input to the membership and carry out its outputs.
+    pub(crate) fn run_membership(
+        &mut self,
+        now: Timestamp,
+        input: Input<'_>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(membership) = &mut self.membership else {
+            return;
+        };
+        let mut outputs = Vec::new();
+        membership.handle(now, input, &mut self.rng, &mut outputs);
+        let mut changed = false;
+        for output in outputs {
+            match output {
+                Output::Send { to, packet } => self.send_packet(now, to, packet, out),
+                Output::Changed(member) => {
+                    changed = true;
+                    self.on_member_changed(now, &member, out);
+                }
+                Output::Superseded(incarnation) => {
+                    tracing::warn!(%incarnation, "a newer incarnation of this instance runs");
+                    self.on_shutdown(now, out);
+                }
+            }
+        }
+        if changed {
+            self.announce_members(now, out);
+        }
+    }
+
+    fn send_packet(
+        &mut self,
+        now: Timestamp,
+        to: SocketAddr,
+        mut packet: peer::Packet,
+        out: &mut Vec<Action>,
+    ) {
+        let repeats = self.repetitions();
+        let distribution = self.distribution.as_ref();
+        let in_force = distribution.and_then(|held| held.in_force());
+        let extra = Extra {
+            in_force: in_force.map(|version| version.to_message(false)),
+            candidates: distribution
+                .map(|held| held.announced())
+                .unwrap_or_default(),
+            leaving_servers: self.leaving_news(repeats),
+            crashes: self.evidence_for_peers(now, repeats),
+        };
+        let attached = attach(&mut packet, &extra);
+        for leaving in extra.leaving_servers.iter().take(attached.leaving_servers) {
+            self.count_leaving_news(leaving);
+        }
+        let packet = Box::new(packet);
+        out.push(Action::SendPacket { to, packet });
+    }
+
+    /// Return how often news is repeated: 3·log2(n), as for member updates.
+    fn repetitions(&self) -> u32 {
+        let members = self
+            .membership
+            .as_ref()
+            .map_or(0, |membership| membership.present().count());
+        3 * (members + 1).next_power_of_two().ilog2().max(1)
+    }
+
+    fn on_member_changed(&mut self, now: Timestamp, member: &Member, out: &mut Vec<Action>) {
+        tracing::info!(
+            instance = %member.id,
+            incarnation = %member.incarnation,
+            liveness = %member.liveness,
+            leaving = member.leaving,
+            "an entry instance changed"
+        );
+        let forwarded: Vec<RequestId> = self
+            .requests
+            .iter()
+            .filter(|(_, req)| {
+                matches!(&req.phase, Phase::Forwarded { owner, incarnation }
+                    if *owner == member.id && !may_answer(member, *incarnation))
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in forwarded {
+            let peer = Peer::Instance(member.id.as_str().into());
+            let error = StepError::new(Step::Forward, peer, "the owner of the ticket is gone");
+            self.finish(now, &id, Outcome::Unknown, 502, Some(error), None, out);
+        }
+    }
+
+    /// Tell the distribution who is there.
+    fn announce_members(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let zone = self.live_peers_of_zone();
+        let all: Vec<InstanceId> = self
+            .membership
+            .iter()
+            .flat_map(Membership::present)
+            .map(|member| member.id.clone())
+            .collect();
+        let members = DocumentInput::Members {
+            zone: &zone,
+            all: &all,
+        };
+        self.distribute(now, members, out);
+    }
+
+    /// Return the other instances of the own zone that are alive and not leaving.
+    pub(crate) fn live_peers_of_zone(&self) -> Vec<InstanceId> {
+        self.membership
+            .iter()
+            .flat_map(Membership::present)
+            .filter(|member| {
+                member.zone == self.identity.zone
+                    && member.liveness == Liveness::Alive
+                    && !member.leaving
+            })
+            .map(|member| member.id.clone())
+            .collect()
+    }
+
     /// Note the backend servers that peers know to be leaving.
     fn on_peer_leaving(&mut self, now: Timestamp, leaving: &[peer::LeavingServer]) {
         for raw in leaving {
-            let Ok(id) = raw.server.parse::<BackendServerId>() else {
-                continue;
-            };
-            if let Some(view) = self.servers.get_mut(&id) {
+            if let Ok(id) = raw.server.parse::<BackendServerId>() {
                 let incarnation = Incarnation::new(raw.incarnation);
-                view.mark_leaving(now, Some(incarnation), LeavingSource::Server);
-                self.update_views(&id);
+                self.mark_leaving(now, &id, Some(incarnation), LeavingSource::Server);
             }
         }
     }
 
+    /// Note that a server is leaving, and spread the news.
+    pub(crate) fn mark_leaving(
+        &mut self,
+        now: Timestamp,
+        id: &BackendServerId,
+        incarnation: Option<Incarnation>,
+        source: LeavingSource,
+    ) {
+        let Some(view) = self.servers.get_mut(id) else {
+            return;
+        };
+        if view.mark_leaving(now, incarnation, source) {
+            self.spread_leaving(id);
+            self.update_views(id);
+        }
+    }
+
+    /// Spread that a server is leaving, if the server itself or a peer said so.
+    pub(crate) fn spread_leaving(&mut self, id: &BackendServerId) {
+        let leaving = self.servers.get(id).and_then(|view| view.leaving);
+        if let Some(leaving) = leaving
+            && leaving.source == LeavingSource::Server
+            && let Some(incarnation) = leaving.incarnation
+        {
+            self.leaving_news.insert(id.clone(), (incarnation, 0));
+        }
+    }
+
+    /// Return the leaving servers for the next datagram, the least repeated first.
+    fn leaving_news(&mut self, repeats: u32) -> Vec<peer::LeavingServer> {
+        self.leaving_news.retain(|_, (_, sent)| *sent < repeats);
+        let mut news: Vec<_> = self.leaving_news.iter().collect();
+        news.sort_by_key(|(_, (_, sent))| *sent);
+        news.into_iter()
+            .take(MAX_LEAVING_PER_PACKET)
+            .map(|(id, (incarnation, _))| peer::LeavingServer {
+                server: id.to_string(),
+                incarnation: incarnation.get(),
+            })
+            .collect()
+    }
+
+    fn count_leaving_news(&mut self, sent: &peer::LeavingServer) {
+        if let Ok(id) = sent.server.parse::<BackendServerId>()
+            && let Some((_, count)) = self.leaving_news.get_mut(&id)
+        {
+            *count += 1;
+        }
+    }
+
     /// Return the address of a ticket's owner, unless the owner is known to be gone.
     pub(crate) fn owner_addr(
         &self,
         owner: &InstanceId,
-        _incarnation: Incarnation,
+        incarnation: Incarnation,
     ) -> Option<SocketAddr> {
-        self.peer_addr_of(owner)
+        let member = self.membership.as_ref().and_then(|held| held.get(owner));
+        match member {
+            Some(member) => may_answer(member, incarnation).then_some(member.addr),
+            None => self.listed_peers.get(owner).copied(),
+        }
     }
 
     /// Return the address of a peer.
     pub(crate) fn peer_addr_of(&self, peer: &InstanceId) -> Option<SocketAddr> {
-        self.listed_peers.get(peer).copied()
+        let member = self.membership.as_ref().and_then(|held| held.get(peer));
+        member
+            .map(|member| member.addr)
+            .or_else(|| self.listed_peers.get(peer).copied())
     }
 }
+
+/// Return whether an incarnation of a member may still answer.
+fn may_answer(member: &Member, incarnation: Incarnation) -> bool {
+    member.liveness != Liveness::Dead && member.incarnation <= incarnation
+}
--- a/crates/oleanderpass_core/src/request.rs
+++ b/crates/oleanderpass_core/src/request.rs
@@ -6,6 +6,7 @@
 use oleanderpass_types::id::AttemptNumber;
 use oleanderpass_types::id::BackendServerId;
 use oleanderpass_types::id::CallerId;
+use oleanderpass_types::id::Incarnation;
 use oleanderpass_types::id::InstanceId;
 use oleanderpass_types::id::OrganisationId;
 use oleanderpass_types::id::ServiceId;
@@ -57,6 +58,8 @@
     Forwarded {
         /// The owner.
         owner: InstanceId,
+        /// The incarnation that issued the ticket.
+        incarnation: Incarnation,
     },
     /// It waits for the end of an earlier use of its ticket.
     Waiting {
--- a/crates/oleanderpass_core/src/server.rs
+++ b/crates/oleanderpass_core/src/server.rs
@@ -135,13 +135,14 @@
         self.set_listed(now, None);
     }
 
-    /// Note that an incarnation takes no new work. Ignore what concerns an earlier incarnation.
+    /// Note that an incarnation takes no new work, and return whether this is news. Ignore what
+    /// concerns an earlier incarnation.
     pub fn mark_leaving(
         &mut self,
         now: Timestamp,
         incarnation: Option<Incarnation>,
         source: LeavingSource,
-    ) {
+    ) -> bool {
         let earlier =
             matches!((incarnation, self.incarnation), (Some(i), Some(known)) if i < known);
         let weaker = self.leaving.is_some_and(|held| {
@@ -150,31 +151,33 @@
                     && (held.source == source || held.source == LeavingSource::Server))
         });
         if earlier || weaker {
-            return;
+            return false;
         }
         self.leaving = Some(Leaving {
             incarnation,
             source,
             since: now,
         });
+        true
     }
 
-    /// Take a load report. Ignore one of an earlier incarnation.
-    pub fn on_report(&mut self, now: Timestamp, load: ServerLoad) {
+    /// Take a load report, and return whether it is the first that calls the incarnation leaving.
+    /// Ignore one of an earlier incarnation.
+    pub fn on_report(&mut self, now: Timestamp, load: ServerLoad) -> bool {
         if self
             .incarnation
             .is_some_and(|known| load.incarnation < known)
         {
-            return;
+            return false;
         }
         if self.incarnation != Some(load.incarnation) {
             self.begin_incarnation(load.incarnation);
         }
-        if load.state == Lifecycle::Leaving {
-            self.mark_leaving(now, Some(load.incarnation), LeavingSource::Server);
-        }
+        let news = load.state == Lifecycle::Leaving
+            && self.mark_leaving(now, Some(load.incarnation), LeavingSource::Server);
         self.load = Some((now, load));
         self.clear_outdated_mark(now);
+        news
     }
 
     /// Take the models and the role of an engine. Ignore those of an earlier incarnation.
--- a/crates/oleanderpass_core/src/servers.rs
+++ b/crates/oleanderpass_core/src/servers.rs
@@ -1,6 +1,10 @@
 //! Follow the state of the backend servers.
 
+use std::net::SocketAddr;
+
 use indexmap::IndexSet;
+use oleanderpass_membership::membership::Input;
+use oleanderpass_types::clock::Millis;
 use oleanderpass_types::clock::Timestamp;
 use oleanderpass_types::id::BackendServerId;
 
@@ -10,6 +14,13 @@
 use crate::observe::Polls;
 use crate::server::ServerView;
 
+/// The time between two reads of the platform's instance list. The list may be the only one that
+/// says that a server is leaving, of which the target allows 3 s.
+const LIST_PERIOD: Millis = Millis::from_secs(1);
+
+/// The time for which what is known of a server outlives its entry in the list.
+const UNLISTED_RETENTION: Millis = Millis::from_secs(600);
+
 impl Instance {
     pub(crate) fn on_instance_list(
         &mut self,
@@ -22,6 +33,8 @@
             .iter()
             .map(|listed| (listed.id.clone(), listed.peer_addr))
             .collect();
+        let addrs: Vec<SocketAddr> = self.listed_peers.values().copied().collect();
+        self.run_membership(now, Input::List(&addrs), out);
         for listed in &list.backend_servers {
             match self.servers.get_mut(&listed.id) {
                 Some(view) => view.on_listed(now, listed),
@@ -42,10 +55,22 @@
                 view.on_unlisted(now);
             }
         }
-        // A view is kept while attempts run there, so that their slots stay counted.
-        self.servers
-            .retain(|_, view| view.listed.is_some() || view.in_flight > 0);
+        // A view is kept while attempts run there, so that their slots stay counted, and for a
+        // while, so that a list that lags doesn't bring a leaving server back.
+        self.servers.retain(|_, view| {
+            view.listed.is_some()
+                || view.in_flight > 0
+                || now.since(view.listed_since) < UNLISTED_RETENTION
+        });
         self.rebuild_views();
         self.dispatch_queued(now, out);
     }
+
+    /// Read the platform's list when it is due.
+    pub(crate) fn read_list(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        if now >= self.next_list_read {
+            self.next_list_read = now + LIST_PERIOD;
+            out.push(Action::ReadInstanceList);
+        }
+    }
 }
--- a/crates/oleanderpass_core/src/suspicion.rs
+++ b/crates/oleanderpass_core/src/suspicion.rs
@@ -157,10 +157,6 @@
     }
 
     /// Return evidence for the next datagram.
-    #[expect(
-        dead_code,
-        reason = "datagrams are sent once the membership is in place"
-    )]
     pub(crate) fn evidence_for_peers(
         &mut self,
         now: Timestamp,
--- a/crates/oleanderpass_core/src/tickets.rs
+++ b/crates/oleanderpass_core/src/tickets.rs
@@ -48,7 +48,7 @@
         answer: Option<Arc<RecordedAnswer>>,
     },
     /// Hand the request to the owner of the ticket.
-    Forward(InstanceId),
+    Forward(Ticket),
 }
 
 impl Instance {
@@ -85,8 +85,8 @@
         if self.drain != Drain::Serving {
             return Err(unavailable("the instance is shutting down"));
         }
-        let Some(document) = self.document.clone() else {
-            return Err(unavailable("no document is in force"));
+        let Some(document) = self.serving_document() else {
+            return Err(unavailable("the instance is not ready"));
         };
         let (organisation, caller) = authenticate(&document, &Source::Caller(key))?;
         let allowed = find_organisation(&document, &organisation)?;
@@ -148,7 +148,7 @@
         {
             return unreachable("the instance that issued the ticket can't be reached");
         }
-        Ok(TicketStep::Forward(ticket.instance))
+        Ok(TicketStep::Forward(ticket))
     }
 
     /// Record the step in the ledger and return the number of a first use.
--- /dev/null
+++ b/crates/oleanderpass_core/tests/common/fleet.rs
@@ -0,0 +1,125 @@
+//! Run several instances with a simulated network between them.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use oleanderpass_core::action::Action;
+use oleanderpass_core::event::CallId;
+use oleanderpass_core::event::Event;
+use oleanderpass_types::id::InstanceId;
+
+use super::Bed;
+
+/// Several instances whose packets and fetches arrive at once, except those that are cut off.
+pub struct Fleet {
+    pub beds: Vec<Bed>,
+    /// Instances that are cut off or dead.
+    pub cut: BTreeSet<usize>,
+    /// Where to go on reading the actions of each instance.
+    read: Vec<usize>,
+}
+
+fn addr(index: usize) -> SocketAddr {
+    format!("127.0.0.1:{}", 7_001 + index).parse().unwrap()
+}
+
+impl Fleet {
+    /// Start instances `entry-1` and so on, without a document.
+    pub fn new(count: usize, engines: &[&str], workers: &[&str]) -> Self {
+        let seeds: Vec<SocketAddr> = (0..count).map(addr).collect();
+        let beds = (0..count).map(|index| {
+            let mut bed = Bed::bare(&format!("entry-{}", index + 1), 1);
+            bed.instance = bed.instance.with_peers(addr(index), seeds.clone());
+            bed.list(Bed::live(engines, workers));
+            bed
+        });
+        Self {
+            beds: beds.collect(),
+            cut: BTreeSet::new(),
+            read: vec![0; count],
+        }
+    }
+
+    /// Replace an instance by a new incarnation that knows nothing.
+    pub fn replace(&mut self, index: usize, incarnation: u64) {
+        let now = self.beds[index].now;
+        let seeds = (0..self.beds.len()).map(addr).collect();
+        let mut bed = Bed::bare(&format!("entry-{}", index + 1), incarnation);
+        bed.instance = bed.instance.with_peers(addr(index), seeds);
+        bed.now = now;
+        self.beds[index] = bed;
+        self.read[index] = 0;
+        self.cut.remove(&index);
+    }
+
+    /// Let time pass with a tick each 100 ms at each instance that isn't cut off.
+    pub fn pass(&mut self, millis: u64) {
+        for _ in 0..millis / 100 {
+            for index in 0..self.beds.len() {
+                self.beds[index].now += 100;
+                if !self.cut.contains(&index) {
+                    self.beds[index].event(Event::Tick);
+                }
+            }
+            self.deliver();
+        }
+    }
+
+    /// Deliver all packets and calls, also those that follow from them.
+    pub fn deliver(&mut self) {
+        while let Some((from, action)) = self.next_action() {
+            match action {
+                Action::SendPacket { to, packet } => {
+                    let packet = packet.into();
+                    let from = addr(from);
+                    self.event_at(to, Event::PeerPacket { from, packet });
+                }
+                Action::FetchDocument { addr, query, .. } => self.fetch(from, addr, query),
+                _ => {}
+            }
+        }
+    }
+
+    fn next_action(&mut self) -> Option<(usize, Action)> {
+        (0..self.beds.len()).find_map(|index| {
+            let action = self.beds[index].actions.get(self.read[index])?.clone();
+            self.read[index] += 1;
+            Some((index, action))
+        })
+    }
+
+    fn event_at(&mut self, to: SocketAddr, event: Event) -> Option<usize> {
+        let index = (0..self.beds.len()).find(|index| addr(*index) == to)?;
+        if self.cut.contains(&index) {
+            return None;
+        }
+        self.beds[index].event(event);
+        Some(index)
+    }
+
+    fn fetch(
+        &mut self,
+        asker: usize,
+        to: SocketAddr,
+        query: Box<oleanderpass_proto::peer::FetchDocumentRequest>,
+    ) {
+        let call = CallId(1);
+        let query = query.into();
+        let answered = self.event_at(to, Event::FetchDocumentCall { call, query });
+        let Some(index) = answered else {
+            return;
+        };
+        let from: InstanceId = self.beds[index].instance.identity().instance.clone();
+        if let Some(Action::AnswerFetch { answer, .. }) = self.beds[index].actions.last().cloned() {
+            let answer = answer.into();
+            self.beds[asker].event(Event::DocumentFetched { from, answer });
+        }
+    }
+
+    pub fn generations(&self) -> Vec<u64> {
+        self.beds
+            .iter()
+            .map(|bed| bed.instance.generation().get())
+            .collect()
+    }
+}
--- a/crates/oleanderpass_core/tests/common/mod.rs
+++ b/crates/oleanderpass_core/tests/common/mod.rs
@@ -8,6 +8,8 @@
     reason = "each test file uses a part; a failed unwrap fails the test"
 )]
 
+pub mod fleet;
+
 use std::sync::Arc;
 
 use oleanderpass_core::action::Action;
@@ -110,21 +112,33 @@
     }
 
     pub fn named(name: &str, incarnation: u64, engines: &[&str], workers: &[&str]) -> Self {
+        let mut bed = Self::bare(name, incarnation);
+        bed.put_in_force(DOCUMENT);
+        bed.list(Self::live(engines, workers));
+        bed.actions.clear();
+        bed
+    }
+
+    /// Start an instance that knows nothing.
+    pub fn bare(name: &str, incarnation: u64) -> Self {
         let identity = Identity {
             instance: name.parse().unwrap(),
             incarnation: Incarnation::new(incarnation),
             zone: "north".parse().unwrap(),
         };
         let instance = Instance::new(identity, 7).with_fleet_key(FleetKey([9; 32]));
-        let mut bed = Self {
+        Self {
             instance,
             now: 1_000,
             actions: Vec::new(),
             last: 0,
-        };
-        bed.event(Event::Document(document(DOCUMENT)));
-        bed.list(Self::live(engines, workers));
-        bed
+        }
+    }
+
+    /// Read a document from the platform and let it settle.
+    pub fn put_in_force(&mut self, text: &str) {
+        self.event(Event::Document(document(text)));
+        self.pass(2_000);
     }
 
     pub fn live(engines: &[&str], workers: &[&str]) -> Vec<ListedServer> {
--- /dev/null
+++ b/crates/oleanderpass_core/tests/fleet.rs
@@ -0,0 +1,196 @@
+//! Guard against instances that act on what their peers know to be outdated.
+
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "a failed unwrap fails the test"
+)]
+
+mod common;
+
+use common::Bed;
+use common::DOCUMENT;
+use common::broken;
+use common::document;
+use common::fleet::Fleet;
+use common::load;
+use common::saga;
+use oleanderpass_core::action::Action;
+use oleanderpass_core::event::AttemptEnd;
+use oleanderpass_core::event::Event;
+use oleanderpass_core::event::Lifecycle;
+use oleanderpass_core::event::Observation;
+use oleanderpass_core::event::Refusal;
+use oleanderpass_types::id::BackendServerId;
+use oleanderpass_types::outcome::Outcome;
+use test_case::test_case;
+
+fn generation(number: u64) -> Event {
+    let text = DOCUMENT.replace("generation: 1", &format!("generation: {number}"));
+    Event::Document(document(&text))
+}
+
+/// Start a fleet whose members know each other and serve generation 1.
+fn fleet(count: usize) -> Fleet {
+    let mut fleet = Fleet::new(count, &["e1", "e2"], &["w1", "w2"]);
+    for bed in &mut fleet.beds {
+        bed.event(generation(1));
+    }
+    fleet.pass(15_000);
+    assert!(fleet.beds.iter().all(|bed| bed.instance.is_ready()));
+    for bed in &fleet.beds {
+        let known = bed.instance.membership().unwrap().present().count();
+        assert_eq!(known, count - 1);
+    }
+    fleet
+}
+
+/// Return the milliseconds until a condition holds.
+fn time_until(fleet: &mut Fleet, limit: u64, holds: impl Fn(&Fleet) -> bool) -> u64 {
+    for passed in (0..limit).step_by(100) {
+        if holds(fleet) {
+            return passed;
+        }
+        fleet.pass(100);
+    }
+    panic!("the condition does not hold after {limit} ms");
+}
+
+/// Guards against a promoted document that isn't in force everywhere within 8 s.
+#[test]
+fn a_document_read_by_one_is_in_force_everywhere() {
+    let mut fleet = fleet(7);
+    fleet.beds[3].event(generation(2));
+    let all = |fleet: &Fleet| fleet.generations() == [2; 7];
+    let time = time_until(&mut fleet, 8_000, all);
+    println!("in force at all 7 instances after {time} ms");
+}
+
+/// Guards against an instance that starts from a stale service and reverts the fleet's document.
+#[test]
+fn a_new_instance_serves_what_its_peers_have_in_force() {
+    let mut fleet = fleet(3);
+    fleet.beds[0].event(generation(2));
+    fleet.pass(8_000);
+    fleet.replace(2, 2);
+    fleet.beds[2].event(generation(1));
+    for _ in 0..100 {
+        fleet.pass(100);
+        let bed = &fleet.beds[2];
+        assert!(!bed.instance.is_ready() || bed.instance.generation().get() == 2);
+    }
+    assert!(fleet.beds[2].instance.is_ready());
+    assert_eq!(fleet.generations(), [2; 3]);
+}
+
+/// Guards against requests that are admitted under a document that may be outdated.
+#[test]
+fn an_instance_that_is_not_ready_refuses() {
+    let mut bed = Bed::bare("entry-1", 1);
+    bed.event(generation(1));
+    let id = bed.generate();
+    assert_eq!(bed.said(&id), Some((Outcome::NotRun, 503)));
+}
+
+/// Guards against new work for a leaving server through instances that it has not told.
+#[test]
+fn a_leaving_server_is_known_everywhere_within_3_s() {
+    let mut fleet = fleet(7);
+    for bed in &mut fleet.beds {
+        bed.event(Event::LoadReport(load("e1", 5, Lifecycle::Live)));
+        bed.event(Event::LoadReport(load("e2", 5, Lifecycle::Leaving)));
+    }
+    let id = fleet.beds[0].generate();
+    let start = fleet.beds[0].only_start(&id);
+    fleet.beds[0].end(&start, AttemptEnd::Refused(Refusal::Leaving));
+    let e1: BackendServerId = "e1".parse().unwrap();
+    let knows = |bed: &Bed| !bed.instance.servers()[&e1].is_live();
+    let time = time_until(&mut fleet, 3_000, |fleet| fleet.beds.iter().all(knows));
+    println!("known at all 7 instances after {time} ms");
+}
+
+/// Guards against a request that crashes servers through one instance after another.
+#[test]
+fn evidence_spreads_to_all_instances() {
+    let mut fleet = fleet(7);
+    let mut new = fleet.beds[0].request(saga());
+    new.body_hash = 666;
+    let id = fleet.beds[0].send(new);
+    let start = fleet.beds[0].only_start(&id);
+    fleet.beds[0].end(&start, broken(false));
+    fleet.beds[0].event(Event::ObserveFailed {
+        server: start.server,
+        what: Observation::Load,
+        cause: "connection refused".into(),
+    });
+    let knows = |bed: &Bed| bed.instance.quarantine().suspects() == 1;
+    let time = time_until(&mut fleet, 10_000, |fleet| fleet.beds.iter().all(knows));
+    println!("known at all 7 instances after {time} ms");
+}
+
+/// Guards against a caller that waits for its whole time for an owner that is gone, and against a
+/// successor that is taken for the owner.
+#[test_case(false, "before"; "dead before the resend")]
+#[test_case(false, "after"; "dead after the forward")]
+#[test_case(true, "before"; "replaced before the resend")]
+#[test_case(true, "after"; "replaced after the forward")]
+fn a_ticket_of_a_gone_owner_is_unknown(replaced: bool, when: &str) {
+    let mut fleet = fleet(3);
+    let ticket = fleet.beds[0].ticket("charge");
+    let mut id = None;
+    if when == "after" {
+        id = Some(fleet.beds[1].call("charge", Some(&ticket)));
+        let forwarded = |action: &Action| matches!(action, Action::Forward { .. });
+        assert!(fleet.beds[1].actions.iter().any(forwarded));
+    }
+    if replaced {
+        fleet.replace(0, 2);
+    } else {
+        fleet.cut.insert(0);
+    }
+    fleet.pass(12_000);
+    let id = id.unwrap_or_else(|| fleet.beds[1].call("charge", Some(&ticket)));
+    assert_eq!(fleet.beds[1].said(&id), Some((Outcome::Unknown, 502)));
+    assert!(fleet.beds[1].starts().is_empty());
+}
+
+/// Guards against a leaving owner whose tickets are given up although it still takes them.
+#[test]
+fn tickets_are_forwarded_to_a_leaving_owner() {
+    let mut fleet = fleet(3);
+    let ticket = fleet.beds[0].ticket("charge");
+    fleet.beds[0].event(Event::Shutdown);
+    fleet.pass(8_000);
+    let owner = "entry-1".parse().unwrap();
+    let seen = fleet.beds[1].instance.membership().unwrap().get(&owner);
+    assert!(seen.unwrap().leaving);
+    let id = fleet.beds[1].call("charge", Some(&ticket));
+    assert_eq!(fleet.beds[1].said(&id), None);
+}
+
+/// Guards against a paused instance that comes back and is replaced meanwhile, so that two
+/// incarnations serve.
+#[test]
+fn a_superseded_incarnation_shuts_down() {
+    let mut fleet = fleet(3);
+    let mut paused = std::mem::replace(&mut fleet.beds[0], Bed::bare("entry-1", 1));
+    fleet.replace(0, 2);
+    fleet.pass(10_000);
+    let packet = fleet.beds[1]
+        .actions
+        .iter()
+        .rev()
+        .find_map(|action| match action {
+            Action::SendPacket { packet, .. }
+                if packet.members.iter().any(|m| m.instance == "entry-1") =>
+            {
+                Some(packet.clone())
+            }
+            _ => None,
+        });
+    paused.event(Event::PeerPacket {
+        from: "127.0.0.1:7002".parse().unwrap(),
+        packet: packet.unwrap().into(),
+    });
+    assert!(!paused.instance.is_ready());
+}
--- a/crates/oleanderpass_core/tests/queue.rs
+++ b/crates/oleanderpass_core/tests/queue.rs
@@ -10,10 +10,8 @@
 
 use common::Bed;
 use common::completed;
-use common::document;
 use common::saga;
 use common::to;
-use oleanderpass_core::event::Event;
 use oleanderpass_core::event::Source;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::id::Digest;
@@ -32,8 +30,8 @@
 fn bed(engines: &[&str]) -> Bed {
     let mut bed = Bed::new(engines, &["w1"]);
     let text = common::DOCUMENT.replace("generation: 1", "generation: 2");
-    let text = format!("{}{SECOND}", text.trim_end_matches('\n').to_owned() + "");
-    bed.event(Event::Document(document(&text)));
+    let text = format!("{}{SECOND}", text.trim_end());
+    bed.put_in_force(&text);
     bed
 }
 
--- a/crates/oleanderpass_entry/src/core_loop.rs
+++ b/crates/oleanderpass_entry/src/core_loop.rs
@@ -14,7 +14,6 @@
 use oleanderpass_core::event::Event;
 use oleanderpass_core::instance::Instance;
 use oleanderpass_proto::peer;
-use oleanderpass_types::clock::Millis;
 use oleanderpass_types::clock::Timestamp;
 use oleanderpass_types::id::AttemptNumber;
 use oleanderpass_types::id::Generation;
@@ -38,9 +37,6 @@
 /// The period of the core's tick. Source: design section 2.1.
 const TICK: Duration = Duration::from_millis(100);
 
-/// Ticks between two reads of the platform.
-const READ_TICKS: u64 = 10;
-
 /// Inputs taken before timers run again.
 const INPUT_BATCH: usize = 256;
 
@@ -191,7 +187,6 @@
     snapshot: watch::Sender<Snapshot>,
     edges: Edges,
     actions: Vec<Action>,
-    ticks: u64,
 }
 
 impl CoreActor {
@@ -211,20 +206,12 @@
             snapshot,
             edges,
             actions: Vec::new(),
-            ticks: 0,
         })
     }
 
     fn tick(&mut self, cx: CX![]) {
         after!(TICK, [cx], tick());
         self.calls.retain(|_, reply| !reply.is_closed());
-        if self.ticks.is_multiple_of(READ_TICKS) {
-            let after = self.instance.generation();
-            let wait = Millis::ZERO;
-            self.edges.perform(Action::ReadDocument { after, wait });
-            self.edges.perform(Action::ReadInstanceList);
-        }
-        self.ticks += 1;
         self.handle(cx, Event::Tick);
     }
 
--- a/crates/oleanderpass_entry/src/platform.rs
+++ b/crates/oleanderpass_entry/src/platform.rs
@@ -9,7 +9,6 @@
 
 use eyre::WrapErr;
 use oleanderpass_config::document::MAX_DOCUMENT_BYTES;
-use oleanderpass_config::document::parse_yaml;
 use oleanderpass_core::event::Event;
 use oleanderpass_core::event::InstanceList;
 use oleanderpass_core::event::ListedInstance;
@@ -114,12 +113,7 @@
 
 fn read_document(addr: SocketAddr, key: &str, read: DocumentRead) -> Event {
     match fetch_document(addr, key, read) {
-        Ok(Some(text)) => match parse_yaml(&text) {
-            Ok(raw) => Event::Document(Arc::new(raw)),
-            Err(errors) => Event::DocumentMalformed {
-                cause: format_smolstr!("{errors}"),
-            },
-        },
+        Ok(Some(text)) => Event::DocumentText(text.into()),
         Ok(None) => Event::DocumentUnchanged,
         Err(error) => Event::DocumentReadFailed {
             cause: format_smolstr!("{error:#}"),
