--- a/crates/oleanderpass_core/src/placement.rs
+++ b/crates/oleanderpass_core/src/placement.rs
@@ -2,6 +2,7 @@
 
 use oleanderpass_config::document::Document;
 use oleanderpass_config::document::Service;
+use oleanderpass_routing::fair::URGENT_DIVISOR;
 use oleanderpass_routing::policy::Choice;
 use oleanderpass_routing::policy::Policy;
 use oleanderpass_routing::policy::Refusal;
@@ -26,6 +27,7 @@
 use crate::event::ServerLoad;
 use crate::event::Target;
 use crate::instance::Instance;
+use crate::request::Phase;
 use crate::request::Request;
 use crate::server::ServerView;
 
@@ -95,7 +97,9 @@
         let (Some(req), Some(view)) = (self.requests.get(id), self.views.get(model)) else {
             return Choice::Wait;
         };
-        let routed = routed(&req.new, req.deadline, excluded);
+        let urgent = matches!(req.phase, Phase::Queued { since, .. }
+            if now.since(since).saturating_mul(URGENT_DIVISOR) > req.deadline.since(since));
+        let routed = routed(&req.new, req.deadline, excluded, urgent);
         let policy = Policy::Split(SplitOptions::default());
         choose(policy, view, now, &routed, &mut self.rng)
     }
@@ -117,7 +121,7 @@
             policy,
             view,
             now,
-            &routed(new, deadline, &[]),
+            &routed(new, deadline, &[], false),
             &mut self.rng,
         ) {
             Choice::Refuse(Refusal::NoServer) | Choice::Run { .. } | Choice::Wait => None,
@@ -241,7 +245,7 @@
                 .views
                 .entry(model.clone())
                 .or_insert_with(|| View::new(self.identity.zone.clone()));
-            view.long_prompt = document.defaults.long_prompt;
+            view.set_long_prompt(document.defaults.long_prompt);
         }
         let ids: Vec<BackendServerId> = self.servers.keys().cloned().collect();
         for id in ids {
@@ -323,6 +327,7 @@
     new: &'a NewRequest,
     deadline: Timestamp,
     excluded: &'a [BackendServerId],
+    urgent: bool,
 ) -> RoutedRequest<'a> {
     RoutedRequest {
         prompt: new.prompt,
@@ -330,6 +335,7 @@
         prefixes: &new.prefixes,
         deadline,
         excluded,
+        urgent,
     }
 }
 
