--- a/crates/oleanderpass_bench/tests/bench.rs
+++ b/crates/oleanderpass_bench/tests/bench.rs
@@ -80,6 +80,28 @@
     assert!((0.93..1.07).contains(&(work / 23_000.0)), "{work}");
 }
 
+/// Guards against deadlines that no policy can meet: three engines share the longest prompts.
+#[test]
+fn empty_fleet_meets_every_deadline() {
+    let figures = EngineFigures::default();
+    for seed in 21..=23 {
+        let shape = TraceShape {
+            seed,
+            engines: 23,
+            load: 1.0,
+            duration: 900 * SECOND,
+            burst: None,
+        };
+        for req in generate(shape, &figures) {
+            let engines = (req.prompt + req.output).div_ceil(figures.memory);
+            let chunk = figures.step_base + figures.chunk * figures.prefill_token_ns / 1_000;
+            let prefill = req.prompt.div_ceil(engines).div_ceil(figures.chunk) * chunk;
+            let decode = req.output * (figures.step_base + figures.sequence);
+            assert!(prefill + decode < req.timeout, "{req:?}");
+        }
+    }
+}
+
 /// Guards against a long prefill at low priority that delays a short one of high priority.
 #[test]
 fn priority_overtakes_running_prefill() {
