--- a/crates/oleanderpass_core/src/event.rs
+++ b/crates/oleanderpass_core/src/event.rs
@@ -6,6 +6,7 @@
 use oleanderpass_proto::engine;
 use oleanderpass_proto::environment;
 use oleanderpass_proto::peer;
+pub use oleanderpass_routing::request::Prefix;
 pub use oleanderpass_ticket::answer::RecordedAnswer;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::id::AdapterId;
@@ -151,6 +152,13 @@
         /// The holds.
         list: Box<engine::HoldList>,
     },
+    /// An engine listed changes of its prefix cache.
+    CacheEvents {
+        /// The engine.
+        server: BackendServerId,
+        /// The changes.
+        events: Box<engine::CacheEvents>,
+    },
     /// A backend server did not answer an [`crate::action::Action::Observe`].
     ObserveFailed {
         /// The server.
@@ -207,6 +215,11 @@
     State,
     /// Its holds: `GET /holds`.
     Holds,
+    /// The changes of its prefix cache: `GET /events`.
+    CacheEvents {
+        /// The first event to read.
+        after: u64,
+    },
 }
 
 /// Where a request comes from.
@@ -252,15 +265,6 @@
     Interactive,
 }
 
-/// A prefix of a prompt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct Prefix {
-    /// The hash of the prefix.
-    pub hash: u64,
-    /// The length of the prefix.
-    pub tokens: Tokens,
-}
-
 /// A request as it arrives.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct NewRequest {
--- a/crates/oleanderpass_core/tests/request_path.rs
+++ b/crates/oleanderpass_core/tests/request_path.rs
@@ -230,7 +230,8 @@
 #[test_case(|new| new.target = to("charge"), 428; "no ticket")]
 #[test_case(|new| new.prompt = Tokens::new(1_000_001), 413; "prompt too long")]
 #[test_case(|new| new.timeout = Some(Millis::ZERO), 504; "no time")]
-#[test_case(|new| new.prompt = Tokens::new(200_000), 503; "prefill takes all the time")]
+#[test_case(|new| { new.prompt = Tokens::new(90_000); new.timeout = Some(Millis::from_secs(5)) }, 503; "prefill takes all the time")]
+#[test_case(|new| new.prompt = Tokens::new(200_000), 503; "prompt larger than all engines")]
 #[test_case(|new| new.ticket = Some("x".into()), 400; "ticket for a model")]
 fn refusals_say_that_nothing_ran(change: fn(&mut NewRequest), status: u16) {
     let mut bed = Bed::new(&["e1"], &["w1"]);
@@ -301,9 +302,12 @@
     let far = common::server("far", "skald", "south", Lifecycle::Live);
     let near = common::server("near", "skald", "north", Lifecycle::Live);
     bed.list(vec![far.clone(), near]);
-    let id = bed.generate();
-    assert_eq!(bed.only_start(&id).server.as_str(), "near");
+    let ids = [bed.generate(), bed.generate(), bed.generate()];
+    assert_eq!(bed.only_start(&ids[0]).server.as_str(), "near");
+    assert!(
+        bed.starts_of(&ids[2]).is_empty(),
+        "a full zone doesn't spill"
+    );
     bed.list(vec![far]);
-    let id = bed.generate();
-    assert_eq!(bed.only_start(&id).server.as_str(), "far");
+    assert_eq!(bed.only_start(&ids[2]).server.as_str(), "far");
 }
--- a/crates/oleanderpass_routing/src/split.rs
+++ b/crates/oleanderpass_routing/src/split.rs
@@ -54,15 +54,24 @@
 }
 
 /// Return the engines for long prompts and the rest.
+///
+/// Engines that are excluded, because they are full for example, don't move the border between the
+/// parts, so each part may be empty.
 fn parts<'p>(
     placement: &Placement<'_>,
     pool: &'p [usize],
     options: SplitOptions,
 ) -> (&'p [usize], &'p [usize]) {
-    if !options.long_part || pool.len() < 2 {
+    let all = placement.view.pool();
+    if !options.long_part || all.len() < 2 {
         return (pool, pool);
     }
-    pool.split_at(placement.view.long_part().clamp(1, pool.len() - 1))
+    let border = placement.view.long_part().clamp(1, all.len() - 1);
+    let excluded = all[..border]
+        .iter()
+        .filter(|index| !pool.contains(index))
+        .count();
+    pool.split_at(border - excluded)
 }
 
 fn choose_short(
@@ -82,8 +91,11 @@
         candidates.extend(top_two(key, nodes).into_iter().flatten());
     }
     for _ in 0..RANDOM_CANDIDATES {
-        candidates.push(random(own, rng));
-        candidates.push(random(long, rng));
+        for part in [own, long] {
+            if !part.is_empty() {
+                candidates.push(random(part, rng));
+            }
+        }
     }
     let (index, best) = placement.cheapest(&candidates, cost(options));
     if placement.cannot_finish(best) {
@@ -111,6 +123,9 @@
         true => pool,
         false => parts(placement, pool, options).0,
     };
+    if part.is_empty() {
+        return Choice::Wait;
+    }
     let (_, best) = placement.cheapest(part, cost(options));
     if placement.cannot_finish(best) {
         return Choice::Refuse(Refusal::Deadline);
