--- a/crates/oleanderpass/src/main.rs
+++ b/crates/oleanderpass/src/main.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod demo;
+mod diff;
 mod serve;
 mod status;
 
@@ -59,7 +60,7 @@
         Command::Serve { settings } => serve::run(&settings),
         Command::Status { addr } => status::run(addr),
         Command::Check { file } => check::run(&file),
-        Command::Diff { old, new } => check::diff(&old, &new),
+        Command::Diff { old, new } => diff::run(&old, &new),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
