Tell peers of leaving servers and crashes at once

With probes spread over the second, 7 instances learned of a server's refusal and of a crash 1.6 s after one of them saw it (tests/fleet.rs, simulated time). Tell up to 8 live peers with the next tick: 0.1 s.

--- a/crates/oleanderpass_core/src/instance.rs
+++ b/crates/oleanderpass_core/src/instance.rs
@@ -64,6 +64,8 @@
     pub(crate) last_rejection: Option<SmolStr>,
     pub(crate) document_splits: u64,
     pub(crate) next_list_read: Timestamp,
+    /// A leaving server or a crash was seen since the last tick.
+    pub(crate) urgent_news: bool,
     /// Leaving servers to tell peers of, with the number of datagrams that carried each.
     pub(crate) leaving_news: IndexMap<BackendServerId, (Incarnation, u32)>,
     /// The peers in the platform's list.
@@ -101,6 +103,7 @@
             last_rejection: None,
             document_splits: 0,
             next_list_read: Timestamp::ORIGIN,
+            urgent_news: false,
             leaving_news: IndexMap::new(),
             listed_peers: IndexMap::new(),
             servers: IndexMap::new(),
@@ -279,6 +282,7 @@
     fn on_tick(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         self.run_membership(now, oleanderpass_membership::membership::Input::Tick, out);
         self.distribute(now, Input::Tick, out);
+        self.tell_urgent_news(now, out);
         self.read_list(now, out);
         self.end_overdue(now, out);
         self.ledger.expire(now);
--- a/crates/oleanderpass_core/src/peers.rs
+++ b/crates/oleanderpass_core/src/peers.rs
@@ -21,6 +21,7 @@
 use oleanderpass_types::id::InstanceId;
 use oleanderpass_types::id::RequestId;
 use oleanderpass_types::outcome::Outcome;
+use rand::seq::SliceRandom;
 
 use crate::action::Action;
 use crate::instance::Instance;
@@ -31,6 +32,10 @@
 /// member updates leave.
 const MAX_LEAVING_PER_PACKET: usize = 4;
 
+/// The peers that are told at once of a leaving server or a crash. They are all peers of the
+/// deployments that run today; eight packets are as many as an instance sends in 4 s anyway.
+const URGENT_PEERS: usize = 8;
+
 impl Instance {
     /// Start the membership with the first event, because only events tell the time.
     pub(crate) fn begin_membership(&mut self, now: Timestamp) {
@@ -210,7 +215,9 @@
         for raw in leaving {
             if let Ok(id) = raw.server.parse::<BackendServerId>() {
                 let incarnation = Incarnation::new(raw.incarnation);
+                let urgent = self.urgent_news;
                 self.mark_leaving(now, &id, Some(incarnation), LeavingSource::Server);
+                self.urgent_news = urgent;
             }
         }
     }
@@ -232,6 +239,24 @@
         }
     }
 
+    /// Tell some live peers at once what this instance saw itself since the last tick. The regular
+    /// probes tell the others.
+    pub(crate) fn tell_urgent_news(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        if !std::mem::take(&mut self.urgent_news) {
+            return;
+        }
+        let mut addrs: Vec<SocketAddr> = self
+            .membership
+            .iter()
+            .flat_map(Membership::present)
+            .filter(|member| member.liveness == Liveness::Alive)
+            .map(|member| member.addr)
+            .collect();
+        let (chosen, _) = addrs.partial_shuffle(&mut self.rng, URGENT_PEERS);
+        let chosen = chosen.to_vec();
+        self.contact(now, &chosen, out);
+    }
+
     /// Spread that a server is leaving, if the server itself or a peer said so.
     pub(crate) fn spread_leaving(&mut self, id: &BackendServerId) {
         let leaving = self.servers.get(id).and_then(|view| view.leaving);
@@ -240,6 +265,7 @@
             && let Some(incarnation) = leaving.incarnation
         {
             self.leaving_news.insert(id.clone(), (incarnation, 0));
+            self.urgent_news = true;
         }
     }
 
--- a/crates/oleanderpass_core/src/suspicion.rs
+++ b/crates/oleanderpass_core/src/suspicion.rs
@@ -104,6 +104,7 @@
             age: Millis::ZERO,
         };
         self.quarantine.on_crash(now, &evidence);
+        self.urgent_news = true;
     }
 
     /// Return whether the quarantine lets a request start on a server.
--- a/crates/oleanderpass_core/tests/common/fleet.rs
+++ b/crates/oleanderpass_core/tests/common/fleet.rs
@@ -33,11 +33,17 @@
             bed.list(Bed::live(engines, workers));
             bed
         });
-        Self {
+        let mut fleet = Self {
             beds: beds.collect(),
-            cut: BTreeSet::new(),
+            cut: (0..count).collect(),
             read: vec![0; count],
+        };
+        // Spread the probes over the second between two probes of one instance.
+        for index in 0..count {
+            fleet.cut.remove(&index);
+            fleet.pass(100);
         }
+        fleet
     }
 
     /// Replace an instance by a new incarnation that knows nothing.
