Take holds and give orders in the core

Prompts larger than one engine waited for ever, holds that their owner left stayed, and no instance told engines what to load. A request that needs more memory than the largest engine now takes holds by oleanderpass_holds, apart from the lanes, and keeps them until its attempt has ended; releases are repeated and listed orphans are released. The readers of a zone derive orders each 5 s and send them while the issue guard allows it: a late tick refreshes the document and stops orders until the platform or a peer confirms it. Adapters match the labels that orders use.

--- a/crates/oleanderpass_core/src/admission.rs
+++ b/crates/oleanderpass_core/src/admission.rs
@@ -268,7 +268,7 @@
                 self.requests.insert(id.clone(), req);
                 self.forward(now, id, owner, deadline, out);
             }
-            Phase::Waiting { .. } | Phase::Running { .. } => {
+            Phase::Waiting { .. } | Phase::Holding | Phase::Running { .. } => {
                 self.requests.insert(id, req);
             }
         }
--- a/crates/oleanderpass_core/src/attempt.rs
+++ b/crates/oleanderpass_core/src/attempt.rs
@@ -113,6 +113,7 @@
         {
             view.ended(dispatch);
         }
+        self.end_holding(now, stream, out);
         self.note_end_at_server(now, &attempt, &end);
         let current = self
             .requests
@@ -267,7 +268,7 @@
             Phase::Queued { .. } => req.ticket.is_some_and(|ticket| {
                 req.execution != Execution::NotRun || !self.ledger.withdraw(ticket)
             }),
-            Phase::Forwarded { .. } | Phase::Waiting { .. } => false,
+            Phase::Holding | Phase::Forwarded { .. } | Phase::Waiting { .. } => false,
         };
         if keep {
             return;
@@ -341,6 +342,7 @@
         };
         match req.phase {
             Phase::Queued { .. } => self.queue.remove(id),
+            Phase::Holding => self.end_early_holding(now, id, req.attempt, out),
             Phase::Waiting { ticket } => self.ledger.stop_waiting(ticket, id),
             Phase::Running { .. } | Phase::Forwarded { .. } => {}
         }
@@ -394,7 +396,7 @@
 
 fn current_step(req: &Request) -> Step {
     match req.phase {
-        Phase::Queued { .. } => Step::Queue,
+        Phase::Queued { .. } | Phase::Holding => Step::Queue,
         Phase::Running { started: false, .. } => Step::Start,
         Phase::Running { started: true, .. } => Step::Stream,
         Phase::Forwarded { .. } => Step::Forward,
@@ -406,6 +408,6 @@
     match &req.phase {
         Phase::Running { server, .. } => Peer::BackendServer(server.as_str().into()),
         Phase::Forwarded { owner, .. } => Peer::Instance(owner.as_str().into()),
-        Phase::Queued { .. } | Phase::Waiting { .. } => Peer::Local,
+        Phase::Queued { .. } | Phase::Holding | Phase::Waiting { .. } => Peer::Local,
     }
 }
--- a/crates/oleanderpass_core/src/dispatch.rs
+++ b/crates/oleanderpass_core/src/dispatch.rs
@@ -21,6 +21,7 @@
 use oleanderpass_types::size::Tokens;
 
 use crate::action::Action;
+use crate::action::HeldMemory;
 use crate::action::StartAttempt;
 use crate::attempt::Attempt;
 use crate::event::NewRequest;
@@ -39,6 +40,19 @@
 /// list and load reports show a new server within this time.
 const NO_SERVER_WAIT: Millis = Millis::from_secs(5);
 
+/// How to run the next attempt of a request.
+#[derive(Debug)]
+pub(crate) struct Start {
+    /// The server.
+    pub(crate) server: BackendServerId,
+    /// What it adds to the engines in the view of this model.
+    pub(crate) dispatch: Option<(ModelId, Dispatch)>,
+    /// Send it at lower priority.
+    pub(crate) low_priority: bool,
+    /// Memory that is held for it.
+    pub(crate) holds: Vec<HeldMemory>,
+}
+
 /// What became of the attempt to dispatch a request.
 enum Dispatched {
     /// The request has left the queue.
@@ -85,12 +99,12 @@
             return Dispatched::Left;
         }
         match self.place(now, id) {
-            Place::Run {
-                server,
-                dispatch,
-                low_priority,
-            } => {
-                self.start(now, id, server, dispatch, low_priority, out);
+            Place::Run(start) => {
+                self.start(now, id, start, out);
+                Dispatched::Left
+            }
+            Place::Join(join) => {
+                self.begin_holding(now, id, join, out);
                 Dispatched::Left
             }
             Place::Refuse(refusal) => {
@@ -99,6 +113,7 @@
                 self.finish(now, id, outcome, status, Some(error), None, out);
                 Dispatched::Left
             }
+            Place::WaitForMemory => Dispatched::WaitsApart,
             Place::Wait if rule != RunRule::Free => Dispatched::WaitsApart,
             Place::Wait => Dispatched::Waits,
         }
@@ -218,15 +233,20 @@
         }
     }
 
-    fn start(
+    /// Start the next attempt of a request.
+    pub(crate) fn start(
         &mut self,
         now: Timestamp,
         id: &RequestId,
-        server: BackendServerId,
-        dispatch: Option<(ModelId, Dispatch)>,
-        low_priority: bool,
+        start: Start,
         out: &mut Vec<Action>,
     ) {
+        let Start {
+            server,
+            dispatch,
+            low_priority,
+            holds,
+        } = start;
         let (Some(req), Some(view)) = (self.requests.get_mut(id), self.servers.get_mut(&server))
         else {
             return;
@@ -270,7 +290,7 @@
             deadline: req.deadline,
             priority,
             once: req.once,
-            holds: Vec::new(),
+            holds,
         }));
     }
 
--- a/crates/oleanderpass_core/src/documents.rs
+++ b/crates/oleanderpass_core/src/documents.rs
@@ -10,8 +10,11 @@
 use oleanderpass_config::document::Document;
 use oleanderpass_config::readers::readers;
 use oleanderpass_config::version::Version;
+use oleanderpass_orders::guard::IssueGuard;
+use oleanderpass_orders::guard::MAX_TICK_GAP;
 use oleanderpass_proto::environment;
 use oleanderpass_proto::peer;
+use oleanderpass_types::clock::Millis;
 use oleanderpass_types::clock::Timestamp;
 use oleanderpass_types::id::InstanceId;
 
@@ -19,12 +22,63 @@
 use crate::event::CallId;
 use crate::instance::Instance;
 
+/// The time in which a process that wakes handles what arrived while it was paused.
+const WAKE_TIME: Millis = Millis::from_secs(1);
+
 impl Instance {
     /// Start the distribution with the first event, because only events tell the time.
     pub(crate) fn begin_distribution(&mut self, now: Timestamp) {
         if self.distribution.is_none() {
             let me = self.identity.instance.clone();
             self.distribution = Some(Distribution::new(now, me));
+            self.issue_guard = Some(IssueGuard::new(now));
+        }
+    }
+
+    /// Note a tick. After a late one, orders wait until the document in force is confirmed.
+    pub(crate) fn note_tick(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let late = self
+            .last_tick
+            .replace(now)
+            .is_some_and(|last| now.since(last) > MAX_TICK_GAP);
+        if let Some(guard) = &mut self.issue_guard {
+            guard.on_tick(now);
+        }
+        if late {
+            self.distribute(now, Input::Refresh, out);
+        }
+    }
+
+    /// Take an answer of the platform. After it, the document in force is the latest, unless a
+    /// candidate is about to replace it.
+    pub(crate) fn on_platform_answer(
+        &mut self,
+        now: Timestamp,
+        answer: Input<'_>,
+        out: &mut Vec<Action>,
+    ) {
+        let asked_at = self.read_began;
+        self.distribute(now, answer, out);
+        let settled = self
+            .distribution
+            .as_ref()
+            .is_some_and(|distribution| distribution.announced().is_empty());
+        if let (true, Some(guard)) = (settled, &mut self.issue_guard) {
+            guard.on_confirmed(asked_at);
+        }
+    }
+
+    /// Note that a live peer has the same document in force. Datagrams that arrived while the
+    /// process was paused are handled within a second of its waking.
+    pub(crate) fn confirm_by_peer(
+        &mut self,
+        now: Timestamp,
+        theirs: Option<&peer::DocumentVersion>,
+    ) {
+        let theirs = theirs.and_then(|raw| Version::try_from(raw).ok());
+        let same = theirs.is_some() && theirs == self.version_in_force();
+        if let (true, Some(guard)) = (same, &mut self.issue_guard) {
+            guard.on_confirmed(now - WAKE_TIME);
         }
     }
 
@@ -37,7 +91,7 @@
         // The canonical form is JSON, and so YAML.
         let text = canonical_json(raw).map(String::from_utf8);
         match text {
-            Ok(Ok(text)) => self.distribute(now, Input::Text(&text), out),
+            Ok(Ok(text)) => self.on_platform_answer(now, Input::Text(&text), out),
             _ => tracing::error!("a parsed document has no canonical form"),
         }
     }
@@ -83,10 +137,13 @@
         out: &mut Vec<Action>,
     ) -> Option<InstanceId> {
         match output {
-            Output::Read(read) => out.push(Action::ReadDocument {
-                after: read.after,
-                wait: read.wait,
-            }),
+            Output::Read(read) => {
+                self.read_began = now;
+                out.push(Action::ReadDocument {
+                    after: read.after,
+                    wait: read.wait,
+                });
+            }
             Output::Fetch { peer, held, wanted } => {
                 let Some(addr) = self.peer_addr_of(&peer) else {
                     return Some(peer);
--- a/crates/oleanderpass_core/src/drain.rs
+++ b/crates/oleanderpass_core/src/drain.rs
@@ -40,7 +40,7 @@
     /// Take the next step of the shutdown when its condition holds.
     ///
     /// Requests end by their deadlines and tickets expire after 30 s, so the shutdown ends by the
-    /// longest admitted deadline. It doesn't wait for the retention of ticket outcomes.
+    /// longest admitted deadline. Releases of KV memory are given up after 30 s. It doesn't wait for the retention of ticket outcomes.
     pub(crate) fn advance_drain(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         if matches!(self.drain, Drain::Announced { until } if now >= until) {
             self.drain = Drain::Refusing;
--- /dev/null
+++ b/crates/oleanderpass_core/src/holding.rs
@@ -0,0 +1,385 @@
+//! Take KV memory on several engines for prompts that are larger than one.
+
+use oleanderpass_holds::acquisition::Acquisition;
+use oleanderpass_holds::acquisition::Hold;
+use oleanderpass_holds::acquisition::HoldAction;
+use oleanderpass_holds::orphan::ListedHold;
+use oleanderpass_holds::orphan::OwnerState;
+use oleanderpass_holds::orphan::find_orphans;
+use oleanderpass_holds::plan::EngineRoom;
+use oleanderpass_holds::plan::Plan;
+use oleanderpass_membership::member::Liveness;
+use oleanderpass_proto::engine;
+use oleanderpass_routing::cost::free_memory;
+use oleanderpass_routing::request::LengthClass;
+use oleanderpass_routing::view::Dispatch;
+use oleanderpass_types::clock::Millis;
+use oleanderpass_types::clock::Timestamp;
+use oleanderpass_types::id::AttemptNumber;
+use oleanderpass_types::id::BackendServerId;
+use oleanderpass_types::id::Incarnation;
+use oleanderpass_types::id::ModelId;
+use oleanderpass_types::id::RequestId;
+use oleanderpass_types::id::StreamId;
+use oleanderpass_types::size::Tokens;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+
+use crate::action::Action;
+use crate::action::HeldMemory;
+use crate::dispatch::Start;
+use crate::event::NewRequest;
+use crate::event::Observation;
+use crate::instance::Instance;
+use crate::request::Phase;
+
+/// The holds of one attempt, from the first request for one to the end of the attempt.
+#[derive(Debug)]
+pub(crate) struct Holding {
+    acquisition: Acquisition,
+    model: ModelId,
+}
+
+/// A prompt that needs the memory of several engines.
+#[derive(Debug)]
+pub(crate) struct Join {
+    pub(crate) model: ModelId,
+    pub(crate) plan: Plan,
+}
+
+/// Return the KV memory that a request takes at most.
+pub(crate) fn most_memory(new: &NewRequest) -> Tokens {
+    new.prompt + new.max_output
+}
+
+impl Instance {
+    /// Plan the holds of a queued request over the engines that can take work.
+    pub(crate) fn plan_holds(
+        &self,
+        now: Timestamp,
+        id: &RequestId,
+        model: &ModelId,
+    ) -> Option<Plan> {
+        let req = self.requests.get(id)?;
+        let view = self.views.get(model)?;
+        let rooms: Vec<EngineRoom> = view
+            .pool_servers()
+            .filter(|server| {
+                self.servers
+                    .get(&server.id)
+                    .is_some_and(|view| self.accepts(now, req, &server.id, view))
+            })
+            .map(|server| EngineRoom {
+                server: server.id.clone(),
+                free: free_memory(server),
+            })
+            .collect();
+        Plan::new(most_memory(&req.new), &rooms)
+    }
+
+    /// Begin to take the holds of a plan. The request leaves the queue.
+    pub(crate) fn begin_holding(
+        &mut self,
+        now: Timestamp,
+        id: &RequestId,
+        join: Join,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(req) = self.requests.get_mut(id) else {
+            return;
+        };
+        self.queue.remove(id);
+        req.phase = Phase::Holding;
+        let stream = next_stream(id, req.attempt);
+        self.acquisitions += 1;
+        let name = format_smolstr!("{stream}:{}", self.acquisitions);
+        let mut steps = Vec::new();
+        let acquisition = Acquisition::start(name, join.plan, now, req.deadline, &mut steps);
+        let holding = Holding {
+            acquisition,
+            model: join.model,
+        };
+        self.holdings.insert(stream.clone(), holding);
+        self.take_hold_steps(now, &stream, steps, out);
+    }
+
+    pub(crate) fn on_hold_answer(
+        &mut self,
+        now: Timestamp,
+        id: &SmolStr,
+        granted: Option<bool>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some((stream, hold)) = self.hold_requests.swap_remove(id) else {
+            return;
+        };
+        let mut steps = Vec::new();
+        match self.holdings.get_mut(&stream) {
+            Some(holding) => {
+                let rng = &mut self.rng;
+                holding
+                    .acquisition
+                    .on_answer(now, &hold, granted, rng, &mut steps);
+            }
+            None if granted != Some(false) => steps.push(HoldAction::Release(hold)),
+            None => {}
+        }
+        self.take_hold_steps(now, &stream, steps, out);
+        self.send_releases(now, out);
+    }
+
+    pub(crate) fn on_hold_released(&mut self, hold: &str, confirmed: bool) {
+        if confirmed {
+            self.releases.on_confirmed(hold);
+        }
+    }
+
+    /// Enforce the time limits of acquisitions and repeat releases.
+    pub(crate) fn advance_holdings(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let streams: Vec<StreamId> = self.holdings.keys().cloned().collect();
+        for stream in streams {
+            self.replan(now, &stream);
+            let mut steps = Vec::new();
+            if let Some(holding) = self.holdings.get_mut(&stream) {
+                holding.acquisition.tick(now, &mut self.rng, &mut steps);
+            }
+            self.take_hold_steps(now, &stream, steps, out);
+        }
+        self.send_releases(now, out);
+    }
+
+    /// Release the holds of an attempt, at its end or before it began.
+    pub(crate) fn end_holding(&mut self, now: Timestamp, stream: &StreamId, out: &mut Vec<Action>) {
+        let Some(mut holding) = self.holdings.swap_remove(stream) else {
+            return;
+        };
+        let mut steps = Vec::new();
+        holding.acquisition.cancel(&mut steps);
+        for step in steps {
+            if let HoldAction::Release(hold) = step {
+                self.releases.add(now, hold);
+            }
+        }
+        self.send_releases(now, out);
+    }
+
+    /// Release the holds of a request whose attempt has not begun.
+    pub(crate) fn end_early_holding(
+        &mut self,
+        now: Timestamp,
+        id: &RequestId,
+        last: AttemptNumber,
+        out: &mut Vec<Action>,
+    ) {
+        self.end_holding(now, &next_stream(id, last), out);
+    }
+
+    /// Use what is known of free memory now for the next round.
+    fn replan(&mut self, now: Timestamp, stream: &StreamId) {
+        let Some(holding) = self.holdings.get(stream) else {
+            return;
+        };
+        if holding.acquisition.is_acquired() {
+            return;
+        }
+        let plan = self.plan_holds(now, &stream.req, &holding.model);
+        if let (Some(plan), Some(holding)) = (plan, self.holdings.get_mut(stream)) {
+            holding.acquisition.replan(plan);
+        }
+    }
+
+    fn take_hold_steps(
+        &mut self,
+        now: Timestamp,
+        stream: &StreamId,
+        steps: Vec<HoldAction>,
+        out: &mut Vec<Action>,
+    ) {
+        for step in steps {
+            match step {
+                HoldAction::Request(hold) => self.request_hold(now, stream, hold, out),
+                HoldAction::Release(hold) => self.releases.add(now, hold),
+                HoldAction::Acquired(holds) => self.start_with_holds(now, stream, &holds, out),
+                HoldAction::GaveUp => {
+                    self.holdings.swap_remove(stream);
+                    if self
+                        .requests
+                        .get(&stream.req)
+                        .is_some_and(|req| req.phase == Phase::Holding)
+                    {
+                        self.end_overdue_request(now, &stream.req, out);
+                    }
+                }
+            }
+        }
+    }
+
+    fn request_hold(
+        &mut self,
+        now: Timestamp,
+        stream: &StreamId,
+        hold: Hold,
+        out: &mut Vec<Action>,
+    ) {
+        let deadline = self
+            .requests
+            .get(&stream.req)
+            .map_or(now, |req| req.deadline);
+        let Some(view) = self.servers.get(&hold.server) else {
+            return;
+        };
+        let raw = engine::HoldRequest {
+            id: hold.id.to_string(),
+            owner: self.identity.instance.to_string(),
+            owner_incarnation: self.identity.incarnation.get(),
+            tokens: hold.tokens.get(),
+            expires_in_ms: now.until(deadline).get(),
+        };
+        out.push(Action::RequestHold {
+            server: hold.server.clone(),
+            addr: view.addr,
+            hold: Box::new(raw),
+        });
+        self.hold_requests
+            .insert(hold.id.clone(), (stream.clone(), hold));
+    }
+
+    /// Start the attempt whose holds are all taken, on the engine with the largest one.
+    fn start_with_holds(
+        &mut self,
+        now: Timestamp,
+        stream: &StreamId,
+        holds: &[Hold],
+        out: &mut Vec<Action>,
+    ) {
+        let Some(model) = self.holdings.get(stream).map(|held| held.model.clone()) else {
+            return;
+        };
+        let Some(req) = self.requests.get(&stream.req) else {
+            self.end_holding(now, stream, out);
+            return;
+        };
+        let held: Vec<HeldMemory> = holds
+            .iter()
+            .filter_map(|hold| {
+                Some(HeldMemory {
+                    server: hold.server.clone(),
+                    addr: self.servers.get(&hold.server)?.addr,
+                    hold: hold.id.clone(),
+                    tokens: hold.tokens,
+                })
+            })
+            .collect();
+        let runner = holds.iter().max_by_key(|hold| hold.tokens);
+        let usable = runner.is_some_and(|hold| {
+            self.servers
+                .get(&hold.server)
+                .is_some_and(|view| self.accepts(now, req, &hold.server, view))
+        });
+        let (Some(runner), true) = (runner, usable && held.len() == holds.len()) else {
+            self.end_holding(now, stream, out);
+            self.enqueue(now, &stream.req, Millis::ZERO);
+            return;
+        };
+        let parts = holds.len() as u64;
+        let dispatch = Dispatch {
+            servers: holds.iter().map(|hold| hold.server.clone()).collect(),
+            class: LengthClass::Long,
+            prefill: Tokens::new(req.new.prompt.get().div_ceil(parts)),
+            memory: Tokens::new(most_memory(&req.new).get().div_ceil(parts)),
+            started: false,
+        };
+        let start = Start {
+            server: runner.server.clone(),
+            dispatch: Some((model, dispatch)),
+            low_priority: true,
+            holds: held,
+        };
+        self.start(now, &stream.req, start, out);
+    }
+
+    fn send_releases(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        for hold in self.releases.due(now) {
+            if let Some(view) = self.servers.get(&hold.server) {
+                out.push(Action::ReleaseHold {
+                    server: hold.server.clone(),
+                    addr: view.addr,
+                    hold: hold.id.clone(),
+                });
+            }
+        }
+    }
+
+    /// Release the listed holds that nobody else will release.
+    pub(crate) fn on_hold_list(
+        &mut self,
+        now: Timestamp,
+        server: &BackendServerId,
+        list: &engine::HoldList,
+        out: &mut Vec<Action>,
+    ) {
+        if let Some(view) = self.servers.get_mut(server) {
+            view.polls.on_reported(Observation::Holds);
+        }
+        let listed: Vec<(ListedHold, Tokens)> = list
+            .holds
+            .iter()
+            .filter_map(|raw| {
+                let hold = ListedHold {
+                    id: raw.id.as_str().into(),
+                    owner: raw.owner.parse().ok()?,
+                    incarnation: Incarnation::new(raw.owner_incarnation),
+                    overdue: Millis::new(raw.overdue_ms),
+                };
+                Some((hold, Tokens::new(raw.tokens)))
+            })
+            .collect();
+        let holds: Vec<ListedHold> = listed.iter().map(|(hold, _)| hold.clone()).collect();
+        let orphans = find_orphans(&holds, |hold| self.owner_state(hold));
+        for (hold, tokens) in listed {
+            if orphans.contains(&hold.id) {
+                tracing::warn!(%server, hold = %hold.id, "releasing a hold that its owner left");
+                let hold = Hold {
+                    id: hold.id,
+                    server: server.clone(),
+                    tokens,
+                };
+                self.releases.add(now, hold);
+            }
+        }
+        self.send_releases(now, out);
+    }
+
+    fn owner_state(&self, hold: &ListedHold) -> OwnerState {
+        if hold.owner == self.identity.instance {
+            if hold.incarnation == self.identity.incarnation {
+                let known = self
+                    .holdings
+                    .values()
+                    .any(|holding| holding.acquisition.owns(&hold.id));
+                return OwnerState::Own { known };
+            }
+            return OwnerState::of_live_member(self.identity.incarnation, hold.incarnation);
+        }
+        let member = self
+            .membership
+            .as_ref()
+            .and_then(|membership| membership.get(&hold.owner));
+        match member {
+            None => OwnerState::Unknown,
+            Some(member)
+                if member.liveness == Liveness::Dead && member.incarnation >= hold.incarnation =>
+            {
+                OwnerState::Dead
+            }
+            Some(member) => OwnerState::of_live_member(member.incarnation, hold.incarnation),
+        }
+    }
+}
+
+fn next_stream(req: &RequestId, last: AttemptNumber) -> StreamId {
+    StreamId {
+        req: req.clone(),
+        attempt: AttemptNumber(last.0 + 1),
+    }
+}
--- a/crates/oleanderpass_core/src/instance.rs
+++ b/crates/oleanderpass_core/src/instance.rs
@@ -7,7 +7,10 @@
 use oleanderpass_config::distribution::Distribution;
 use oleanderpass_config::distribution::Input;
 use oleanderpass_config::document::Document;
+use oleanderpass_holds::acquisition::Hold;
+use oleanderpass_holds::release::Releases;
 use oleanderpass_membership::membership::Membership;
+use oleanderpass_orders::guard::IssueGuard;
 use oleanderpass_quarantine::table::Quarantine;
 use oleanderpass_routing::overload::Overload;
 use oleanderpass_routing::view::View;
@@ -32,6 +35,7 @@
 use crate::attempt::Attempt;
 use crate::drain::Drain;
 use crate::event::Event;
+use crate::holding::Holding;
 use crate::queue::Queue;
 use crate::request::Request;
 use crate::retry::RetryBudget;
@@ -82,6 +86,17 @@
     pub(crate) attempts: IndexMap<StreamId, Attempt>,
     pub(crate) admitted: u64,
     pub(crate) retry_budget: RetryBudget,
+    /// The KV memory that attempts hold on several engines.
+    pub(crate) holdings: IndexMap<StreamId, Holding>,
+    /// Holds that engines were asked for and did not answer yet.
+    pub(crate) hold_requests: IndexMap<SmolStr, (StreamId, Hold)>,
+    pub(crate) releases: Releases,
+    pub(crate) acquisitions: u64,
+    pub(crate) issue_guard: Option<IssueGuard>,
+    pub(crate) next_orders: Option<Timestamp>,
+    pub(crate) last_tick: Option<Timestamp>,
+    /// When the read of the platform began that has no answer yet.
+    pub(crate) read_began: Timestamp,
     pub(crate) ledger: Ledger,
     pub(crate) drain: Drain,
 }
@@ -115,6 +130,14 @@
             attempts: IndexMap::new(),
             admitted: 0,
             retry_budget: RetryBudget::default(),
+            holdings: IndexMap::new(),
+            hold_requests: IndexMap::new(),
+            releases: Releases::new(),
+            acquisitions: 0,
+            issue_guard: None,
+            next_orders: None,
+            last_tick: None,
+            read_began: Timestamp::ORIGIN,
             ledger,
             drain: Drain::Serving,
         }
@@ -241,6 +264,16 @@
             Event::InstanceList(list) => self.on_instance_list(now, &list, out),
             Event::LoadReport(load) => self.on_load_report(now, load, out),
             Event::EngineState(state) => self.on_engine_state(now, *state, out),
+            Event::HoldList { server, list } => self.on_hold_list(now, &server, &list, out),
+            Event::HoldAnswered { hold, granted, .. } => {
+                self.on_hold_answer(now, &hold, granted, out);
+            }
+            Event::HoldReleased {
+                hold, confirmed, ..
+            } => self.on_hold_released(&hold, confirmed),
+            Event::OrderAnswered { server, answer, .. } => {
+                self.on_order_answer(now, &server, answer.as_ref());
+            }
             Event::CacheEvents { server, events } => self.on_cache_events(&server, &events),
             Event::ObserveFailed {
                 server,
@@ -251,8 +284,8 @@
             Event::Tick => self.on_tick(now, out),
             Event::PeerPacket { from, packet } => self.on_peer_packet(now, from, &packet, out),
             Event::PeerUnreachable(peer) => self.on_peer_unreachable(now, &peer, out),
-            Event::DocumentText(text) => self.distribute(now, Input::Text(&text), out),
-            Event::DocumentUnchanged => self.distribute(now, Input::NoNews, out),
+            Event::DocumentText(text) => self.on_platform_answer(now, Input::Text(&text), out),
+            Event::DocumentUnchanged => self.on_platform_answer(now, Input::NoNews, out),
             Event::DocumentMalformed { cause } | Event::DocumentReadFailed { cause } => {
                 tracing::warn!(%cause, "could not read the document");
                 self.distribute(now, Input::ReadFailed, out);
@@ -271,26 +304,25 @@
             }
             Event::LeaseQuotaCall { .. }
             | Event::QuotaLeased { .. }
-            | Event::QuotaLeaseFailed { .. }
-            | Event::HoldList { .. }
-            | Event::OrderAnswered { .. }
-            | Event::HoldAnswered { .. }
-            | Event::HoldReleased { .. } => {}
+            | Event::QuotaLeaseFailed { .. } => {}
         }
     }
 
     fn on_tick(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        self.note_tick(now, out);
         self.run_membership(now, oleanderpass_membership::membership::Input::Tick, out);
         self.distribute(now, Input::Tick, out);
         self.tell_urgent_news(now, out);
         self.read_list(now, out);
         self.end_overdue(now, out);
+        self.advance_holdings(now, out);
         self.ledger.expire(now);
         self.quarantine.tick(now);
         self.observe_wait(now);
         self.dispatch_queued(now, out);
         self.end_serverless(now, out);
         self.poll_servers(now, out);
+        self.issue_orders(now, out);
         self.advance_drain(now, out);
     }
 }
--- a/crates/oleanderpass_core/src/observe.rs
+++ b/crates/oleanderpass_core/src/observe.rs
@@ -142,6 +142,10 @@
     fn polled_servers(&self) -> Vec<BackendServerId> {
         let in_zone = |view: &ServerView| view.zone == self.identity.zone;
         let count = self.servers.values().filter(|view| in_zone(view)).count();
+        let issues_orders = self
+            .distribution
+            .as_ref()
+            .is_some_and(|distribution| distribution.is_reader());
         let own = node_key(self.identity.instance.as_str());
         let mut instances = vec![own];
         if count > POLL_ALL_LIMIT {
@@ -149,7 +153,8 @@
             instances.extend(peers.iter().map(|id| node_key(id.as_str())));
         }
         let polled = |id: &BackendServerId, view: &ServerView| {
-            let part = || polls(own, &instances, node_key(id.as_str()), count);
+            // Orders follow from the state of all engines of the zone.
+            let part = || issues_orders || polls(own, &instances, node_key(id.as_str()), count);
             view.listed.is_some() && (view.leaving.is_some() || (in_zone(view) && part()))
         };
         self.servers
--- /dev/null
+++ b/crates/oleanderpass_core/src/ordering.rs
@@ -0,0 +1,155 @@
+//! Give orders to engines.
+
+use indexmap::IndexMap;
+use oleanderpass_config::document::Document;
+use oleanderpass_config::document::ServiceKind;
+use oleanderpass_orders::derive::derive_orders;
+use oleanderpass_orders::engine::ObservedEngine;
+use oleanderpass_orders::engine::ObservedModel;
+use oleanderpass_orders::engine::Order;
+use oleanderpass_orders::engine::OrderKind;
+use oleanderpass_proto::engine;
+use oleanderpass_types::clock::Millis;
+use oleanderpass_types::clock::Timestamp;
+use oleanderpass_types::id::BackendServerId;
+use oleanderpass_types::id::Generation;
+
+use crate::action::Action;
+use crate::event::Observation;
+use crate::instance::Instance;
+use crate::server::ServerView;
+
+/// The time between two derivations of orders: the period of the observations.
+const ORDER_PERIOD: Millis = Millis::from_secs(5);
+
+/// The time after the start until the first orders. All engines are observed within it, and a
+/// derivation over a part of the engines would move models.
+const FIRST_ORDERS: Millis = Millis::from_secs(10);
+
+impl Instance {
+    /// Send the orders that bring the engines of the zone closer to the document.
+    ///
+    /// The readers of the zone issue them. Two issuers give the same orders, which are harmless
+    /// twice.
+    pub(crate) fn issue_orders(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let next = *self.next_orders.get_or_insert(now + FIRST_ORDERS);
+        if now < next {
+            return;
+        }
+        self.next_orders = Some(now + ORDER_PERIOD);
+        let reader = self
+            .distribution
+            .as_ref()
+            .is_some_and(|distribution| distribution.is_reader());
+        let may_issue = self.issue_guard.is_some_and(|guard| guard.may_issue(now));
+        let Some(document) = self.serving_document() else {
+            return;
+        };
+        if !reader || !may_issue {
+            return;
+        }
+        let engines = self.observed_engines(now, &document);
+        for order in derive_orders(&document, &engines, &IndexMap::new()) {
+            self.send_order(now, &order, out);
+        }
+    }
+
+    fn observed_engines(&self, now: Timestamp, document: &Document) -> Vec<ObservedEngine> {
+        let is_engine = |view: &ServerView| {
+            document
+                .services
+                .get(&view.service)
+                .is_some_and(|service| service.kind == ServiceKind::Engine)
+        };
+        self.servers
+            .iter()
+            .filter(|(_, view)| {
+                view.zone == self.identity.zone && view.listed.is_some() && is_engine(view)
+            })
+            .filter_map(|(id, view)| observe(now, id, view))
+            .collect()
+    }
+
+    fn send_order(&mut self, now: Timestamp, order: &Order, out: &mut Vec<Action>) {
+        let Some(view) = self.servers.get_mut(&order.server) else {
+            return;
+        };
+        tracing::info!(server = %order.server, fencing = %order.fencing, kind = ?order.kind, "sending an order");
+        out.push(Action::SendOrder {
+            server: order.server.clone(),
+            addr: view.addr,
+            order: Box::new(to_message(order)),
+        });
+        // The next derivation needs the effect of this order.
+        view.polls.hurry(Observation::State, now);
+    }
+
+    pub(crate) fn on_order_answer(
+        &mut self,
+        now: Timestamp,
+        server: &BackendServerId,
+        answer: Option<&engine::OrderAnswer>,
+    ) {
+        let refused = answer.is_none_or(|answer| !answer.accepted);
+        if refused {
+            let reason = answer.map_or("no answer", |answer| answer.reason.as_str());
+            tracing::warn!(%server, reason, "an engine did not take an order");
+        }
+        if let Some(view) = self.servers.get_mut(server) {
+            view.polls.hurry(Observation::State, now);
+        }
+    }
+}
+
+fn observe(now: Timestamp, id: &BackendServerId, view: &ServerView) -> Option<ObservedEngine> {
+    let (at, state) = view.engine.as_ref()?;
+    let models = state.models.iter().filter_map(|raw| {
+        Some(ObservedModel {
+            model: raw.model.parse().ok()?,
+            version: raw.version.as_str().into(),
+            adapters: raw
+                .adapters
+                .iter()
+                .map(|label| label.as_str().into())
+                .collect(),
+            state: raw.state.parse().ok()?,
+        })
+    });
+    Some(ObservedEngine {
+        server: id.clone(),
+        service: view.service.clone(),
+        leaving: !view.is_live(),
+        role: state.role.as_str().into(),
+        models: models.collect(),
+        fencing: Generation::new(state.fencing),
+        age: now.since(*at),
+    })
+}
+
+fn to_message(order: &Order) -> engine::Order {
+    let mut raw = engine::Order {
+        fencing: order.fencing.get(),
+        ..engine::Order::default()
+    };
+    match &order.kind {
+        OrderKind::Load {
+            model,
+            version,
+            adapters,
+        } => {
+            raw.kind = "load".to_owned();
+            raw.model = model.to_string();
+            raw.version = version.to_string();
+            raw.adapters = adapters.iter().map(ToString::to_string).collect();
+        }
+        OrderKind::Unload { model } => {
+            raw.kind = "unload".to_owned();
+            raw.model = model.to_string();
+        }
+        OrderKind::Role { role } => {
+            raw.kind = "role".to_owned();
+            raw.role = role.to_string();
+        }
+    }
+    raw
+}
--- a/crates/oleanderpass_core/src/peers.rs
+++ b/crates/oleanderpass_core/src/peers.rs
@@ -68,6 +68,7 @@
                 candidates: &packet.candidates,
             };
             self.distribute(now, heard, out);
+            self.confirm_by_peer(now, packet.in_force.as_ref());
         }
         self.on_peer_evidence(now, &packet.crashes);
         self.on_peer_leaving(now, &packet.leaving_servers);
--- a/crates/oleanderpass_core/src/placement.rs
+++ b/crates/oleanderpass_core/src/placement.rs
@@ -9,7 +9,6 @@
 use oleanderpass_routing::policy::SplitOptions;
 use oleanderpass_routing::policy::choose;
 use oleanderpass_routing::request::Request as RoutedRequest;
-use oleanderpass_routing::view::Dispatch;
 use oleanderpass_routing::view::EngineSpec;
 use oleanderpass_routing::view::Report;
 use oleanderpass_routing::view::Server;
@@ -22,10 +21,13 @@
 use oleanderpass_types::size::Tokens;
 use rand::RngExt;
 
+use crate::dispatch::Start;
 use crate::event::Lifecycle;
 use crate::event::NewRequest;
 use crate::event::ServerLoad;
 use crate::event::Target;
+use crate::holding::Join;
+use crate::holding::most_memory;
 use crate::instance::Instance;
 use crate::request::Phase;
 use crate::request::Request;
@@ -38,16 +40,14 @@
 /// Where a request goes.
 #[derive(Debug)]
 pub(crate) enum Place {
-    /// To this server.
-    Run {
-        server: BackendServerId,
-        /// What it adds to the engines in the view of this model.
-        dispatch: Option<(ModelId, Dispatch)>,
-        /// Send it at lower priority.
-        low_priority: bool,
-    },
+    /// To one server.
+    Run(Start),
+    /// To several engines that join their memory.
+    Join(Join),
     /// Nowhere now.
     Wait,
+    /// Nowhere until several engines have enough free memory. Others need not wait with it.
+    WaitForMemory,
     /// Nowhere at all.
     Refuse(Refusal),
 }
@@ -70,6 +70,14 @@
             // No engine reports that it is ready: the polls may fail although requests get through.
             return self.place_on_any(now, id);
         }
+        let largest = view.pool_servers().map(|server| server.spec.memory).max();
+        let memory = self.requests.get(id).map(|req| most_memory(&req.new));
+        if memory > largest {
+            return match self.plan_holds(now, id, &model) {
+                Some(plan) => Place::Join(Join { model, plan }),
+                None => Place::WaitForMemory,
+            };
+        }
         let busy = self.unavailable(now, id);
         let mut excluded = busy.clone();
         excluded.extend(
@@ -177,11 +185,12 @@
             first
         };
         match self.servers.get_index(choice) {
-            Some((name, _)) => Place::Run {
+            Some((name, _)) => Place::Run(Start {
                 server: name.clone(),
                 dispatch: None,
                 low_priority: false,
-            },
+                holds: Vec::new(),
+            }),
             None => Place::Wait,
         }
     }
@@ -203,7 +212,7 @@
     }
 
     /// Return whether a server of the request's service can take it now.
-    fn accepts(
+    pub(crate) fn accepts(
         &self,
         now: Timestamp,
         req: &Request,
@@ -310,13 +319,13 @@
             low_priority,
             ..
         } => match dispatch.servers.as_slice() {
-            [server] => Place::Run {
+            [server] => Place::Run(Start {
                 server: server.clone(),
                 dispatch: Some((model, dispatch)),
                 low_priority,
-            },
-            // A prompt that is larger than one engine needs holds.
-            _ => Place::Wait,
+                holds: Vec::new(),
+            }),
+            _ => Place::WaitForMemory,
         },
         Choice::Wait | Choice::Refuse(Refusal::NoServer) => Place::Wait,
         Choice::Refuse(refusal) => Place::Refuse(refusal),
--- a/crates/oleanderpass_core/src/request.rs
+++ b/crates/oleanderpass_core/src/request.rs
@@ -47,6 +47,8 @@
         /// The end of the delay before a retry.
         not_before: Timestamp,
     },
+    /// It takes KV memory on several engines before its next attempt.
+    Holding,
     /// Its current attempt runs.
     Running {
         /// The backend server.
@@ -110,7 +112,7 @@
     /// Return what is known when the request ends at once, its current attempt included.
     pub fn execution_so_far(&self) -> Execution {
         let current = match self.phase {
-            Phase::Queued { .. } => Execution::NotRun,
+            Phase::Queued { .. } | Phase::Holding => Execution::NotRun,
             Phase::Running { started: true, .. } if !self.once => Execution::Ran,
             Phase::Running { .. } | Phase::Forwarded { .. } | Phase::Waiting { .. } => {
                 Execution::Unknown
--- a/crates/oleanderpass_core/src/server.rs
+++ b/crates/oleanderpass_core/src/server.rs
@@ -199,7 +199,7 @@
             state.models.iter().any(|loaded| {
                 loaded.model == model.as_str()
                     && loaded.state == READY
-                    && adapter.is_none_or(|id| loaded.adapters.iter().any(|a| a == id.as_str()))
+                    && adapter.is_none_or(|id| loaded.adapters.iter().any(|a| is_adapter(a, id)))
             })
         })
     }
@@ -257,3 +257,9 @@
         }
     }
 }
+
+/// Return whether a label of a loaded adapter, as `oleanderpass_orders` writes them, is of this
+/// adapter in any version.
+fn is_adapter(label: &str, id: &AdapterId) -> bool {
+    label.split('@').next() == Some(id.as_str())
+}
--- /dev/null
+++ b/crates/oleanderpass_core/tests/holding.rs
@@ -0,0 +1,211 @@
+//! Guard against KV memory that is lost, and against long prompts that hold up everything.
+
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "a failed unwrap fails the test"
+)]
+
+mod common;
+
+use common::Bed;
+use common::completed;
+use common::saga;
+use oleanderpass_core::action::Action;
+use oleanderpass_core::event::AttemptEnd;
+use oleanderpass_core::event::Event;
+use oleanderpass_core::event::Lifecycle;
+use oleanderpass_proto::engine;
+use oleanderpass_types::clock::Millis;
+use oleanderpass_types::id::RequestId;
+use oleanderpass_types::outcome::Outcome;
+use oleanderpass_types::size::Tokens;
+use smol_str::SmolStr;
+use test_case::test_case;
+
+const ENGINES: [&str; 4] = ["e1", "e2", "e3", "e4"];
+
+/// Send a prompt that needs 2.5 engines.
+fn send_long(bed: &mut Bed) -> RequestId {
+    let mut new = bed.request(saga());
+    new.prompt = Tokens::new(250_000);
+    new.timeout = Some(Millis::from_secs(120));
+    bed.send(new)
+}
+
+/// The holds that were asked for or given back, with their engines.
+fn calls(bed: &Bed, releases: bool) -> Vec<(String, SmolStr)> {
+    let call = |action: &Action| match action {
+        Action::RequestHold { server, hold, .. } if !releases => {
+            Some((server.to_string(), hold.id.as_str().into()))
+        }
+        Action::ReleaseHold { server, hold, .. } if releases => {
+            Some((server.to_string(), hold.clone()))
+        }
+        _ => None,
+    };
+    bed.actions.iter().filter_map(call).collect()
+}
+
+fn answer(bed: &mut Bed, (server, hold): &(String, SmolStr), granted: Option<bool>) {
+    bed.event(Event::HoldAnswered {
+        server: server.parse().unwrap(),
+        hold: hold.clone(),
+        granted,
+    });
+}
+
+/// Grant everything that is asked for and return the holds.
+fn grant_all(bed: &mut Bed) -> Vec<(String, SmolStr)> {
+    let mut answered = 0;
+    while let Some(call) = calls(bed, false).get(answered).cloned() {
+        answered += 1;
+        answer(bed, &call, Some(true));
+    }
+    calls(bed, false)
+}
+
+#[test]
+fn a_long_prompt_runs_with_all_its_holds_and_gives_them_back() {
+    let mut bed = Bed::new(&ENGINES, &[]);
+    let id = send_long(&mut bed);
+    assert!(bed.starts().is_empty());
+    let holds = grant_all(&mut bed);
+    let servers: Vec<&str> = holds.iter().map(|(server, _)| server.as_str()).collect();
+    assert_eq!(servers, ["e1", "e2", "e3"], "in ascending order");
+    let start = bed.only_start(&id);
+    assert_eq!(start.holds.len(), 3);
+    let held: u64 = start.holds.iter().map(|hold| hold.tokens.get()).sum();
+    assert_eq!(held, 250_010);
+    assert!(calls(&bed, true).is_empty());
+    bed.end(&start, completed());
+    assert_eq!(bed.outcome(&id), Some(Outcome::Completed));
+    let mut released = calls(&bed, true);
+    released.sort();
+    assert_eq!(released, holds);
+}
+
+/// Guards against memory that stays held when a request ends early.
+#[test_case(|bed, id| bed.event(Event::CallerGone(id.clone())); "caller gone")]
+#[test_case(|bed, _| bed.pass(121_000); "deadline")]
+#[test_case(|bed, id| { let call = calls(bed, false)[1].clone(); answer(bed, &call, Some(false)); let _ = id; }; "refused")]
+fn an_early_end_gives_back_what_was_taken(end: fn(&mut Bed, &RequestId)) {
+    let mut bed = Bed::new(&ENGINES, &[]);
+    let id = send_long(&mut bed);
+    let first = calls(&bed, false)[0].clone();
+    answer(&mut bed, &first, Some(true));
+    end(&mut bed, &id);
+    bed.pass(100);
+    assert!(calls(&bed, true).contains(&first));
+    assert!(bed.starts().is_empty());
+}
+
+#[test]
+fn a_release_is_repeated_until_it_is_confirmed() {
+    let mut bed = Bed::new(&ENGINES, &[]);
+    let id = send_long(&mut bed);
+    let holds = grant_all(&mut bed);
+    let start = bed.only_start(&id);
+    bed.end(&start, completed());
+    bed.pass(3_000);
+    let tries = |bed: &Bed| {
+        let all = calls(bed, true);
+        all.iter().filter(|call| **call == holds[0]).count()
+    };
+    assert_eq!(tries(&bed), 4);
+    bed.event(Event::HoldReleased {
+        server: holds[0].0.parse().unwrap(),
+        hold: holds[0].1.clone(),
+        confirmed: true,
+    });
+    bed.pass(3_000);
+    assert_eq!(tries(&bed), 4);
+}
+
+/// Guards against a hold whose grant arrives when nobody wants it any more.
+#[test]
+fn a_late_grant_is_released() {
+    let mut bed = Bed::new(&ENGINES, &[]);
+    let id = send_long(&mut bed);
+    let first = calls(&bed, false)[0].clone();
+    bed.event(Event::CallerGone(id));
+    bed.event(Event::HoldReleased {
+        server: first.0.parse().unwrap(),
+        hold: first.1.clone(),
+        confirmed: true,
+    });
+    let before = calls(&bed, true).len();
+    answer(&mut bed, &first, Some(true));
+    assert_eq!(calls(&bed, true).len(), before + 1);
+}
+
+/// Guards against memory that is given to others while a cancelled attempt still uses it.
+#[test]
+fn a_cancelled_attempt_keeps_its_holds_until_it_ends() {
+    let mut bed = Bed::new(&ENGINES, &[]);
+    let id = send_long(&mut bed);
+    grant_all(&mut bed);
+    let start = bed.only_start(&id);
+    bed.pass(120_000);
+    assert_eq!(bed.said(&id), Some((Outcome::Unknown, 504)));
+    assert!(calls(&bed, true).is_empty());
+    bed.end(&start, AttemptEnd::Cancelled);
+    assert_eq!(calls(&bed, true).len(), 3);
+}
+
+#[test]
+fn short_prompts_pass_one_that_waits_for_memory() {
+    let mut bed = Bed::new(&["e1", "e2", "e3"], &[]);
+    for id in ["e1", "e2", "e3"] {
+        let mut report = common::load(id, 1, Lifecycle::Live);
+        report.memory_used = Tokens::new(50_000);
+        bed.event(Event::LoadReport(report));
+    }
+    let long = send_long(&mut bed);
+    let short = bed.generate();
+    bed.only_start(&short);
+    assert_eq!(bed.said(&long), None);
+    assert!(calls(&bed, false).is_empty());
+}
+
+/// Guards against orphans that stay, and against the release of a hold in use.
+#[test_case("entry-1", 1, 0, true; "own and unknown")]
+#[test_case("entry-1", 0, 0, true; "an earlier life of this instance")]
+#[test_case("entry-9", 1, 4_999, false; "unknown owner within its time")]
+#[test_case("entry-9", 1, 5_000, true; "overdue")]
+fn listed_holds_are_released_when_nobody_else_does(
+    owner: &str,
+    incarnation: u64,
+    overdue: u64,
+    released: bool,
+) {
+    let mut bed = Bed::new(&ENGINES, &[]);
+    let id = send_long(&mut bed);
+    let own = grant_all(&mut bed)[0].clone();
+    let listed = |id: &str, owner: &str, incarnation, overdue_ms| engine::Hold {
+        id: id.to_owned(),
+        owner: owner.to_owned(),
+        owner_incarnation: incarnation,
+        tokens: 10,
+        expires_in_ms: 0,
+        overdue_ms,
+    };
+    let holds = vec![
+        listed(&own.1, "entry-1", 1, 9_000),
+        listed("other", owner, incarnation, overdue),
+    ];
+    bed.event(Event::HoldList {
+        server: "e1".parse().unwrap(),
+        list: Box::new(engine::HoldList {
+            incarnation: 1,
+            holds,
+        }),
+    });
+    let expected = if released {
+        vec![("e1".to_owned(), "other".into())]
+    } else {
+        Vec::new()
+    };
+    assert_eq!(calls(&bed, true), expected);
+    bed.only_start(&id);
+}
--- /dev/null
+++ b/crates/oleanderpass_core/tests/ordering.rs
@@ -0,0 +1,107 @@
+//! Guard against orders from a stale document and against engines that stay without their model.
+
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "a failed unwrap fails the test"
+)]
+
+mod common;
+
+use common::Bed;
+use common::DOCUMENT;
+use oleanderpass_core::action::Action;
+use oleanderpass_core::event::Event;
+use oleanderpass_proto::engine;
+use test_case::test_case;
+
+fn orders(bed: &Bed) -> Vec<(String, engine::Order)> {
+    let order = |action: &Action| match action {
+        Action::SendOrder { server, order, .. } => Some((server.to_string(), (**order).clone())),
+        _ => None,
+    };
+    bed.actions.iter().filter_map(order).collect()
+}
+
+/// Let time pass while both engines report a version of the model that is ready.
+fn pass(bed: &mut Bed, millis: u64, version: &str) {
+    for _ in 0..millis / 1_000 {
+        bed.pass(1_000);
+        report(bed, version);
+    }
+}
+
+fn report(bed: &mut Bed, version: &str) {
+    for id in ["e1", "e2"] {
+        let model = engine::LoadedModel {
+            model: "saga".to_owned(),
+            version: version.to_owned(),
+            adapters: Vec::new(),
+            state: "ready".to_owned(),
+        };
+        bed.event(Event::EngineState(Box::new(engine::EngineState {
+            server: id.to_owned(),
+            incarnation: 1,
+            models: vec![model],
+            ..Default::default()
+        })));
+    }
+}
+
+#[test]
+fn engines_with_another_version_are_ordered_to_load() {
+    let mut bed = Bed::new(&["e1", "e2"], &[]);
+    bed.event(Event::DocumentUnchanged);
+    pass(&mut bed, 12_000, "v0");
+    let sent = orders(&bed);
+    let (_, order) = &sent[0];
+    assert_eq!(
+        (order.kind.as_str(), order.version.as_str(), order.fencing),
+        ("load", "v1", 1)
+    );
+    let servers: Vec<&str> = sent.iter().map(|(server, _)| server.as_str()).collect();
+    assert!(
+        servers.iter().all(|server| *server == servers[0]),
+        "one engine stays ready"
+    );
+}
+
+#[test]
+fn engines_as_the_document_states_get_no_orders() {
+    let mut bed = Bed::new(&["e1", "e2"], &[]);
+    bed.event(Event::DocumentUnchanged);
+    pass(&mut bed, 30_000, "v1");
+    assert!(orders(&bed).is_empty());
+}
+
+/// Guards against an instance that wakes late and orders what its old document states.
+#[test_case(false; "before the platform answers")]
+#[test_case(true; "after the platform answered")]
+fn a_late_tick_stops_orders_until_the_document_is_confirmed(confirmed: bool) {
+    let mut bed = Bed::new(&["e1", "e2"], &[]);
+    bed.event(Event::DocumentUnchanged);
+    pass(&mut bed, 12_000, "v1");
+    bed.pause(60_000);
+    bed.actions.clear();
+    // An answer that waited in the queue while the process was paused proves nothing.
+    bed.event(Event::DocumentUnchanged);
+    bed.event(Event::Tick);
+    let read = |action: &Action| matches!(action, Action::ReadDocument { .. });
+    assert!(bed.actions.iter().any(read), "the document is read at once");
+    if confirmed {
+        bed.event(Event::DocumentUnchanged);
+    }
+    pass(&mut bed, 10_000, "v0");
+    assert_eq!(!orders(&bed).is_empty(), confirmed);
+}
+
+#[test]
+fn orders_carry_the_generation_in_force() {
+    let mut bed = Bed::new(&["e1", "e2"], &[]);
+    bed.event(Event::DocumentUnchanged);
+    bed.put_in_force(&DOCUMENT.replace("generation: 1", "generation: 7"));
+    bed.event(Event::DocumentUnchanged);
+    pass(&mut bed, 12_000, "v0");
+    assert!(!orders(&bed).is_empty());
+    assert!(orders(&bed).iter().all(|(_, order)| order.fencing == 7));
+}
--- a/crates/oleanderpass_routing/src/view.rs
+++ b/crates/oleanderpass_routing/src/view.rs
@@ -304,6 +304,11 @@
         &self.pool
     }
 
+    /// Iterate over the usable engines.
+    pub fn pool_servers(&self) -> impl Iterator<Item = &Server> {
+        self.pool.iter().map(|index| self.at(*index))
+    }
+
     /// Return the number of engines at the start of the pool that take long prompts.
     pub fn long_part(&self) -> usize {
         match self.pool.len() {
