Show the core's tables in the metrics and the status

Peers, backend servers, quarantine, rejected documents and the queue are counted once a second. Prefixes of prompts double from 256 tokens on, as the engines' cache events do, and are hashed in one pass.

--- a/crates/oleanderpass_entry/src/caller/openai.rs
+++ b/crates/oleanderpass_entry/src/caller/openai.rs
@@ -11,7 +11,7 @@
 
 use crate::caller::answer::AnswerContext;
 use crate::caller::prompt::Interface;
-use crate::core_loop::Snapshot;
+use crate::snapshot::Snapshot;
 
 /// The last line of a complete stream.
 pub const DONE: &[u8] = b"data: [DONE]\n\n";
--- a/crates/oleanderpass_entry/src/caller/prompt.rs
+++ b/crates/oleanderpass_entry/src/caller/prompt.rs
@@ -9,11 +9,10 @@
 use smol_str::SmolStr;
 use smol_str::ToSmolStr;
 use smol_str::format_smolstr;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::Xxh3;
 
-/// The lengths of hashed prefixes, in tokens. A shared instruction has hundreds of tokens, a
-/// shared archive up to a million.
-const PREFIX_TOKENS: [u64; 6] = [256, 1_024, 4_096, 16_384, 65_536, 262_144];
+/// The shortest hashed prefix, in tokens. Longer ones double it, as engines' cache events do.
+const SHORTEST_PREFIX_TOKENS: u64 = 256;
 
 /// The most tokens to generate when the caller names none.
 const DEFAULT_MAX_OUTPUT: u64 = 1_024;
@@ -170,14 +169,21 @@
 }
 
 fn hash_prefixes(text: &[u8]) -> Vec<Prefix> {
-    PREFIX_TOKENS
-        .iter()
-        .filter_map(|tokens| {
-            let bytes = usize::try_from(tokens * BYTES_PER_TOKEN).ok()?;
-            Some(Prefix {
-                hash: xxh3_64(text.get(..bytes)?),
-                tokens: Tokens::new(*tokens),
-            })
-        })
-        .collect()
+    let mut hash = Xxh3::new();
+    let mut hashed = 0;
+    let mut prefixes = Vec::new();
+    let mut tokens = SHORTEST_PREFIX_TOKENS;
+    while let Some(piece) = usize::try_from(tokens * BYTES_PER_TOKEN)
+        .ok()
+        .and_then(|end| text.get(hashed..end))
+    {
+        hash.update(piece);
+        hashed += piece.len();
+        prefixes.push(Prefix {
+            hash: hash.digest(),
+            tokens: Tokens::new(tokens),
+        });
+        tokens *= 2;
+    }
+    prefixes
 }
--- a/crates/oleanderpass_entry/src/core_loop.rs
+++ b/crates/oleanderpass_entry/src/core_loop.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use oleanderpass_config::document::Document;
 use oleanderpass_core::action::Action;
 use oleanderpass_core::action::Answer;
 use oleanderpass_core::action::StartAttempt;
@@ -16,7 +15,6 @@
 use oleanderpass_proto::peer;
 use oleanderpass_types::clock::Timestamp;
 use oleanderpass_types::id::AttemptNumber;
-use oleanderpass_types::id::Generation;
 use oleanderpass_types::id::InstanceId;
 use oleanderpass_types::id::RequestId;
 use stakker::CX;
@@ -33,10 +31,15 @@
 
 use crate::clock::Clock;
 use crate::edges::Edges;
+use crate::snapshot::Counts;
+use crate::snapshot::Snapshot;
 
 /// The period of the core's tick. Source: design section 2.1.
 const TICK: Duration = Duration::from_millis(100);
 
+/// Ticks between two counts of the core's tables.
+const COUNT_TICKS: u64 = 10;
+
 /// Inputs taken before timers run again.
 const INPUT_BATCH: usize = 256;
 
@@ -142,42 +145,6 @@
     }
 }
 
-/// The state of the core that edges read.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Snapshot {
-    /// The document in force.
-    pub document: Option<Arc<Document>>,
-    /// The instance accepts requests.
-    pub ready: bool,
-    /// The requests in flight.
-    pub in_flight: usize,
-}
-
-impl Snapshot {
-    /// Return the generation in force, or 0 before the first document.
-    pub fn generation(&self) -> Generation {
-        self.document
-            .as_ref()
-            .map_or(Generation::new(0), |document| document.generation)
-    }
-
-    fn of(instance: &Instance) -> Self {
-        Self {
-            document: instance.document().cloned(),
-            ready: instance.is_ready(),
-            in_flight: instance.in_flight(),
-        }
-    }
-
-    fn is_current(&self, instance: &Instance) -> bool {
-        let same_document = match (&self.document, instance.document()) {
-            (Some(held), Some(current)) => Arc::ptr_eq(held, current),
-            (held, current) => held.is_none() && current.is_none(),
-        };
-        same_document && self.ready == instance.is_ready() && self.in_flight == instance.in_flight()
-    }
-}
-
 /// The actor that owns the decision core.
 struct CoreActor {
     instance: Instance,
@@ -187,6 +154,8 @@
     snapshot: watch::Sender<Snapshot>,
     edges: Edges,
     actions: Vec<Action>,
+    ticks: u64,
+    counts: Arc<Counts>,
 }
 
 impl CoreActor {
@@ -206,12 +175,18 @@
             snapshot,
             edges,
             actions: Vec::new(),
+            ticks: 0,
+            counts: Arc::default(),
         })
     }
 
     fn tick(&mut self, cx: CX![]) {
         after!(TICK, [cx], tick());
         self.calls.retain(|_, reply| !reply.is_closed());
+        if self.ticks.is_multiple_of(COUNT_TICKS) {
+            self.counts = Arc::new(Counts::of(&self.instance, self.clock.now()));
+        }
+        self.ticks += 1;
         self.handle(cx, Event::Tick);
     }
 
@@ -244,9 +219,9 @@
 
     fn publish(&self) {
         self.snapshot.send_if_modified(|held| {
-            let changed = !held.is_current(&self.instance);
+            let changed = !held.is_current(&self.instance, &self.counts);
             if changed {
-                *held = Snapshot::of(&self.instance);
+                *held = Snapshot::of(&self.instance, &self.counts);
             }
             changed
         });
--- a/crates/oleanderpass_entry/src/daemon.rs
+++ b/crates/oleanderpass_entry/src/daemon.rs
@@ -29,7 +29,6 @@
 use crate::core_loop;
 use crate::core_loop::CoreSender;
 use crate::core_loop::Input;
-use crate::core_loop::Snapshot;
 use crate::edges::Edges;
 use crate::metrics::Metrics;
 use crate::operator::OperatorPort;
@@ -40,6 +39,7 @@
 use crate::platform::PlatformReaders;
 use crate::settings::Settings;
 use crate::shared::Shared;
+use crate::snapshot::Snapshot;
 
 /// Threads for sockets. Entry instances are small.
 const SOCKET_THREADS: usize = 2;
--- a/crates/oleanderpass_entry/src/lib.rs
+++ b/crates/oleanderpass_entry/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod settings;
 pub mod shared;
 pub mod signals;
+pub mod snapshot;
--- a/crates/oleanderpass_entry/src/metrics.rs
+++ b/crates/oleanderpass_entry/src/metrics.rs
@@ -9,11 +9,12 @@
 use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
+use prometheus::IntGaugeVec;
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
-use crate::core_loop::Snapshot;
+use crate::snapshot::Snapshot;
 
 /// Bounds of the time to first token, in seconds. The target of 1.7 s is one of them.
 const TTFT_BOUNDS_S: [f64; 14] = [
@@ -52,8 +53,13 @@
     pub forwarded: IntGauge,
     generation: IntGauge,
     in_flight: IntGauge,
-    /// Documents from the platform that can't be parsed.
-    pub malformed_documents: IntCounter,
+    admitted: IntCounter,
+    rejected_documents: IntCounter,
+    document_splits: IntCounter,
+    queued: IntGauge,
+    peers: IntGaugeVec,
+    servers: IntGaugeVec,
+    quarantine: IntGaugeVec,
     /// Datagrams and calls of peers that failed their check.
     rejected_peer_messages: IntCounterVec,
 }
@@ -96,10 +102,34 @@
             )?,
             generation: gauge(&registry, "generation", "Generation in force")?,
             in_flight: gauge(&registry, "in_flight", "Requests in flight")?,
-            malformed_documents: counter(
+            admitted: counter(&registry, "admitted_total", "Admitted requests")?,
+            rejected_documents: counter(
                 &registry,
-                "malformed_documents_total",
-                "Documents that can't be parsed",
+                "rejected_documents_total",
+                "Documents that were rejected",
+            )?,
+            document_splits: counter(
+                &registry,
+                "document_splits_total",
+                "Generations of which two contents were in force",
+            )?,
+            queued: gauge(
+                &registry,
+                "queued",
+                "Requests that wait for a backend server",
+            )?,
+            peers: gauges(
+                &registry,
+                "peers",
+                "Other entry instances by state",
+                "state",
+            )?,
+            servers: gauges(&registry, "servers", "Backend servers by state", "state")?,
+            quarantine: gauges(
+                &registry,
+                "quarantine",
+                "Requests that crash backend servers, suspected or in quarantine",
+                "state",
             )?,
             rejected_peer_messages: counters(
                 &registry,
@@ -144,8 +174,25 @@
     pub fn update(&self, snapshot: &Snapshot) {
         let generation = i64::try_from(snapshot.generation().get()).unwrap_or(i64::MAX);
         self.generation.set(generation);
-        let in_flight = i64::try_from(snapshot.in_flight).unwrap_or(i64::MAX);
-        self.in_flight.set(in_flight);
+        set(&self.in_flight, snapshot.in_flight);
+        let counts = snapshot.counts.as_ref();
+        raise(&self.admitted, counts.admitted);
+        raise(&self.rejected_documents, counts.rejected_documents);
+        raise(&self.document_splits, counts.document_splits);
+        set(&self.queued, counts.queued);
+        let live_servers = counts.servers.saturating_sub(counts.leaving_servers);
+        for (gauges, state, count) in [
+            (&self.peers, "alive", counts.peers.alive),
+            (&self.peers, "suspect", counts.peers.suspect),
+            (&self.peers, "dead", counts.peers.dead),
+            (&self.peers, "leaving", counts.peers.leaving),
+            (&self.servers, "live", live_servers),
+            (&self.servers, "leaving", counts.leaving_servers),
+            (&self.quarantine, "suspect", counts.suspects),
+            (&self.quarantine, "quarantined", counts.quarantined),
+        ] {
+            set(&gauges.with_label_values(&[state]), count);
+        }
     }
 
     /// Write the text form.
@@ -183,6 +230,26 @@
     Ok(gauge)
 }
 
+fn set(gauge: &IntGauge, count: usize) {
+    gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+}
+
+/// Raise a counter to a total that is counted elsewhere.
+fn raise(counter: &IntCounter, total: u64) {
+    counter.inc_by(total.saturating_sub(counter.get()));
+}
+
+fn gauges(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    label: &str,
+) -> prometheus::Result<IntGaugeVec> {
+    let gauges = IntGaugeVec::new(opts(name, help), &[label])?;
+    registry.register(Box::new(gauges.clone()))?;
+    Ok(gauges)
+}
+
 fn counters(
     registry: &Registry,
     name: &str,
--- a/crates/oleanderpass_entry/src/operator.rs
+++ b/crates/oleanderpass_entry/src/operator.rs
@@ -122,6 +122,7 @@
         "connections": shared.metrics.connections.get(),
         "generation": snapshot.generation(),
         "digest": document.map(|document| document.digest.to_string()),
+        "counts": *snapshot.counts,
         "environment": document.map(|document| document.environment.name.as_str()),
     });
     let mut body = serde_json::to_vec_pretty(&status).unwrap_or_default();
--- a/crates/oleanderpass_entry/src/shared.rs
+++ b/crates/oleanderpass_entry/src/shared.rs
@@ -13,10 +13,10 @@
 use crate::caller::budget::Budget;
 use crate::clock::Clock;
 use crate::core_loop::CoreSender;
-use crate::core_loop::Snapshot;
 use crate::metrics::Metrics;
 use crate::peer::client::PeerCalls;
 use crate::settings::Limits;
+use crate::snapshot::Snapshot;
 
 /// What the tasks of the process share.
 #[derive(Debug)]
--- a/crates/oleanderpass_entry/tests/parsing.rs
+++ b/crates/oleanderpass_entry/tests/parsing.rs
@@ -63,7 +63,7 @@
     let (left, right) = (parse("left"), parse("right"));
     assert_eq!(left.prefixes, right.prefixes);
     let lengths: Vec<u64> = left.prefixes.iter().map(|p| p.tokens.get()).collect();
-    assert_eq!(lengths, [256, 1_024]);
+    assert_eq!(lengths, [256, 512, 1_024]);
     assert_eq!(left.max_output, Tokens::new(9));
     let expected = Target::Model {
         model: "lay".parse().unwrap(),
