--- a/crates/oleanderpass_config/src/check.rs
+++ b/crates/oleanderpass_config/src/check.rs
@@ -17,6 +17,7 @@
 use oleanderpass_types::id::ServiceId;
 use oleanderpass_types::size::Tokens;
 use smol_str::SmolStr;
+use strum::VariantNames;
 
 use crate::canonical::canonical_json;
 use crate::canonical::digest;
@@ -41,6 +42,9 @@
 /// The longest accepted time for a request when the document names none.
 const DEFAULT_MAX_TIMEOUT: Millis = Millis::from_secs(3_600);
 
+/// The longest time that a document may accept. Callers may send at most 3,600,000 ms.
+const LONGEST_TIMEOUT: Millis = Millis::from_secs(3_600);
+
 /// The length from which a prompt is long when the document names none.
 const DEFAULT_LONG_PROMPT: Tokens = Tokens::new(32_768);
 
@@ -65,6 +69,19 @@
         text.parse().map_err(|error| self.fail(path, error)).ok()
     }
 
+    fn parse_name<T: FromStr + VariantNames>(
+        &mut self,
+        path: impl Display,
+        text: &str,
+    ) -> Option<T> {
+        let parsed = text.parse().ok();
+        if parsed.is_none() {
+            let names = T::VARIANTS.join("`, `");
+            self.fail(path, format_args!("`{text}` isn't one of `{names}`"));
+        }
+        parsed
+    }
+
     fn require(&mut self, holds: bool, path: impl Display, cause: impl Display) {
         if !holds {
             self.fail(path, cause);
@@ -85,11 +102,12 @@
         );
         checker.require(raw.generation > 0, "generation", "must be at least 1");
         let environment = check_environment(&mut checker, raw.environment.as_ref());
+        let defaults = check_defaults(&mut checker, raw.defaults.unwrap_or_default());
         let services = check_services(&mut checker, &raw.services);
         let models = check_models(&mut checker, &raw.models, &services);
-        let routes = check_routes(&mut checker, &raw.routes, &services);
+        let routes = check_routes(&mut checker, &raw.routes, &services, &defaults);
         let organisations = check_organisations(&mut checker, &raw.organisations, &models, &routes);
-        let callers = index_callers(&mut checker, &organisations);
+        let callers = index_callers(&mut checker, &raw.organisations);
         if !checker.errors.is_empty() {
             return Err(DocumentErrors(checker.errors));
         }
@@ -97,7 +115,7 @@
             generation: Generation::new(raw.generation),
             digest: digest(&canonical),
             environment,
-            defaults: check_defaults(raw.defaults.unwrap_or_default()),
+            defaults,
             services,
             models,
             routes,
@@ -115,15 +133,26 @@
     (value != T::default()).then_some(value)
 }
 
-fn check_defaults(raw: raw::Defaults) -> Defaults {
-    Defaults {
+fn check_defaults(checker: &mut Checker, raw: raw::Defaults) -> Defaults {
+    let defaults = Defaults {
         timeout: Millis::new(or_default(raw.timeout_ms, DEFAULT_TIMEOUT.get())),
         max_timeout: Millis::new(or_default(raw.max_timeout_ms, DEFAULT_MAX_TIMEOUT.get())),
         long_prompt: Tokens::new(or_default(
             raw.long_prompt_tokens,
             DEFAULT_LONG_PROMPT.get(),
         )),
-    }
+    };
+    checker.require(
+        defaults.max_timeout <= LONGEST_TIMEOUT,
+        "defaults.max_timeout_ms",
+        format_args!("must be at most {}", LONGEST_TIMEOUT.get()),
+    );
+    checker.require(
+        defaults.timeout <= defaults.max_timeout,
+        "defaults.timeout_ms",
+        "must be at most max_timeout_ms",
+    );
+    defaults
 }
 
 fn check_environment(checker: &mut Checker, raw: Option<&raw::Environment>) -> Environment {
@@ -158,7 +187,7 @@
     for (index, service) in raw.iter().enumerate() {
         let path = format!("services[{index}]");
         let id: Option<ServiceId> = checker.parse(format_args!("{path}.id"), &service.id);
-        let kind = checker.parse(format_args!("{path}.kind"), &service.kind);
+        let kind = checker.parse_name(format_args!("{path}.kind"), &service.kind);
         let (Some(id), Some(kind)) = (id, kind) else {
             continue;
         };
@@ -231,6 +260,11 @@
         let mut adapters = IndexMap::new();
         for (number, adapter) in model.adapters.iter().enumerate() {
             let path = format!("{path}.adapters[{number}]");
+            checker.require(
+                !adapter.version.is_empty(),
+                format_args!("{path}.version"),
+                "is missing",
+            );
             if let Some(id) = checker.parse::<AdapterId>(&path, &adapter.id) {
                 let added = adapters
                     .insert(id, adapter.version.as_str().into())
@@ -258,6 +292,7 @@
     checker: &mut Checker,
     raw: &[raw::Route],
     services: &IndexMap<ServiceId, Service>,
+    defaults: &Defaults,
 ) -> IndexMap<RouteId, Route> {
     let mut routes = IndexMap::new();
     for (index, route) in raw.iter().enumerate() {
@@ -268,8 +303,18 @@
         let ticket = if route.ticket.is_empty() {
             Some(TicketRule::Required)
         } else {
-            checker.parse(format_args!("{path}.ticket"), &route.ticket)
+            checker.parse_name(format_args!("{path}.ticket"), &route.ticket)
         };
+        checker.require(
+            route.ticket.is_empty() || !route.idempotent,
+            format_args!("{path}.ticket"),
+            "an idempotent route takes no ticket",
+        );
+        checker.require(
+            route.timeout_ms <= defaults.max_timeout.get(),
+            format_args!("{path}.timeout_ms"),
+            format_args!("must be at most {}", defaults.max_timeout.get()),
+        );
         let (Some(id), Some(service), Some(ticket)) = (id, service, ticket) else {
             continue;
         };
@@ -302,10 +347,10 @@
         };
         checker.require(
             known.contains_key(&id),
-            path,
+            &path,
             format_args!("`{id}` is not defined"),
         );
-        refs.insert(id);
+        checker.require(refs.insert(id), path, "appears twice");
     }
     refs
 }
@@ -321,7 +366,7 @@
         let path = format!("organisations[{index}]");
         let id: Option<OrganisationId> = checker.parse(format_args!("{path}.id"), &organisation.id);
         let class: Option<OrganisationClass> =
-            checker.parse(format_args!("{path}.class"), &organisation.class);
+            checker.parse_name(format_args!("{path}.class"), &organisation.class);
         let mut callers = IndexMap::new();
         for (number, caller) in organisation.callers.iter().enumerate() {
             let path = format!("{path}.callers[{number}]");
@@ -366,19 +411,22 @@
     organisations
 }
 
+/// Index the callers by their keys. A key that two callers share would not tell them apart.
 fn index_callers(
     checker: &mut Checker,
-    organisations: &IndexMap<OrganisationId, Organisation>,
+    raw: &[raw::Organisation],
 ) -> IndexMap<Digest, (OrganisationId, CallerId)> {
     let mut index = IndexMap::new();
-    for (organisation, checked) in organisations {
-        for (caller, key) in &checked.callers {
-            let added = index
-                .insert(*key, (organisation.clone(), caller.clone()))
-                .is_none();
+    for (number, organisation) in raw.iter().enumerate() {
+        for (position, caller) in organisation.callers.iter().enumerate() {
+            // Invalid ids and keys are reported with their organisation.
+            let ids = (organisation.id.parse().ok(), caller.id.parse().ok());
+            let (Ok(key), (Some(owner), Some(id))) = (caller.key_sha256.parse(), ids) else {
+                continue;
+            };
             checker.require(
-                added,
-                format_args!("caller `{caller}` of organisation `{organisation}`"),
+                index.insert(key, (owner, id)).is_none(),
+                format_args!("organisations[{number}].callers[{position}].key_sha256"),
                 "another caller has the same key",
             );
         }
--- a/crates/oleanderpass_config/src/content.rs
+++ b/crates/oleanderpass_config/src/content.rs
@@ -7,9 +7,10 @@
 
 use crate::canonical::canonical_json;
 use crate::document::Document;
-use crate::document::parse_yaml;
 use crate::error::DocumentError;
 use crate::error::DocumentErrors;
+use crate::parse::add_lines;
+use crate::parse::parse_yaml;
 use crate::version::Version;
 
 /// A checked document and its canonical JSON.
@@ -26,9 +27,9 @@
     ///
     /// # Errors
     ///
-    /// Return all errors of the document.
+    /// Return all errors of the document with their lines.
     pub fn from_yaml(text: &str) -> Result<Self, DocumentErrors> {
-        Self::from_raw(&parse_yaml(text)?)
+        Self::from_raw(&parse_yaml(text)?).map_err(|errors| add_lines(text, errors))
     }
 
     /// Check the canonical JSON that a peer sends.
--- a/crates/oleanderpass_config/src/document.rs
+++ b/crates/oleanderpass_config/src/document.rs
@@ -2,7 +2,6 @@
 
 use indexmap::IndexMap;
 use indexmap::IndexSet;
-use oleanderpass_proto::environment as raw;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::id::AdapterId;
 use oleanderpass_types::id::CallerId;
@@ -18,6 +17,9 @@
 use strum::Display;
 use strum::EnumString;
 use strum::IntoStaticStr;
+use strum::VariantNames;
+
+pub use crate::parse::parse_yaml;
 
 /// The largest accepted document, in bytes. Source: the configuration service's value limit.
 pub const MAX_DOCUMENT_BYTES: usize = 1_000_000;
@@ -68,7 +70,7 @@
 }
 
 /// What the servers of a service are.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumString, IntoStaticStr)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumString, IntoStaticStr, VariantNames)]
 #[strum(serialize_all = "snake_case")]
 pub enum ServiceKind {
     /// Model engines.
@@ -112,7 +114,7 @@
 }
 
 /// Whether a non-idempotent route needs a ticket.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumString, IntoStaticStr)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumString, IntoStaticStr, VariantNames)]
 #[strum(serialize_all = "snake_case")]
 pub enum TicketRule {
     /// Requests without a ticket are refused.
@@ -136,7 +138,17 @@
 
 /// The class of an organisation: the label of its metrics.
 #[derive(
-    Clone, Copy, Debug, PartialEq, Eq, Hash, Display, EnumString, IntoStaticStr, strum::EnumIter,
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    Display,
+    EnumString,
+    IntoStaticStr,
+    VariantNames,
+    strum::EnumIter,
 )]
 #[strum(serialize_all = "snake_case")]
 pub enum OrganisationClass {
@@ -173,30 +185,3 @@
     /// Requests at the same time.
     pub concurrent_requests: Option<u32>,
 }
-
-/// Read a raw document from YAML text.
-///
-/// # Errors
-///
-/// Return the place and the cause when the text is too large, isn't YAML or has unknown keys.
-pub fn parse_yaml(text: &str) -> Result<raw::Document, crate::error::DocumentErrors> {
-    let fail = |line, cause: String| {
-        let path = SmolStr::new_static("document");
-        Err(crate::error::DocumentErrors(vec![
-            crate::error::DocumentError {
-                path,
-                line,
-                cause: cause.into(),
-            },
-        ]))
-    };
-    if text.len() > MAX_DOCUMENT_BYTES {
-        return fail(None, format!("larger than {MAX_DOCUMENT_BYTES} bytes"));
-    }
-    serde_saphyr::from_str(text).or_else(|error| {
-        fail(
-            error.location().map(|location| location.line()),
-            error.to_string(),
-        )
-    })
-}
--- a/crates/oleanderpass_config/tests/distribution.rs
+++ b/crates/oleanderpass_config/tests/distribution.rs
@@ -46,6 +46,23 @@
     fleet.assert_never_reverted();
 }
 
+/// Guards against a time that is over the target at the size to build towards.
+#[test]
+fn change_is_in_force_in_time_at_410_instances() {
+    let mut fleet = Fleet::new(410);
+    fleet.zones = 8;
+    fleet.promote(0..410, 10, &text(10, "ten"));
+    fleet.run(4_000);
+    let readers = fleet
+        .nodes
+        .iter()
+        .filter(|node| node.distribution.is_reader());
+    assert_eq!(readers.count(), 16);
+    fleet.promote(0..410, 11, &text(11, "eleven"));
+    let took = fleet.time_until(11, TARGET);
+    println!("410 instances: in force everywhere after {took} ms");
+}
+
 /// Guards against a stale or malformed text that replaces the held document.
 #[test_case(&text(9, "nine"), |r| matches!(r, Rejection::LowerGeneration { .. }); "lower generation")]
 #[test_case("generation: 11\nenvironment: [", |r| matches!(r, Rejection::Malformed(_)); "not YAML")]
--- a/crates/oleanderpass_config/tests/sim/mod.rs
+++ b/crates/oleanderpass_config/tests/sim/mod.rs
@@ -15,9 +15,6 @@
 /// The step of simulated time: one tick of each instance.
 const STEP_MS: u64 = 100;
 
-/// The zones of the smaller deployments.
-const ZONES: usize = 3;
-
 pub(crate) struct Node {
     pub(crate) distribution: Distribution,
     pub(crate) running: bool,
@@ -33,6 +30,8 @@
     pub(crate) now: u64,
     pub(crate) nodes: Vec<Node>,
     pub(crate) cut: Box<dyn Fn(usize, usize) -> bool>,
+    /// The availability zones; the smaller deployments have 3.
+    pub(crate) zones: usize,
     round: u64,
 }
 
@@ -57,6 +56,7 @@
             now: 0,
             nodes: Vec::new(),
             cut: Box::new(|_, _| false),
+            zones: 3,
             round: 0,
         };
         for index in 0..size {
@@ -220,7 +220,7 @@
         let all: Vec<_> = others.iter().map(|other| id(*other)).collect();
         let zone = others
             .iter()
-            .filter(|other| *other % ZONES == index % ZONES);
+            .filter(|other| *other % self.zones == index % self.zones);
         let zone: Vec<_> = zone.map(|other| id(*other)).collect();
         self.input(
             index,
@@ -242,7 +242,10 @@
                 if !self.nodes[index].running {
                     continue;
                 }
-                self.members(index);
+                // The view of the fleet lags by up to a second.
+                if (self.round + index as u64).is_multiple_of(10) || self.round < 2 {
+                    self.members(index);
+                }
                 self.read(index);
                 self.input(index, Input::Tick);
                 if size > 1 && (self.round + index as u64).is_multiple_of(10) {
--- a/crates/oleanderpass_membership/src/gossip.rs
+++ b/crates/oleanderpass_membership/src/gossip.rs
@@ -19,11 +19,13 @@
         self.sent.insert(id.clone(), 0);
     }
 
-    /// Return the members with news, the least repeated first.
-    pub(crate) fn least_sent(&self) -> Vec<InstanceId> {
-        let mut news: Vec<_> = self.sent.iter().collect();
-        news.sort_by_key(|(_, sent)| **sent);
-        news.into_iter().map(|(id, _)| id.clone()).collect()
+    /// Return some members with news, the least repeated first.
+    pub(crate) fn least_sent(&self, count: usize) -> Vec<InstanceId> {
+        let mut news: Vec<_> = self.sent.values().copied().zip(0..).collect();
+        news.sort_unstable();
+        let chosen = news.into_iter().take(count);
+        let ids = chosen.filter_map(|(_, index)| self.sent.get_index(index));
+        ids.map(|(id, _)| id.clone()).collect()
     }
 
     /// Count a packet that carries the update, and forget it after enough repetitions.
--- a/crates/oleanderpass_membership/src/membership.rs
+++ b/crates/oleanderpass_membership/src/membership.rs
@@ -471,7 +471,7 @@
     }
 
     fn add_news(&mut self, packet: &mut Packet) {
-        for id in self.news.least_sent() {
+        for id in self.news.least_sent(MAX_UPDATES) {
             if packet.members.len() >= MAX_UPDATES {
                 return;
             }
--- a/crates/oleanderpass_membership/tests/sim/mod.rs
+++ b/crates/oleanderpass_membership/tests/sim/mod.rs
@@ -166,7 +166,7 @@
             if self.now - start >= limit_ms {
                 return None;
             }
-            self.run(100);
+            self.run(if self.nodes.len() > 100 { 500 } else { 100 });
         }
         Some(self.now - start)
     }
