Check a text once while its candidate settles

The candidate keeps its checked document, the same text isn't checked again, and the repeated read comes once in the settle time.

--- a/crates/oleanderpass_config/src/candidates.rs
+++ b/crates/oleanderpass_config/src/candidates.rs
@@ -1,21 +1,19 @@
 //! Keep documents that aren't in force yet, and the generations with two contents.
 
-use std::sync::Arc;
-
 use indexmap::IndexMap;
 use oleanderpass_proto::peer::DocumentVersion;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::clock::Timestamp;
 use oleanderpass_types::id::Generation;
 
+use crate::content::Content;
 use crate::version::Version;
 
 /// The time without a conflicting digest after which a candidate comes into force. It covers one
 /// round of probes (1 s) and an answer (0.5 s).
 pub(crate) const SETTLE_TIME: Millis = Millis::new(1_500);
 
-/// The most candidates. A generation every 200 ms makes 8 within the settle time. Only the
-/// canonical form is kept of each, at most 8 MB in all.
+/// The most candidates. A generation every 200 ms makes 8 within the settle time.
 const MAX_CANDIDATES: usize = 8;
 
 /// The most versions kept of what peers announce, and the most conflict marks.
@@ -27,7 +25,7 @@
 #[derive(Clone, Debug)]
 struct Candidate {
     version: Version,
-    canonical: Arc<[u8]>,
+    content: Content,
     since: Timestamp,
 }
 
@@ -58,7 +56,8 @@
     }
 
     /// Hold a valid document until it settles.
-    pub(crate) fn add(&mut self, now: Timestamp, version: Version, canonical: Arc<[u8]>) -> Noted {
+    pub(crate) fn add(&mut self, now: Timestamp, content: Content) -> Noted {
+        let version = content.version();
         let noted = self.note(now, version);
         let held = self.held.iter().any(|held| held.version == version);
         if held || matches!(noted, Noted::Conflict | Noted::Conflicted) {
@@ -68,7 +67,7 @@
         self.held.truncate(MAX_CANDIDATES - 1);
         self.held.push(Candidate {
             version,
-            canonical,
+            content,
             since: now,
         });
         Noted::New
@@ -117,16 +116,16 @@
     }
 
     /// Return the highest candidate that has settled.
-    pub(crate) fn settled(&self, now: Timestamp) -> Option<Arc<[u8]>> {
+    pub(crate) fn settled(&self, now: Timestamp) -> Option<Content> {
         let settled = |held: &&Candidate| now.since(held.since) >= SETTLE_TIME;
         let highest = self.held.iter().filter(settled).max_by_key(|c| c.version);
-        highest.map(|held| held.canonical.clone())
+        highest.map(|held| held.content.clone())
     }
 
-    /// Return the canonical form of a held candidate.
-    pub(crate) fn get(&self, version: Version) -> Option<Arc<[u8]>> {
+    /// Return the content of a held candidate.
+    pub(crate) fn get(&self, version: Version) -> Option<Content> {
         let held = self.held.iter().find(|held| held.version == version);
-        held.map(|held| held.canonical.clone())
+        held.map(|held| held.content.clone())
     }
 
     /// Forget what the version in force overtakes, conflict marks included. Return the candidates
--- a/crates/oleanderpass_config/src/distribution.rs
+++ b/crates/oleanderpass_config/src/distribution.rs
@@ -114,6 +114,14 @@
     Ready,
 }
 
+/// What became of the last text of the platform.
+#[derive(Clone, Copy, Debug)]
+struct LastText {
+    digest: Digest,
+    brought: Brought,
+    candidate: Option<Version>,
+}
+
 /// The documents of one entry instance.
 #[derive(Clone, Debug)]
 pub struct Distribution {
@@ -125,7 +133,7 @@
     fetching: Fetching,
     startup: Startup,
     present: IndexSet<InstanceId>,
-    last_text: Option<(Digest, Brought)>,
+    last_text: Option<LastText>,
     alarms: IndexSet<Version>,
     last_tick: Timestamp,
 }
@@ -182,10 +190,10 @@
     pub fn answer(&self, req: &FetchDocumentRequest) -> Option<FetchDocumentResponse> {
         let wanted = req.wanted.as_ref().and_then(|v| Version::try_from(v).ok());
         let candidate = wanted.and_then(|v| Some((v, self.candidates.get(v)?)));
-        if let Some((version, canonical)) = candidate {
+        if let Some((version, content)) = candidate {
             return Some(FetchDocumentResponse {
                 version: Some(version.to_message(false)),
-                document: canonical.to_vec(),
+                document: content.canonical.to_vec(),
                 ..FetchDocumentResponse::default()
             });
         }
@@ -240,30 +248,38 @@
     fn on_text(&mut self, now: Timestamp, text: &str, out: &mut Vec<Output>) {
         self.startup.platform_answered();
         let text_digest = digest(text.as_bytes());
-        let brought = match accept_yaml(text, self.in_force()) {
+        let last = self.last_text.filter(|last| last.digest == text_digest);
+        // The same text again while its candidate settles needs no second check.
+        let settling = last.and_then(|last| last.candidate);
+        if settling.is_some_and(|version| self.candidates.get(version).is_some()) {
+            self.reading.answered(now, Brought::New);
+            return;
+        }
+        let (brought, candidate) = match accept_yaml(text, self.in_force()) {
             // The service shows what is in force: nothing to report, nothing to hurry for.
-            Ok(None) => Brought::Rejected,
-            Ok(Some(content)) => self.on_candidate(now, &content, out),
+            Ok(None) => (Brought::Rejected, None),
+            Ok(Some(content)) => {
+                let version = content.version();
+                (self.on_candidate(now, content, out), Some(version))
+            }
             Err(rejection) => {
-                let repeated = self.last_text == Some((text_digest, Brought::Rejected));
-                if !repeated {
+                if last.is_none_or(|last| last.brought != Brought::Rejected) {
                     out.push(Output::Rejected(rejection));
                 }
-                Brought::Rejected
+                (Brought::Rejected, None)
             }
         };
-        self.last_text = Some((text_digest, brought));
+        self.last_text = Some(LastText {
+            digest: text_digest,
+            brought,
+            candidate,
+        });
         self.reading.answered(now, brought);
     }
 
-    fn on_candidate(
-        &mut self,
-        now: Timestamp,
-        content: &Content,
-        out: &mut Vec<Output>,
-    ) -> Brought {
+    fn on_candidate(&mut self, now: Timestamp, content: Content, out: &mut Vec<Output>) -> Brought {
         let version = content.version();
-        match self.candidates.add(now, version, content.canonical.clone()) {
+        match self.candidates.add(now, content) {
             Noted::Known => {}
             Noted::New => out.push(Output::Announce),
             Noted::Conflict => report_conflict(version, out),
@@ -286,7 +302,7 @@
             self.check_split(theirs, out);
             // What a peer has in force needs no settle time; a held copy needs no fetch.
             if let Some(held) = self.candidates.get(theirs) {
-                self.put_in_force_json(&held, out);
+                self.put_in_force(held, Vec::new(), out);
             }
         }
         for raw in candidates {
@@ -401,7 +417,7 @@
         }
         self.last_tick = now;
         if let Some(settled) = self.candidates.settled(now) {
-            self.put_in_force_json(&settled, out);
+            self.put_in_force(settled, Vec::new(), out);
             out.push(Output::Announce);
         }
         let has_document = self.in_force.is_some();
@@ -414,13 +430,6 @@
         }
     }
 
-    fn put_in_force_json(&mut self, canonical: &[u8], out: &mut Vec<Output>) {
-        match Content::from_json(canonical) {
-            Ok(content) => self.put_in_force(content, Vec::new(), out),
-            Err(errors) => out.push(Output::Rejected(Rejection::Malformed(errors))),
-        }
-    }
-
     /// Replace the document in force. The version never goes down.
     fn put_in_force(
         &mut self,
--- a/crates/oleanderpass_config/src/reading.rs
+++ b/crates/oleanderpass_config/src/reading.rs
@@ -10,9 +10,10 @@
 /// The time after which a read without an answer counts as failed, beyond its wait.
 const ANSWER_TIME: Millis = Millis::from_secs(5);
 
-/// The time between two reads that deliver a text. It also repeats the read while a candidate
-/// settles, which finds a second content of the same generation.
-const TEXT_INTERVAL: Millis = Millis::new(500);
+/// The time between two reads that deliver a text. It also repeats the read once while a candidate
+/// settles, which finds a second content of the same generation. Each read of 1 MB costs its whole
+/// size, so it is no shorter.
+const TEXT_INTERVAL: Millis = Millis::from_secs(1);
 
 /// The time until the next read after a failure.
 const RETRY_TIME: Millis = Millis::from_secs(1);
