Make the core's cost independent of the fleet outside its zone

Each tick and each request looked at every backend server, and each read of the same instance list rebuilt all views. Choose the servers to poll once a second, look at the engines of the request's pool only, and skip a list that has not changed.

Overload is controlled for each model: a model without engines made the instance shed the batch work of all others.

--- a/crates/oleanderpass_core/src/admission.rs
+++ b/crates/oleanderpass_core/src/admission.rs
@@ -236,17 +236,15 @@
                 outcome: Some(Outcome::Failed),
             });
         }
-        if matches!(new.target, Target::Route(_)) {
+        let Target::Model { model, .. } = &new.target else {
             return Ok(());
-        }
+        };
         let weight = self.weight_of(organisation);
-        self.overload.count(now, organisation, weight, work(new));
-        let batch = new.priority == Priority::Batch;
-        if self
-            .overload
-            .sheds(organisation, self.length_class(new), batch)
-        {
-            let cause = format!("overloaded: {} work is shed", self.overload.level());
+        let class = self.length_class(new);
+        let overload = self.overload.entry(model.clone()).or_default();
+        overload.count(now, organisation, weight, work(new));
+        if overload.sheds(organisation, class, new.priority == Priority::Batch) {
+            let cause = format!("overloaded: {} work is shed", overload.level());
             return Err(Rejection::new(503, local_error(Step::Admit, cause)));
         }
         Ok(())
--- a/crates/oleanderpass_core/src/dispatch.rs
+++ b/crates/oleanderpass_core/src/dispatch.rs
@@ -1,5 +1,6 @@
 //! Hand queued requests to backend servers.
 
+use indexmap::IndexMap;
 use indexmap::IndexSet;
 use oleanderpass_config::document::OrganisationClass;
 use oleanderpass_quarantine::rule::RunRule;
@@ -131,28 +132,34 @@
         self.finish(now, id, Outcome::Failed, 422, Some(error), None, out);
     }
 
-    /// Tell the overload control how long a short, interactive generation waits.
+    /// Tell the overload control of each model how long a short, interactive prompt waits.
     pub(crate) fn observe_wait(&mut self, now: Timestamp) {
-        let wait = self
-            .queue
-            .ids()
-            .filter_map(|id| self.requests.get(id))
-            .filter(|req| {
-                matches!(req.new.target, Target::Model { .. })
-                    && req.new.priority == Priority::Interactive
-                    && req.attempt.0 == 0
-                    && self.length_class(&req.new) == LengthClass::Short
-            })
-            .filter_map(|req| match req.phase {
-                Phase::Queued { since, .. } => Some(now.since(since)),
-                _ => None,
-            })
-            .max();
-        self.overload.observe(now, wait.unwrap_or(Millis::ZERO));
+        let mut waits: IndexMap<&ModelId, Millis> = IndexMap::new();
+        for id in self.queue.ids() {
+            let Some(req) = self.requests.get(id) else {
+                continue;
+            };
+            if let (Target::Model { model, .. }, Phase::Queued { since, .. }) =
+                (&req.new.target, &req.phase)
+                && req.new.priority == Priority::Interactive
+                && req.attempt.0 == 0
+                && self.length_class(&req.new) == LengthClass::Short
+            {
+                let wait = waits.entry(model).or_default();
+                *wait = now.since(*since).max(*wait);
+            }
+        }
+        for (model, overload) in &mut self.overload {
+            let wait = waits.get(model).copied().unwrap_or_default();
+            overload.observe(now, wait);
+        }
     }
 
     /// End requests that wait for a service without any live server.
     pub(crate) fn end_serverless(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        if self.queue.is_empty() {
+            return;
+        }
         let live: IndexSet<&ServiceId> = self
             .servers
             .values()
--- a/crates/oleanderpass_core/src/instance.rs
+++ b/crates/oleanderpass_core/src/instance.rs
@@ -35,6 +35,7 @@
 use crate::attempt::Attempt;
 use crate::drain::Drain;
 use crate::event::Event;
+use crate::event::InstanceList;
 use crate::holding::Holding;
 use crate::queue::Queue;
 use crate::request::Request;
@@ -72,15 +73,21 @@
     pub(crate) urgent_news: bool,
     /// Leaving servers to tell peers of, with the number of datagrams that carried each.
     pub(crate) leaving_news: IndexMap<BackendServerId, (Incarnation, u32)>,
+    /// The platform's list as last read.
+    pub(crate) list: Option<Arc<InstanceList>>,
     /// The peers in the platform's list.
     pub(crate) listed_peers: IndexMap<InstanceId, SocketAddr>,
+    /// The servers that this instance polls, and when to choose them anew.
+    pub(crate) polled: Vec<BackendServerId>,
+    pub(crate) next_poll_plan: Timestamp,
     pub(crate) servers: IndexMap<BackendServerId, ServerView>,
     pub(crate) requests: IndexMap<RequestId, Request>,
     /// Requests that wait for a backend server, in the order of dispatch.
     pub(crate) queue: Queue,
     /// What the routing policy knows of the engines, by model.
     pub(crate) views: IndexMap<ModelId, View>,
-    pub(crate) overload: Overload,
+    /// The overload control of each model.
+    pub(crate) overload: IndexMap<ModelId, Overload>,
     pub(crate) quarantine: Quarantine,
     /// Attempts that hold a slot of their server, also those whose request was answered.
     pub(crate) attempts: IndexMap<StreamId, Attempt>,
@@ -120,12 +127,15 @@
             next_list_read: Timestamp::ORIGIN,
             urgent_news: false,
             leaving_news: IndexMap::new(),
+            list: None,
             listed_peers: IndexMap::new(),
+            polled: Vec::new(),
+            next_poll_plan: Timestamp::ORIGIN,
             servers: IndexMap::new(),
             requests: IndexMap::new(),
             queue: Queue::default(),
             views: IndexMap::new(),
-            overload: Overload::default(),
+            overload: IndexMap::new(),
             quarantine: Quarantine::new(),
             attempts: IndexMap::new(),
             admitted: 0,
--- a/crates/oleanderpass_core/src/observe.rs
+++ b/crates/oleanderpass_core/src/observe.rs
@@ -24,6 +24,9 @@
 /// The time between two reads of an engine's models and role, and of its holds.
 pub const STATE_PERIOD: Millis = Millis::from_secs(5);
 
+/// The time between two choices of the servers to poll.
+const POLL_PLAN_PERIOD: Millis = Millis::from_secs(1);
+
 /// The time after which a poll that the edge has not reported on counts as failed.
 pub const POLL_TIMEOUT: Millis = Millis::from_secs(5);
 
@@ -114,8 +117,11 @@
         let Some(document) = self.document.clone() else {
             return;
         };
-        let polled = self.polled_servers();
-        for id in polled {
+        if now >= self.next_poll_plan {
+            self.next_poll_plan = now + POLL_PLAN_PERIOD;
+            self.polled = self.polled_servers();
+        }
+        for id in self.polled.clone() {
             let Some(view) = self.servers.get_mut(&id) else {
                 continue;
             };
--- a/crates/oleanderpass_core/src/placement.rs
+++ b/crates/oleanderpass_core/src/placement.rs
@@ -78,7 +78,7 @@
                 None => Place::WaitForMemory,
             };
         }
-        let busy = self.unavailable(now, id);
+        let busy = self.unavailable(now, id, &model);
         let mut excluded = busy.clone();
         excluded.extend(
             self.requests
@@ -137,17 +137,18 @@
         }
     }
 
-    /// Return the engines that can't take a request at this moment.
-    fn unavailable(&self, now: Timestamp, id: &RequestId) -> Vec<BackendServerId> {
-        let Some(req) = self.requests.get(id) else {
+    /// Return the engines of the pool that can't take a request at this moment.
+    fn unavailable(&self, now: Timestamp, id: &RequestId, model: &ModelId) -> Vec<BackendServerId> {
+        let (Some(req), Some(view)) = (self.requests.get(id), self.views.get(model)) else {
             return Vec::new();
         };
-        self.servers
-            .iter()
-            .filter(|(name, server)| {
-                server.service == req.service && !self.accepts(now, req, name, server)
+        view.pool_servers()
+            .map(|server| &server.id)
+            .filter(|name| {
+                let server = self.servers.get(*name);
+                !server.is_some_and(|server| self.accepts(now, req, name, server))
             })
-            .map(|(name, _)| name.clone())
+            .cloned()
             .collect()
     }
 
@@ -249,6 +250,8 @@
         };
         self.views
             .retain(|model, _| document.models.contains_key(model));
+        self.overload
+            .retain(|model, _| document.models.contains_key(model));
         for model in document.models.keys() {
             let view = self
                 .views
--- a/crates/oleanderpass_core/src/server.rs
+++ b/crates/oleanderpass_core/src/server.rs
@@ -242,7 +242,7 @@
     }
 
     /// Drop a mark that only a list which lagged can have caused.
-    fn clear_outdated_mark(&mut self, now: Timestamp) {
+    pub(crate) fn clear_outdated_mark(&mut self, now: Timestamp) {
         let by_list = self
             .leaving
             .is_some_and(|leaving| leaving.source == LeavingSource::List);
--- a/crates/oleanderpass_core/src/servers.rs
+++ b/crates/oleanderpass_core/src/servers.rs
@@ -1,6 +1,7 @@
 //! Follow the state of the backend servers.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use indexmap::IndexSet;
 use oleanderpass_membership::membership::Input;
@@ -25,9 +26,15 @@
     pub(crate) fn on_instance_list(
         &mut self,
         now: Timestamp,
-        list: &InstanceList,
+        list: &Arc<InstanceList>,
         out: &mut Vec<Action>,
     ) {
+        if self.list.as_ref() == Some(list) {
+            self.clear_outdated_marks(now);
+            return;
+        }
+        self.list = Some(Arc::clone(list));
+        self.next_poll_plan = now;
         self.listed_peers = list
             .entry_instances
             .iter()
@@ -66,6 +73,22 @@
         self.dispatch_queued(now, out);
     }
 
+    /// Look again at the leaving servers, although the list is the same as before.
+    fn clear_outdated_marks(&mut self, now: Timestamp) {
+        let marked: Vec<BackendServerId> = self
+            .servers
+            .iter()
+            .filter(|(_, view)| view.leaving.is_some())
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in marked {
+            if let Some(view) = self.servers.get_mut(&id) {
+                view.clear_outdated_mark(now);
+            }
+            self.update_views(&id);
+        }
+    }
+
     /// Read the platform's list when it is due.
     pub(crate) fn read_list(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         if now >= self.next_list_read {
--- a/crates/oleanderpass_core/tests/queue.rs
+++ b/crates/oleanderpass_core/tests/queue.rs
@@ -12,7 +12,9 @@
 use common::completed;
 use common::saga;
 use common::to;
+use oleanderpass_core::event::Priority;
 use oleanderpass_core::event::Source;
+use oleanderpass_core::event::Target;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::id::Digest;
 use oleanderpass_types::outcome::Outcome;
@@ -76,7 +78,7 @@
     let started = long.iter().filter(|id| !bed.starts_of(id).is_empty());
     assert!((1..=4).contains(&started.count()));
     let start = bed.starts()[0].clone();
-    assert_eq!(start.priority, oleanderpass_core::event::Priority::Batch);
+    assert_eq!(start.priority, Priority::Batch);
     let short = bed.generate();
     bed.only_start(&short);
 }
@@ -107,9 +109,39 @@
     }
     bed.pass(4_000);
     let mut batch = bed.request(saga());
-    batch.priority = oleanderpass_core::event::Priority::Batch;
+    batch.priority = Priority::Batch;
     let batch = bed.send(batch);
     assert_eq!(bed.said(&batch), Some((Outcome::NotRun, 503)));
     let urgent = bed.generate();
     assert_eq!(bed.said(&urgent), None);
 }
+
+/// Guards against a model without engines that makes the instance shed the work of others.
+#[test]
+fn one_slow_model_does_not_shed_the_work_of_another() {
+    let mut bed = bed(&["e1"]);
+    let text = common::DOCUMENT
+        .replace("generation: 1", "generation: 3")
+        .replace(
+            "models:\n",
+            "models:\n  - {id: edda, version: v1, service: other, max_prompt_tokens: 1000}\n",
+        )
+        .replace(
+            "services:\n",
+            "services:\n  - {id: other, kind: engine, memory_tokens: 1000, prefill_tokens_per_s: 1000, token_ms: 1}\n",
+        )
+        .replace("models: [saga]", "models: [saga, edda]");
+    bed.put_in_force(&text);
+    let mut new = bed.request(saga());
+    new.target = Target::Model {
+        model: "edda".parse().unwrap(),
+        adapter: None,
+    };
+    let stuck = bed.send(new);
+    bed.pass(4_000);
+    assert_eq!(bed.said(&stuck), None);
+    let mut batch = bed.request(saga());
+    batch.priority = Priority::Batch;
+    let batch = bed.send(batch);
+    bed.only_start(&batch);
+}
