Measure the cost of decisions and state by fleet size

The `cost` command measures time and memory of the routing policy, the core, membership, the document, tickets and crash evidence with 7, 40 and 410 instances and 37, 1,200 and 12,000 workers, and writes the tables into docs/CAPACITY.md. Memory is measured in processes of their own, because a heap that was used before hid it.

--- a/crates/oleanderpass_bench/src/lib.rs
+++ b/crates/oleanderpass_bench/src/lib.rs
@@ -1,5 +1,6 @@
 //! Comparison of routing policies over one trace, and decision cost.
 
+pub mod cost;
 pub mod engine;
 pub mod fleet;
 pub mod measure;
--- a/crates/oleanderpass_bench/src/main.rs
+++ b/crates/oleanderpass_bench/src/main.rs
@@ -4,6 +4,7 @@
 
 use clap::Parser;
 use clap::Subcommand;
+use oleanderpass_bench::cost;
 use oleanderpass_bench::pages;
 
 #[derive(Debug, Parser)]
@@ -25,12 +26,28 @@
     Goals,
     /// Print each long prompt that missed its deadline at 70% load.
     Missed,
+    /// Measure decision time and memory by fleet size and write the tables.
+    Cost {
+        /// The directory of `CAPACITY.md`.
+        #[arg(long, default_value = "docs")]
+        docs: PathBuf,
+    },
+    /// Print the memory of one part at one size; `cost` runs this in processes of their own.
+    #[command(hide = true)]
+    Memory {
+        /// The part.
+        part: String,
+        /// The index of the size.
+        size: usize,
+    },
 }
 
 fn main() -> eyre::Result<()> {
     match Args::parse().command {
         Command::Policies { docs } => pages::write(&docs),
         Command::Goals => pages::print_goals(),
+        Command::Cost { docs } => cost::run(&docs),
+        Command::Memory { part, size } => cost::print_memory(&part, size),
         Command::Missed => pages::print_missed(),
     }
 }
--- a/crates/oleanderpass_bench/src/pages.rs
+++ b/crates/oleanderpass_bench/src/pages.rs
@@ -228,6 +228,19 @@
     fs::write(&path, page).wrap_err_with(|| path.display().to_string())
 }
 
+/// Rewrite measured parts of a page.
+///
+/// # Errors
+///
+/// Return an error when the file can't be read or written, or lacks a part.
+pub fn rewrite(path: &Path, parts: &[(&str, String)]) -> eyre::Result<()> {
+    let mut page = fs::read_to_string(path).wrap_err_with(|| path.display().to_string())?;
+    for (name, text) in parts {
+        page = replace(&page, name, text)?;
+    }
+    fs::write(path, page).wrap_err_with(|| path.display().to_string())
+}
+
 fn replace(page: &str, name: &str, text: &str) -> eyre::Result<String> {
     let begin = format!("<!-- measured: {name} -->\n");
     let end = format!("<!-- end: {name} -->");
