--- a/crates/oleanderpass_core/src/observe.rs
+++ b/crates/oleanderpass_core/src/observe.rs
@@ -24,6 +24,9 @@
 /// The time between two reads of an engine's models and role, and of its holds.
 pub const STATE_PERIOD: Millis = Millis::from_secs(5);
 
+/// The time between two choices of the servers to poll.
+const POLL_PLAN_PERIOD: Millis = Millis::from_secs(1);
+
 /// The time after which a poll that the edge has not reported on counts as failed.
 pub const POLL_TIMEOUT: Millis = Millis::from_secs(5);
 
@@ -114,8 +117,11 @@
         let Some(document) = self.document.clone() else {
             return;
         };
-        let polled = self.polled_servers();
-        for id in polled {
+        if now >= self.next_poll_plan {
+            self.next_poll_plan = now + POLL_PLAN_PERIOD;
+            self.polled = self.polled_servers();
+        }
+        for id in self.polled.clone() {
             let Some(view) = self.servers.get_mut(&id) else {
                 continue;
             };
@@ -142,6 +148,10 @@
     fn polled_servers(&self) -> Vec<BackendServerId> {
         let in_zone = |view: &ServerView| view.zone == self.identity.zone;
         let count = self.servers.values().filter(|view| in_zone(view)).count();
+        let issues_orders = self
+            .distribution
+            .as_ref()
+            .is_some_and(|distribution| distribution.is_reader());
         let own = node_key(self.identity.instance.as_str());
         let mut instances = vec![own];
         if count > POLL_ALL_LIMIT {
@@ -149,7 +159,8 @@
             instances.extend(peers.iter().map(|id| node_key(id.as_str())));
         }
         let polled = |id: &BackendServerId, view: &ServerView| {
-            let part = || polls(own, &instances, node_key(id.as_str()), count);
+            // Orders follow from the state of all engines of the zone.
+            let part = || issues_orders || polls(own, &instances, node_key(id.as_str()), count);
             view.listed.is_some() && (view.leaving.is_some() || (in_zone(view) && part()))
         };
         self.servers
--- a/crates/oleanderpass_core/src/server.rs
+++ b/crates/oleanderpass_core/src/server.rs
@@ -199,7 +199,7 @@
             state.models.iter().any(|loaded| {
                 loaded.model == model.as_str()
                     && loaded.state == READY
-                    && adapter.is_none_or(|id| loaded.adapters.iter().any(|a| a == id.as_str()))
+                    && adapter.is_none_or(|id| loaded.adapters.iter().any(|a| is_adapter(a, id)))
             })
         })
     }
@@ -242,7 +242,7 @@
     }
 
     /// Drop a mark that only a list which lagged can have caused.
-    fn clear_outdated_mark(&mut self, now: Timestamp) {
+    pub(crate) fn clear_outdated_mark(&mut self, now: Timestamp) {
         let by_list = self
             .leaving
             .is_some_and(|leaving| leaving.source == LeavingSource::List);
@@ -257,3 +257,9 @@
         }
     }
 }
+
+/// Return whether a label of a loaded adapter, as `oleanderpass_orders` writes them, is of this
+/// adapter in any version.
+fn is_adapter(label: &str, id: &AdapterId) -> bool {
+    label.split('@').next() == Some(id.as_str())
+}
