--- a/crates/oleanderpass_stand_in/src/load.rs
+++ b/crates/oleanderpass_stand_in/src/load.rs
@@ -32,6 +32,9 @@
 /// Largest time that the histograms take, in microseconds: one hour.
 const MAX_MICROS: u64 = 3_600_000_000;
 
+/// Errors of one run that are printed.
+const PRINTED_ERRORS: u64 = 5;
+
 /// What to measure.
 #[derive(Clone, Debug, Subcommand)]
 pub enum LoadCommand {
@@ -266,6 +269,13 @@
     ))
 }
 
+/// Print the first errors of a run; the rest are only counted.
+fn print_error(number: u64, cause: &eyre::Report) {
+    if number <= PRINTED_ERRORS {
+        eprintln!("{cause:#}");
+    }
+}
+
 struct Results {
     samples: Vec<Sample>,
     errors: u64,
@@ -282,7 +292,7 @@
                 Ok(sample) => results.samples.push(sample),
                 Err(cause) => {
                     results.errors += 1;
-                    eprintln!("{cause:#}");
+                    print_error(results.errors, &cause);
                 }
             }
         }
@@ -379,7 +389,7 @@
             Ok(pair) => samples.push(pair),
             Err(cause) => {
                 errors += 1;
-                eprintln!("{cause:#}");
+                print_error(errors, &cause);
             }
         }
     }
