--- a/crates/oleanderpass_entry/src/caller/handler.rs
+++ b/crates/oleanderpass_entry/src/caller/handler.rs
@@ -7,6 +7,7 @@
 use http::Request;
 use http::Response;
 use http::header::CONTENT_TYPE;
+use http::header::EXPECT;
 use http::request::Parts;
 use hyper::body::Incoming;
 use oleanderpass_core::event::Event;
@@ -117,7 +118,10 @@
         Ok(Parsed::Task(task)) => start(shared, id, *task).await,
         Err(refused) => {
             let answer = refuse(&shared, &id, refused);
-            discard(&mut body).await;
+            // A caller that waits for `100 Continue` has not sent the body.
+            if !parts.headers.contains_key(EXPECT) {
+                discard(&mut body).await;
+            }
             answer
         }
     }
--- a/crates/oleanderpass_entry/src/operator.rs
+++ b/crates/oleanderpass_entry/src/operator.rs
@@ -76,7 +76,8 @@
 fn answer(shared: &Shared, path: &str) -> Page {
     match path {
         "/metrics" => metrics(shared),
-        "/healthz" => text(200, "live\n"),
+        "/healthz" if shared.snapshot.borrow().is_live(shared.clock.now()) => text(200, "live\n"),
+        "/healthz" => text(503, "the core is stuck\n"),
         "/readyz" if shared.snapshot.borrow().ready => text(200, "ready\n"),
         "/readyz" => text(503, "not ready\n"),
         "/status" => Page {
--- a/crates/oleanderpass_entry/src/peer/proof.rs
+++ b/crates/oleanderpass_entry/src/peer/proof.rs
@@ -1,4 +1,8 @@
 //! Prove that a call comes from a holder of the fleet key.
+//!
+//! The receiver encodes the decoded message again to compute its digest. A field that it doesn't
+//! know is lost then, and the proof fails. Therefore a new field of a call is deployed in two
+//! steps: first all instances learn to read it, then a later version sends it.
 
 use std::collections::HashSet;
 use std::collections::VecDeque;
--- a/crates/oleanderpass_entry/src/request_task.rs
+++ b/crates/oleanderpass_entry/src/request_task.rs
@@ -447,7 +447,6 @@
         outcome: Outcome,
         error: StepError,
     ) {
-        tracing::info!(req = %self.req, %outcome, status, %error, "request ended with an error");
         if self.output.has_started() {
             let json = context.error_json(outcome, &error);
             let mut event = b"data: ".to_vec();
--- a/crates/oleanderpass_entry/src/snapshot.rs
+++ b/crates/oleanderpass_entry/src/snapshot.rs
@@ -5,6 +5,7 @@
 use oleanderpass_config::document::Document;
 use oleanderpass_core::instance::Instance;
 use oleanderpass_membership::member::Liveness;
+use oleanderpass_types::clock::Millis;
 use oleanderpass_types::clock::Timestamp;
 use oleanderpass_types::id::Generation;
 use serde::Serialize;
@@ -23,9 +24,16 @@
     pub counts: Arc<Counts>,
 }
 
+/// The time without a count after which the core's thread counts as stuck. A count is due each
+/// second, and the check of a document of 1 MB takes less than one.
+pub const STUCK_AFTER: Millis = Millis::from_secs(10);
+
 /// The sizes of the core's tables.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Counts {
+    /// The time of the count.
+    #[serde(skip)]
+    pub at: Timestamp,
     /// The other entry instances.
     pub peers: PeerCounts,
     /// Requests that wait for a backend server.
@@ -84,6 +92,11 @@
             && Arc::ptr_eq(&self.counts, counts)
     }
 
+    /// Return whether the core's thread runs.
+    pub fn is_live(&self, now: Timestamp) -> bool {
+        now.since(self.counts.at) < STUCK_AFTER
+    }
+
     /// Return the generation in force, or 0 before the first document.
     pub fn generation(&self) -> Generation {
         self.document
@@ -98,6 +111,7 @@
         let (rejected_documents, last_rejection) = instance.rejected_documents();
         let servers = instance.servers();
         Self {
+            at: now,
             peers: PeerCounts::of(instance),
             queued: instance.queued(),
             admitted: instance.admitted(),
--- a/crates/oleanderpass_entry/tests/limits.rs
+++ b/crates/oleanderpass_entry/tests/limits.rs
@@ -67,6 +67,19 @@
     assert!(!server.has_more());
 }
 
+/// Guards against a refusal that waits for a body that the caller holds back.
+#[test]
+fn announced_body_is_refused_before_it_is_sent() {
+    let (entry, _server) = start(Limits::default());
+    let mut tcp = connect(entry.addrs.caller);
+    let authorization = format!("authorization: Bearer {KEY}");
+    let headers = ["expect: 100-continue", &authorization];
+    tcp.write_all(head(CHAT, &headers, 9 << 20).as_bytes())
+        .unwrap();
+    let (status, _, body) = read_answer(tcp);
+    assert_eq!(status, 413, "{body}");
+}
+
 /// Guards against many bodies that are each within their limit but not together.
 #[test]
 fn byte_budget_is_shared() {
--- a/crates/oleanderpass_entry/tests/support/mod.rs
+++ b/crates/oleanderpass_entry/tests/support/mod.rs
@@ -107,7 +107,12 @@
 
 /// Start an instance that reads a given platform.
 pub(crate) fn spawn_instance(id: &str, platform: SocketAddr, limits: raw::Limits) -> Entry {
-    let settings = raw::Settings {
+    start_instance(&settings(id, platform, limits))
+}
+
+/// Return the settings of an instance on free ports.
+pub(crate) fn settings(id: &str, platform: SocketAddr, limits: raw::Limits) -> raw::Settings {
+    raw::Settings {
         instance: id.to_owned(),
         zone: "hafnir".to_owned(),
         caller_addr: "127.0.0.1:0".to_owned(),
@@ -118,8 +123,12 @@
         fleet_key: "5a".repeat(32),
         limits: Some(limits),
         ..raw::Settings::default()
-    };
-    let daemon = Daemon::bind(&Settings::try_from(&settings).unwrap()).unwrap();
+    }
+}
+
+/// Start an instance and wait until it is ready.
+pub(crate) fn start_instance(settings: &raw::Settings) -> Entry {
+    let daemon = Daemon::bind(&Settings::try_from(settings).unwrap()).unwrap();
     let mut entry = Entry {
         addrs: daemon.addrs(),
         core: daemon.core(),
