Answer a refused use of a ticket as unknown

An edge that refuses a request with a ticket can't know whether an earlier use ran, so `not run` was a wrong claim. The same holds for connections above the limit, whose request isn't read.

--- a/crates/oleanderpass_entry/src/caller/handler.rs
+++ b/crates/oleanderpass_entry/src/caller/handler.rs
@@ -38,6 +38,7 @@
 use crate::caller::body::read_body;
 use crate::caller::budget::Share;
 use crate::caller::head::Head;
+use crate::caller::head::TICKET;
 use crate::caller::openai;
 use crate::caller::openai::AnswerForm;
 use crate::caller::output::Output;
@@ -117,7 +118,7 @@
         }
         Ok(Parsed::Task(task)) => start(shared, id, *task).await,
         Err(refused) => {
-            let answer = refuse(&shared, &id, refused);
+            let answer = refuse(&shared, &id, &parts, refused);
             // A caller that waits for `100 Continue` has not sent the body.
             if !parts.headers.contains_key(EXPECT) {
                 discard(&mut body).await;
@@ -134,11 +135,22 @@
     }
 }
 
-fn refuse(shared: &Shared, req: &RequestId, refused: Refused) -> Response<CallerBody> {
+fn refuse(
+    shared: &Shared,
+    req: &RequestId,
+    parts: &Parts,
+    refused: Refused,
+) -> Response<CallerBody> {
+    // An earlier use of the ticket may have run, and only the ticket's owner knows.
+    let outcome = if parts.headers.contains_key(TICKET) {
+        Outcome::Unknown
+    } else {
+        Outcome::NotRun
+    };
     shared.metrics.count_refused(refused.status);
     tracing::info!(%req, step = %refused.step, status = refused.status, cause = %refused.cause, "request refused");
     let error = StepError::new(refused.step, Peer::Caller, refused.cause);
-    let mut answer = context(shared, req).error(refused.status, Outcome::NotRun, &error);
+    let mut answer = context(shared, req).error(refused.status, outcome, &error);
     // The rest of the body may still be under way, so the connection can't be used again.
     let close = http::HeaderValue::from_static("close");
     answer.headers_mut().insert(http::header::CONNECTION, close);
--- a/crates/oleanderpass_entry/src/caller/server.rs
+++ b/crates/oleanderpass_entry/src/caller/server.rs
@@ -31,8 +31,9 @@
 /// The time to tell a caller that there are too many connections.
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// The body of the answer on a connection above the limit.
-const TOO_MANY_CONNECTIONS: &str = r#"{"error":{"step":"read","peer":"local","cause":"too many connections","outcome":"not run"}}"#;
+/// The body of the answer on a connection above the limit. The request isn't read, so it may carry
+/// a ticket whose earlier use ran: the outcome is unknown.
+const TOO_MANY_CONNECTIONS: &str = r#"{"error":{"step":"read","peer":"local","cause":"too many connections","outcome":"unknown"}}"#;
 
 /// Accept connections until `closing` is set.
 pub async fn serve(listener: TcpListener, shared: Arc<Shared>, mut closing: watch::Receiver<bool>) {
@@ -76,7 +77,7 @@
 async fn refuse(mut tcp: TcpStream) {
     let answer = format!(
         "HTTP/1.1 503 Service Unavailable\r\ncontent-type: application/json\r\n\
-         connection: close\r\noleanderpass-outcome: not run\r\n\
+         connection: close\r\noleanderpass-outcome: unknown\r\n\
          content-length: {}\r\n\r\n{TOO_MANY_CONNECTIONS}",
         TOO_MANY_CONNECTIONS.len()
     );
--- a/crates/oleanderpass_entry/tests/limits.rs
+++ b/crates/oleanderpass_entry/tests/limits.rs
@@ -67,6 +67,52 @@
     assert!(!server.has_more());
 }
 
+/// Guards against a body without a length that grows past the limit.
+#[test]
+fn oversized_chunked_body_is_refused() {
+    let (entry, _server) = start(Limits {
+        body_bytes: 10_000,
+        ..Limits::default()
+    });
+    let mut tcp = connect(entry.addrs.caller);
+    let head = format!(
+        "{CHAT} HTTP/1.1\r\nhost: test\r\nauthorization: Bearer {KEY}\r\n\
+         transfer-encoding: chunked\r\n\r\n"
+    );
+    let chunk = format!("1000\r\n{}\r\n", " ".repeat(4_096));
+    tcp.write_all(head.as_bytes()).unwrap();
+    tcp.write_all(chunk.repeat(3).as_bytes()).unwrap();
+    tcp.write_all(b"0\r\n\r\n").unwrap();
+    let (status, _, body) = read_answer(tcp);
+    assert_eq!(status, 413, "{body}");
+}
+
+/// Guards against callers that hold the byte budget with a body that never ends.
+#[test]
+fn stalled_body_is_refused() {
+    let (entry, server) = start(Limits::default());
+    let mut tcp = connect(entry.addrs.caller);
+    let authorization = format!("authorization: Bearer {KEY}");
+    tcp.write_all(head(CHAT, &[&authorization], 1_000).as_bytes())
+        .unwrap();
+    let (status, _, body) = read_answer(tcp);
+    assert_eq!(status, 408, "{body}");
+    assert!(!server.has_more());
+}
+
+/// Guards against "not run" for a resend of a call whose first use may have run elsewhere.
+#[test]
+fn refused_use_of_a_ticket_is_unknown() {
+    let (entry, _server) = start(Limits {
+        body_bytes: 10,
+        ..Limits::default()
+    });
+    let ticket = "oleanderpass-ticket: t";
+    let (status, head, _) = entry.call("POST /svc/charge/", &[ticket], &[b' '; 20]);
+    assert_eq!(status, 413);
+    assert!(head.contains("oleanderpass-outcome: unknown"), "{head}");
+}
+
 /// Guards against a refusal that waits for a body that the caller holds back.
 #[test]
 fn announced_body_is_refused_before_it_is_sent() {
