--- a/crates/oleanderpass_core/src/dispatch.rs
+++ b/crates/oleanderpass_core/src/dispatch.rs
@@ -1,5 +1,6 @@
 //! Hand queued requests to backend servers.
 
+use indexmap::IndexMap;
 use indexmap::IndexSet;
 use oleanderpass_config::document::OrganisationClass;
 use oleanderpass_quarantine::rule::RunRule;
@@ -21,6 +22,7 @@
 use oleanderpass_types::size::Tokens;
 
 use crate::action::Action;
+use crate::action::HeldMemory;
 use crate::action::StartAttempt;
 use crate::attempt::Attempt;
 use crate::event::NewRequest;
@@ -39,6 +41,19 @@
 /// list and load reports show a new server within this time.
 const NO_SERVER_WAIT: Millis = Millis::from_secs(5);
 
+/// How to run the next attempt of a request.
+#[derive(Debug)]
+pub(crate) struct Start {
+    /// The server.
+    pub(crate) server: BackendServerId,
+    /// What it adds to the engines in the view of this model.
+    pub(crate) dispatch: Option<(ModelId, Dispatch)>,
+    /// Send it at lower priority.
+    pub(crate) low_priority: bool,
+    /// Memory that is held for it.
+    pub(crate) holds: Vec<HeldMemory>,
+}
+
 /// What became of the attempt to dispatch a request.
 enum Dispatched {
     /// The request has left the queue.
@@ -85,12 +100,12 @@
             return Dispatched::Left;
         }
         match self.place(now, id) {
-            Place::Run {
-                server,
-                dispatch,
-                low_priority,
-            } => {
-                self.start(now, id, server, dispatch, low_priority, out);
+            Place::Run(start) => {
+                self.start(now, id, start, out);
+                Dispatched::Left
+            }
+            Place::Join(join) => {
+                self.begin_holding(now, id, join, out);
                 Dispatched::Left
             }
             Place::Refuse(refusal) => {
@@ -99,6 +114,7 @@
                 self.finish(now, id, outcome, status, Some(error), None, out);
                 Dispatched::Left
             }
+            Place::WaitForMemory => Dispatched::WaitsApart,
             Place::Wait if rule != RunRule::Free => Dispatched::WaitsApart,
             Place::Wait => Dispatched::Waits,
         }
@@ -116,28 +132,34 @@
         self.finish(now, id, Outcome::Failed, 422, Some(error), None, out);
     }
 
-    /// Tell the overload control how long a short, interactive generation waits.
+    /// Tell the overload control of each model how long a short, interactive prompt waits.
     pub(crate) fn observe_wait(&mut self, now: Timestamp) {
-        let wait = self
-            .queue
-            .ids()
-            .filter_map(|id| self.requests.get(id))
-            .filter(|req| {
-                matches!(req.new.target, Target::Model { .. })
-                    && req.new.priority == Priority::Interactive
-                    && req.attempt.0 == 0
-                    && self.length_class(&req.new) == LengthClass::Short
-            })
-            .filter_map(|req| match req.phase {
-                Phase::Queued { since, .. } => Some(now.since(since)),
-                _ => None,
-            })
-            .max();
-        self.overload.observe(now, wait.unwrap_or(Millis::ZERO));
+        let mut waits: IndexMap<&ModelId, Millis> = IndexMap::new();
+        for id in self.queue.ids() {
+            let Some(req) = self.requests.get(id) else {
+                continue;
+            };
+            if let (Target::Model { model, .. }, Phase::Queued { since, .. }) =
+                (&req.new.target, &req.phase)
+                && req.new.priority == Priority::Interactive
+                && req.attempt.0 == 0
+                && self.length_class(&req.new) == LengthClass::Short
+            {
+                let wait = waits.entry(model).or_default();
+                *wait = now.since(*since).max(*wait);
+            }
+        }
+        for (model, overload) in &mut self.overload {
+            let wait = waits.get(model).copied().unwrap_or_default();
+            overload.observe(now, wait);
+        }
     }
 
     /// End requests that wait for a service without any live server.
     pub(crate) fn end_serverless(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        if self.queue.is_empty() {
+            return;
+        }
         let live: IndexSet<&ServiceId> = self
             .servers
             .values()
@@ -218,15 +240,20 @@
         }
     }
 
-    fn start(
+    /// Start the next attempt of a request.
+    pub(crate) fn start(
         &mut self,
         now: Timestamp,
         id: &RequestId,
-        server: BackendServerId,
-        dispatch: Option<(ModelId, Dispatch)>,
-        low_priority: bool,
+        start: Start,
         out: &mut Vec<Action>,
     ) {
+        let Start {
+            server,
+            dispatch,
+            low_priority,
+            holds,
+        } = start;
         let (Some(req), Some(view)) = (self.requests.get_mut(id), self.servers.get_mut(&server))
         else {
             return;
@@ -270,7 +297,7 @@
             deadline: req.deadline,
             priority,
             once: req.once,
-            holds: Vec::new(),
+            holds,
         }));
     }
 
