--- a/crates/oleanderpass_core/tests/invariants.rs
+++ b/crates/oleanderpass_core/tests/invariants.rs
@@ -209,7 +209,7 @@
     }
     for (ticket, uses) in &run.uses {
         let ends = uses.iter().flat_map(|id| run.attempts(id));
-        let runs = ends.filter(|end| may_have_run(end)).count();
+        let runs = ends.filter(may_have_run).count();
         assert!(runs <= 1, "{ticket} may have run {runs} times");
     }
     for (id, view) in bed.instance.servers() {
