Hold organisations to their limits in the core

The core admitted any number of requests of an organisation. It now asks oleanderpass_limits last at admission, counts generated tokens at the end and gives back concurrency at every end, and it asks for and grants quota leases. The retry budget of that crate replaces the core's own one.

--- a/crates/oleanderpass_core/src/admission.rs
+++ b/crates/oleanderpass_core/src/admission.rs
@@ -137,8 +137,17 @@
         if matches!(phase, Phase::Queued { .. }) {
             self.check_behaviour(now, &organisation, new)?;
             self.check_capacity(now, new, deadline)?;
+            self.check_limits(now, &organisation, new)?;
         }
-        let ticket = self.begin_ticket_step(&new.id, &step)?;
+        let ticket = match self.begin_ticket_step(&new.id, &step) {
+            Ok(ticket) => ticket,
+            Err(rejection) => {
+                if matches!(phase, Phase::Queued { .. }) {
+                    self.limits.finish(&organisation);
+                }
+                return Err(rejection);
+            }
+        };
         Ok(Admission::Enter(Box::new(Request {
             new: Box::new(new.clone()),
             signature: signature(&organisation, new),
--- a/crates/oleanderpass_core/src/attempt.rs
+++ b/crates/oleanderpass_core/src/attempt.rs
@@ -15,6 +15,7 @@
 use oleanderpass_types::id::RequestId;
 use oleanderpass_types::id::StreamId;
 use oleanderpass_types::outcome::Outcome;
+use oleanderpass_types::size::Tokens;
 
 use crate::action::Action;
 use crate::action::Answer;
@@ -190,10 +191,11 @@
             delivered: req.delivered,
         };
         let Some(verdict) = judge(facts, &end) else {
-            let answer = match end {
-                AttemptEnd::Completed { answer, .. } => answer,
-                _ => None,
+            let (output, answer) = match end {
+                AttemptEnd::Completed { output, answer } => (output, answer),
+                _ => (Tokens::ZERO, None),
             };
+            self.limits.add_tokens(now, &req.organisation, output.get());
             self.finish(now, id, Outcome::Completed, 200, None, answer, out);
             return;
         };
@@ -340,6 +342,9 @@
         let Some(req) = self.requests.swap_remove(id) else {
             return;
         };
+        if !matches!(req.phase, Phase::Forwarded { .. } | Phase::Waiting { .. }) {
+            self.limits.finish(&req.organisation);
+        }
         match req.phase {
             Phase::Queued { .. } => self.queue.remove(id),
             Phase::Holding => self.end_early_holding(now, id, req.attempt, out),
--- a/crates/oleanderpass_core/src/instance.rs
+++ b/crates/oleanderpass_core/src/instance.rs
@@ -9,6 +9,10 @@
 use oleanderpass_config::document::Document;
 use oleanderpass_holds::acquisition::Hold;
 use oleanderpass_holds::release::Releases;
+use oleanderpass_limits::organisation::LiveInstance;
+use oleanderpass_limits::organisation::OrganisationLimits;
+use oleanderpass_limits::retry::RetryBudget;
+use oleanderpass_membership::membership::Input as MembershipInput;
 use oleanderpass_membership::membership::Membership;
 use oleanderpass_orders::guard::IssueGuard;
 use oleanderpass_quarantine::table::Quarantine;
@@ -39,7 +43,6 @@
 use crate::holding::Holding;
 use crate::queue::Queue;
 use crate::request::Request;
-use crate::retry::RetryBudget;
 use crate::server::ServerView;
 
 /// What an instance knows of itself.
@@ -93,6 +96,7 @@
     pub(crate) attempts: IndexMap<StreamId, Attempt>,
     pub(crate) admitted: u64,
     pub(crate) retry_budget: RetryBudget,
+    pub(crate) limits: OrganisationLimits,
     /// The KV memory that attempts hold on several engines.
     pub(crate) holdings: IndexMap<StreamId, Holding>,
     /// Holds that engines were asked for and did not answer yet.
@@ -111,6 +115,10 @@
 impl Instance {
     /// Create the core of an instance that has just started.
     pub fn new(identity: Identity, seed: u64) -> Self {
+        let limits = OrganisationLimits::new(LiveInstance {
+            id: identity.instance.clone(),
+            zone: identity.zone.clone(),
+        });
         let ledger = Ledger::new(identity.instance.clone(), identity.incarnation);
         Self {
             identity,
@@ -140,6 +148,7 @@
             attempts: IndexMap::new(),
             admitted: 0,
             retry_budget: RetryBudget::default(),
+            limits,
             holdings: IndexMap::new(),
             hold_requests: IndexMap::new(),
             releases: Releases::new(),
@@ -312,15 +321,19 @@
             Event::InstanceListFailed { cause } => {
                 tracing::warn!(%cause, "could not read the instance list");
             }
-            Event::LeaseQuotaCall { .. }
-            | Event::QuotaLeased { .. }
-            | Event::QuotaLeaseFailed { .. } => {}
+            Event::LeaseQuotaCall {
+                call,
+                from,
+                demands,
+            } => self.on_lease_call(now, call, &from, &demands, out),
+            Event::QuotaLeased { home, leases } => self.limits.on_leased(now, &home, &leases),
+            Event::QuotaLeaseFailed { home } => self.limits.on_ask_failed(&home),
         }
     }
 
     fn on_tick(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         self.note_tick(now, out);
-        self.run_membership(now, oleanderpass_membership::membership::Input::Tick, out);
+        self.run_membership(now, MembershipInput::Tick, out);
         self.distribute(now, Input::Tick, out);
         self.tell_urgent_news(now, out);
         self.read_list(now, out);
@@ -332,6 +345,7 @@
         self.dispatch_queued(now, out);
         self.end_serverless(now, out);
         self.poll_servers(now, out);
+        self.ask_for_quota(now, out);
         self.issue_orders(now, out);
         self.advance_drain(now, out);
     }
--- a/crates/oleanderpass_core/src/lib.rs
+++ b/crates/oleanderpass_core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod event;
 mod holding;
 pub mod instance;
+mod limiting;
 pub mod observe;
 mod ordering;
 mod peers;
--- a/crates/oleanderpass_core/src/peers.rs
+++ b/crates/oleanderpass_core/src/peers.rs
@@ -183,6 +183,7 @@
 
     /// Tell the distribution who is there.
     fn announce_members(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        self.set_limit_sharers(now);
         let zone = self.live_peers_of_zone();
         let all: Vec<InstanceId> = self
             .membership
--- a/crates/oleanderpass_core/tests/common/fleet.rs
+++ b/crates/oleanderpass_core/tests/common/fleet.rs
@@ -81,6 +81,11 @@
                     self.event_at(to, Event::PeerPacket { from, packet });
                 }
                 Action::FetchDocument { addr, query, .. } => self.fetch(from, addr, query),
+                Action::LeaseQuota {
+                    home,
+                    addr,
+                    demands,
+                } => self.lease(from, home, addr, demands),
                 _ => {}
             }
         }
@@ -122,6 +127,29 @@
         }
     }
 
+    fn lease(
+        &mut self,
+        asker: usize,
+        home: InstanceId,
+        to: SocketAddr,
+        demands: Vec<oleanderpass_proto::peer::QuotaDemand>,
+    ) {
+        let call = CallId(2);
+        let from = self.beds[asker].instance.identity().instance.clone();
+        let event = Event::LeaseQuotaCall {
+            call,
+            from,
+            demands,
+        };
+        let answered = self.event_at(to, event);
+        let last = answered.and_then(|index| self.beds[index].actions.last().cloned());
+        let event = match last {
+            Some(Action::AnswerLease { leases, .. }) => Event::QuotaLeased { home, leases },
+            _ => Event::QuotaLeaseFailed { home },
+        };
+        self.beds[asker].event(event);
+    }
+
     pub fn generations(&self) -> Vec<u64> {
         self.beds
             .iter()
--- a/crates/oleanderpass_core/tests/fleet.rs
+++ b/crates/oleanderpass_core/tests/fleet.rs
@@ -154,6 +154,42 @@
     assert!(fleet.beds[1].starts().is_empty());
 }
 
+/// Guards against an organisation that uses its limit once at each instance, and against one that
+/// gets a small part of it because the balancer is uneven.
+#[test]
+fn a_limit_holds_over_the_fleet_under_uneven_load() {
+    let mut fleet = fleet(3);
+    let limited = DOCUMENT.replace("generation: 1", "generation: 2").replace(
+        "    class: large\n",
+        "    class: large\n    limits: {requests_per_s: 30}\n",
+    );
+    // With an empty zone in view, the instances would take themselves for a minority.
+    let limited = limited.replace("zones: [north, south]", "zones: [north]");
+    fleet.beds[0].event(Event::Document(document(&limited)));
+    fleet.pass(15_000);
+    let mut admitted = 0;
+    for step in 0..300 {
+        for (index, calls) in [(0, 6), (1, 1), (2, 1)] {
+            for _ in 0..calls {
+                let bed = &mut fleet.beds[index];
+                let id = bed.call("status", None);
+                let started = bed.starts_of(&id).first().cloned();
+                // The first 10 s are for the leases to follow the demand.
+                admitted += u64::from(step >= 100 && started.is_some());
+                if let Some(start) = started {
+                    bed.end(&start, common::completed());
+                }
+            }
+        }
+        fleet.pass(100);
+    }
+    println!("{admitted} admitted in 20 s at a limit of 600");
+    assert!(
+        (500..=630).contains(&admitted),
+        "{admitted} admitted in 20 s"
+    );
+}
+
 /// Guards against a leaving owner whose tickets are given up although it still takes them.
 #[test]
 fn tickets_are_forwarded_to_a_leaving_owner() {
--- a/crates/oleanderpass_core/tests/request_path.rs
+++ b/crates/oleanderpass_core/tests/request_path.rs
@@ -313,3 +313,35 @@
     bed.list(vec![far]);
     assert_eq!(bed.only_start(&ids[2]).server.as_str(), "far");
 }
+
+/// Guards against a count of running requests that grows with each kind of end.
+#[test]
+fn a_concurrency_limit_is_given_back_by_every_end() {
+    let mut bed = Bed::new(&["e1", "e2", "e3"], &["w1"]);
+    let limited = common::DOCUMENT
+        .replace("generation: 1", "generation: 2")
+        .replace(
+            "    class: large\n",
+            "    class: large\n    limits: {concurrent_requests: 2}\n",
+        );
+    bed.put_in_force(&limited);
+    // Two zones share the limit and this instance has no peer, so it may use one.
+    for end in [completed(), failed(), not_sent(), broken(false)] {
+        let id = bed.generate();
+        let refused = bed.generate();
+        assert_eq!(bed.said(&refused), Some((Outcome::NotRun, 429)));
+        let start = bed.only_start(&id);
+        bed.end(&start, end);
+        assert!(bed.said(&id).is_some());
+        bed.pass(6_000);
+    }
+    let id = bed.generate();
+    bed.event(Event::CallerGone(id));
+    bed.pass(6_000);
+    let id = bed.generate();
+    assert_eq!(bed.said(&id), None);
+    bed.pass(26_000);
+    assert!(bed.said(&id).is_some());
+    let id = bed.generate();
+    assert_eq!(bed.said(&id), None);
+}
--- a/crates/oleanderpass_core/tests/retries.rs
+++ b/crates/oleanderpass_core/tests/retries.rs
@@ -13,7 +13,6 @@
 use common::completed;
 use oleanderpass_core::event::AttemptEnd;
 use oleanderpass_core::event::Refusal;
-use oleanderpass_core::retry::MAX_SAVED_RETRIES;
 use oleanderpass_core::retry::retry_delay;
 use oleanderpass_types::id::BackendServerId;
 use rand_pcg::Pcg64Mcg;
@@ -62,7 +61,7 @@
     let mut bed = Bed::new(&ENGINES, &[]);
     run(&mut bed, 60, 10, &completed());
     let (admitted, sent) = run(&mut bed, 60, 10, end);
-    let saved = u64::from(MAX_SAVED_RETRIES);
+    let saved = 10;
     assert!(
         sent * 10 <= admitted * 11 + saved * 10,
         "{sent} sent of {admitted} admitted"
