Order loads as soon as all engines are observed

A fleet whose engines start empty served nothing for the 10 s that the first orders waited. They now wait only while some live engine of the zone has not told its state, and a document that comes into force causes orders at once.

--- a/crates/oleanderpass_core/src/documents.rs
+++ b/crates/oleanderpass_core/src/documents.rs
@@ -178,6 +178,7 @@
     fn put_in_force(&mut self, now: Timestamp, document: Arc<Document>, out: &mut Vec<Action>) {
         tracing::info!(generation = %document.generation, "a document is in force");
         self.set_limits(now, &document);
+        self.next_orders = self.next_orders.map(|_| now);
         self.document = Some(document);
         self.rebuild_views();
         self.dispatch_queued(now, out);
--- a/crates/oleanderpass_core/src/instance.rs
+++ b/crates/oleanderpass_core/src/instance.rs
@@ -105,6 +105,8 @@
     pub(crate) acquisitions: u64,
     pub(crate) issue_guard: Option<IssueGuard>,
     pub(crate) next_orders: Option<Timestamp>,
+    /// When the first orders are due although some engine has not told its state.
+    pub(crate) first_orders: Option<Timestamp>,
     pub(crate) last_tick: Option<Timestamp>,
     /// When the read of the platform began that has no answer yet.
     pub(crate) read_began: Timestamp,
@@ -155,6 +157,7 @@
             acquisitions: 0,
             issue_guard: None,
             next_orders: None,
+            first_orders: None,
             last_tick: None,
             read_began: Timestamp::ORIGIN,
             ledger,
--- a/crates/oleanderpass_core/src/ordering.rs
+++ b/crates/oleanderpass_core/src/ordering.rs
@@ -22,7 +22,7 @@
 /// The time between two derivations of orders: the period of the observations.
 const ORDER_PERIOD: Millis = Millis::from_secs(5);
 
-/// The time after the start until the first orders. All engines are observed within it, and a
+/// The time after the start until the first orders when some engine doesn't tell its state. A
 /// derivation over a part of the engines would move models.
 const FIRST_ORDERS: Millis = Millis::from_secs(10);
 
@@ -32,7 +32,11 @@
     /// The readers of the zone issue them. Two issuers give the same orders, which are harmless
     /// twice.
     pub(crate) fn issue_orders(&mut self, now: Timestamp, out: &mut Vec<Action>) {
-        let next = *self.next_orders.get_or_insert(now + FIRST_ORDERS);
+        let next = match self.next_orders {
+            None if self.observes_all_engines() => now,
+            None => *self.first_orders.get_or_insert(now + FIRST_ORDERS),
+            Some(next) => next,
+        };
         if now < next {
             return;
         }
@@ -54,17 +58,27 @@
         }
     }
 
-    fn observed_engines(&self, now: Timestamp, document: &Document) -> Vec<ObservedEngine> {
-        let is_engine = |view: &ServerView| {
-            document
-                .services
-                .get(&view.service)
-                .is_some_and(|service| service.kind == ServiceKind::Engine)
+    /// Return whether all live engines of the zone have told their state.
+    fn observes_all_engines(&self) -> bool {
+        let Some(document) = &self.document else {
+            return false;
         };
+        let mut engines = self
+            .servers
+            .values()
+            .filter(|view| view.zone == self.identity.zone && view.is_live())
+            .filter(|view| is_engine(document, view))
+            .peekable();
+        engines.peek().is_some() && engines.all(|view| view.engine.is_some())
+    }
+
+    fn observed_engines(&self, now: Timestamp, document: &Document) -> Vec<ObservedEngine> {
         self.servers
             .iter()
             .filter(|(_, view)| {
-                view.zone == self.identity.zone && view.listed.is_some() && is_engine(view)
+                view.zone == self.identity.zone
+                    && view.listed.is_some()
+                    && is_engine(document, view)
             })
             .filter_map(|(id, view)| observe(now, id, view))
             .collect()
@@ -101,6 +115,13 @@
     }
 }
 
+fn is_engine(document: &Document, view: &ServerView) -> bool {
+    document
+        .services
+        .get(&view.service)
+        .is_some_and(|service| service.kind == ServiceKind::Engine)
+}
+
 fn observe(now: Timestamp, id: &BackendServerId, view: &ServerView) -> Option<ObservedEngine> {
     let (at, state) = view.engine.as_ref()?;
     let models = state.models.iter().filter_map(|raw| {
--- a/crates/oleanderpass_core/tests/drain.rs
+++ b/crates/oleanderpass_core/tests/drain.rs
@@ -1,10 +1,6 @@
 //! Guard against a shutdown that interrupts requests, strands tickets or never ends.
 
-#![allow(
-    clippy::unwrap_used,
-    clippy::expect_used,
-    reason = "a failed unwrap fails the test"
-)]
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
 mod common;
 
--- a/crates/oleanderpass_core/tests/fleet.rs
+++ b/crates/oleanderpass_core/tests/fleet.rs
@@ -1,10 +1,6 @@
 //! Guard against instances that act on what their peers know to be outdated.
 
-#![allow(
-    clippy::unwrap_used,
-    clippy::expect_used,
-    reason = "a failed unwrap fails the test"
-)]
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
 mod common;
 
--- a/crates/oleanderpass_core/tests/holding.rs
+++ b/crates/oleanderpass_core/tests/holding.rs
@@ -1,10 +1,6 @@
 //! Guard against KV memory that is lost, and against long prompts that hold up everything.
 
-#![allow(
-    clippy::unwrap_used,
-    clippy::expect_used,
-    reason = "a failed unwrap fails the test"
-)]
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
 mod common;
 
--- a/crates/oleanderpass_core/tests/observe.rs
+++ b/crates/oleanderpass_core/tests/observe.rs
@@ -1,10 +1,6 @@
 //! Guard against servers that are polled too often, not at all, or used without the model.
 
-#![allow(
-    clippy::unwrap_used,
-    clippy::expect_used,
-    reason = "a failed unwrap fails the test"
-)]
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
 mod common;
 
--- a/crates/oleanderpass_core/tests/ordering.rs
+++ b/crates/oleanderpass_core/tests/ordering.rs
@@ -1,10 +1,6 @@
 //! Guard against orders from a stale document and against engines that stay without their model.
 
-#![allow(
-    clippy::unwrap_used,
-    clippy::expect_used,
-    reason = "a failed unwrap fails the test"
-)]
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
 mod common;
 
@@ -52,7 +48,7 @@
 fn engines_with_another_version_are_ordered_to_load() {
     let mut bed = Bed::new(&["e1", "e2"], &[]);
     bed.event(Event::DocumentUnchanged);
-    pass(&mut bed, 12_000, "v0");
+    pass(&mut bed, 3_000, "v0");
     let sent = orders(&bed);
     let (_, order) = &sent[0];
     assert_eq!(
@@ -101,7 +97,7 @@
     bed.event(Event::DocumentUnchanged);
     bed.put_in_force(&DOCUMENT.replace("generation: 1", "generation: 7"));
     bed.event(Event::DocumentUnchanged);
-    pass(&mut bed, 12_000, "v0");
+    pass(&mut bed, 3_000, "v0");
     assert!(!orders(&bed).is_empty());
     assert!(orders(&bed).iter().all(|(_, order)| order.fencing == 7));
 }
--- a/crates/oleanderpass_core/tests/queue.rs
+++ b/crates/oleanderpass_core/tests/queue.rs
@@ -1,10 +1,6 @@
 //! Guard against requests that hold up others for longer than their share.
 
-#![allow(
-    clippy::unwrap_used,
-    clippy::expect_used,
-    reason = "a failed unwrap fails the test"
-)]
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
 mod common;
 
--- a/crates/oleanderpass_core/tests/request_path.rs
+++ b/crates/oleanderpass_core/tests/request_path.rs
@@ -1,10 +1,6 @@
 //! Guard against wrong outcomes, missed deadlines and mixed-up attempts.
 
-#![allow(
-    clippy::unwrap_used,
-    clippy::expect_used,
-    reason = "a failed unwrap fails the test"
-)]
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
 mod common;
 
--- a/crates/oleanderpass_core/tests/suspicion.rs
+++ b/crates/oleanderpass_core/tests/suspicion.rs
@@ -1,10 +1,6 @@
 //! Guard against a request that takes down one backend server after another.
 
-#![allow(
-    clippy::unwrap_used,
-    clippy::expect_used,
-    reason = "a failed unwrap fails the test"
-)]
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
 mod common;
 
--- a/crates/oleanderpass_core/tests/tickets.rs
+++ b/crates/oleanderpass_core/tests/tickets.rs
@@ -1,10 +1,6 @@
 //! Guard against a second run of a non-idempotent request and wrong claims about the first.
 
-#![allow(
-    clippy::unwrap_used,
-    clippy::expect_used,
-    reason = "a failed unwrap fails the test"
-)]
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
 mod common;
 
--- a/crates/oleanderpass_ticket/tests/ledger.rs
+++ b/crates/oleanderpass_ticket/tests/ledger.rs
@@ -1,10 +1,6 @@
 //! Guard against a second run of a used ticket, a wrong claim about one, and unbounded memory.
 
-#![allow(
-    clippy::unwrap_used,
-    clippy::expect_used,
-    reason = "a failed unwrap fails the test"
-)]
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
 use std::sync::Arc;
 
--- a/crates/oleanderpass_ticket/tests/ticket.rs
+++ b/crates/oleanderpass_ticket/tests/ticket.rs
@@ -1,10 +1,6 @@
 //! Guard against tickets that are forged, altered or used by someone else.
 
-#![allow(
-    clippy::unwrap_used,
-    clippy::expect_used,
-    reason = "a failed unwrap fails the test"
-)]
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
 use oleanderpass_ticket::FleetKey;
 use oleanderpass_ticket::ticket::Scope;
