--- a/crates/oleanderpass_history/src/check.rs
+++ b/crates/oleanderpass_history/src/check.rs
@@ -99,6 +99,7 @@
     invoked: Timestamp,
     deadline: Timestamp,
     expected: &'a str,
+    read: Option<Timestamp>,
     ended: Option<Timestamp>,
     answer: Option<(Timestamp, Outcome, &'a str)>,
     answers: u32,
@@ -124,6 +125,7 @@
                     invoked: entry.at,
                     deadline: *deadline,
                     expected,
+                    read: None,
                     ended: None,
                     answer: None,
                     answers: 0,
@@ -142,6 +144,12 @@
                     state.ended.get_or_insert(entry.at);
                 }
             }
+            Record::Read { call, deadline } => {
+                if let Some(state) = calls.get_mut(call) {
+                    state.deadline = *deadline;
+                    state.read = Some(entry.at);
+                }
+            }
             Record::ConnectionLost(call) | Record::CallerGone(call) => {
                 if let Some(state) = calls.get_mut(call) {
                     state.ended.get_or_insert(entry.at);
@@ -154,21 +162,30 @@
 }
 
 /// The times in which a fault kept each instance from acting.
-struct Faults<'a>(BTreeMap<&'a Life, Vec<(Timestamp, Timestamp)>>);
+struct Faults<'a>(BTreeMap<&'a Life, Vec<Span>>);
+
+struct Span {
+    begin: Timestamp,
+    end: Timestamp,
+    paused: bool,
+}
 
 impl<'a> Faults<'a> {
     fn of(history: &'a History) -> Self {
-        let mut spans: BTreeMap<&Life, Vec<(Timestamp, Timestamp)>> = BTreeMap::new();
+        let mut spans: BTreeMap<&Life, Vec<Span>> = BTreeMap::new();
         let open = Timestamp::from_millis(u64::MAX);
         for entry in &history.entries {
             match &entry.record {
-                Record::FaultBegins(life) => {
-                    spans.entry(life).or_default().push((entry.at, open));
-                }
-                Record::FaultEnds(life) => {
-                    let list = spans.entry(life).or_default();
-                    if let Some(span) = list.iter_mut().find(|span| span.1 == open) {
-                        span.1 = entry.at;
+                Record::FaultBegins { at, paused } => spans.entry(at).or_default().push(Span {
+                    begin: entry.at,
+                    end: open,
+                    paused: *paused,
+                }),
+                Record::FaultEnds { at, paused } => {
+                    let ends = |span: &&mut Span| span.end == open && span.paused == *paused;
+                    let list = spans.entry(at).or_default();
+                    if let Some(span) = list.iter_mut().find(ends) {
+                        span.end = entry.at;
                     }
                 }
                 _ => {}
@@ -180,22 +197,43 @@
     /// Return the end of `from + time` when the time of faults doesn't count and the instance needs
     /// the whole `time` after each fault.
     fn extend(&self, life: &Life, from: Timestamp, time: Millis) -> Timestamp {
+        self.extend_by(life, from, time, |_| true)
+    }
+
+    /// Do the same for pauses only.
+    fn extend_by_pauses(&self, life: &Life, from: Timestamp, time: Millis) -> Timestamp {
+        self.extend_by(life, from, time, |span| span.paused)
+    }
+
+    fn extend_by(
+        &self,
+        life: &Life,
+        from: Timestamp,
+        time: Millis,
+        counts: impl Fn(&Span) -> bool,
+    ) -> Timestamp {
         let mut end = from + time;
-        for (begin, over) in self.0.get(life).into_iter().flatten() {
-            if *begin <= end && *over >= from {
-                end = end.max(*over + time);
+        for span in self.0.get(life).into_iter().flatten() {
+            if counts(span) && span.begin <= end && span.end >= from {
+                end = end.max(span.end + time);
             }
         }
         end
     }
 }
 
-/// R1: every call ends, with an answer or with its connection, before its deadline.
+/// R1: every call is read without delay and ends, with an answer or with its connection, before its
+/// deadline. Only a paused instance may read late.
 pub fn check_ended_in_time(history: &History) -> Vec<Violation> {
     let faults = Faults::of(history);
     let mut found = Vec::new();
     for call in calls(history).values() {
-        let limit = faults.extend(call.at, call.deadline, ANSWER_SLACK);
+        let limit = faults.extend_by_pauses(call.at, call.deadline, ANSWER_SLACK);
+        let read_limit = faults.extend_by_pauses(call.at, call.invoked, ANSWER_SLACK);
+        if let Some(at) = call.read.filter(|at| *at > read_limit) {
+            let cause = format!("{:?} was read late", call.number);
+            found.push(violation(Requirement::R1, at, cause));
+        }
         let late = match call.ended {
             Some(at) => at > limit,
             None => history.end() > limit,
--- a/crates/oleanderpass_history/src/record.rs
+++ b/crates/oleanderpass_history/src/record.rs
@@ -43,6 +43,13 @@
         /// The answer that belongs to this operation.
         expected: SmolStr,
     },
+    /// The instance had read the request. Its time counts from here (design section 4.2).
+    Read {
+        /// The call.
+        call: CallNumber,
+        /// The end of its time.
+        deadline: Timestamp,
+    },
     /// The request's bytes arrived at a backend server.
     Dispatch {
         /// The call.
@@ -90,9 +97,19 @@
     /// An instance started.
     Started(Life),
     /// A fault kept an instance from acting or from hearing others.
-    FaultBegins(Life),
+    FaultBegins {
+        /// The instance.
+        at: Life,
+        /// The instance doesn't act at all. Otherwise it still has to end its calls in time.
+        paused: bool,
+    },
     /// The fault of an instance is over.
-    FaultEnds(Life),
+    FaultEnds {
+        /// The instance.
+        at: Life,
+        /// The value of the beginning.
+        paused: bool,
+    },
     /// An instance was asked to stop.
     ShutdownBegins(Life),
     /// An instance ended on its own.
--- a/crates/oleanderpass_history/tests/check.rs
+++ b/crates/oleanderpass_history/tests/check.rs
@@ -53,6 +53,13 @@
     }
 }
 
+fn read(call: u64, deadline: u64) -> Record {
+    Record::Read {
+        call: CallNumber(call),
+        deadline: Timestamp::from_millis(deadline),
+    }
+}
+
 fn start(call: u64, operation: u64, dispatched: u64) -> Record {
     Record::Start {
         call: CallNumber(call),
@@ -121,7 +128,11 @@
 #[test_case(vec![(0, invoke(1, 1, false))], Some(R1); "no answer")]
 #[test_case(vec![(0, invoke(1, 1, false)), (9, ok(1)), (9, ok(1))], Some(R1); "two answers")]
 #[test_case(vec![(0, invoke(1, 1, false)), (9, Record::CallerGone(CallNumber(1)))], None; "a caller that left")]
-#[test_case(vec![(0, invoke(1, 1, false)), (9, Record::FaultBegins(life())), (30_000, Record::FaultEnds(life())), (31_400, answer(1, Unknown, ""))], None; "a paused instance answers when it wakes")]
+#[test_case(vec![(0, invoke(1, 1, false)), (9, Record::FaultBegins { at: life(), paused: true }), (30_000, Record::FaultEnds { at: life(), paused: true }), (31_400, answer(1, Unknown, ""))], None; "a paused instance answers when it wakes")]
+#[test_case(vec![(0, invoke(1, 1, false)), (9, Record::FaultBegins { at: life(), paused: false }), (30_000, Record::FaultEnds { at: life(), paused: false }), (31_000, ok(1))], Some(R1); "a cut instance still ends its calls in time")]
+#[test_case(vec![(0, invoke(1, 1, false)), (1_501, read(1, 9_000)), (8_000, ok(1))], Some(R1); "read late without a pause")]
+#[test_case(vec![(0, invoke(1, 1, false)), (10, read(1, 9_000)), (10_501, ok(1))], Some(R1); "late after the reading")]
+#[test_case(vec![(0, Record::FaultBegins { at: life(), paused: true }), (1, invoke(1, 1, false)), (5_000, Record::FaultEnds { at: life(), paused: true }), (5_001, read(1, 25_000)), (26_500, ok(1))], None; "read after a pause")]
 #[test_case(vec![(0, hold(true))], Some(R2); "a hold is left")]
 #[test_case(vec![(0, hold(true)), (1, hold(false))], None; "a released hold")]
 #[test_case(vec![(0, hold(true)), (1, Record::ServerCrashed(server()))], None; "a crash empties memory")]
@@ -147,7 +158,7 @@
 #[test_case(vec![(0, in_force(2, 2)), (5, in_force(2, 1))], Some(R8); "a lower digest of one generation")]
 #[test_case(vec![(0, Record::Started(peer())), (5, in_force(2, 1))], Some(R8); "a promotion that misses an instance")]
 #[test_case(vec![(0, Record::Started(peer())), (5, in_force(2, 1)), (900, Record::Killed(peer()))], None; "a promotion and a killed instance")]
-#[test_case(vec![(0, Record::Started(peer())), (5, in_force(2, 1)), (6, Record::FaultBegins(peer()))], None; "a promotion and a cut instance")]
+#[test_case(vec![(0, Record::Started(peer())), (5, in_force(2, 1)), (6, Record::FaultBegins { at: peer(), paused: false })], None; "a promotion and a cut instance")]
 fn each_requirement_is_checked(records: Vec<(u64, Record)>, broken: Option<Requirement>) {
     let mut history = History::default();
     for (at, record) in records.into_iter().chain([end()]) {
