--- a/crates/oleanderpass_bench/src/cost/document.rs
+++ b/crates/oleanderpass_bench/src/cost/document.rs
@@ -1,12 +1,17 @@
 //! Measure a change of the environment document.
 
 use std::fmt::Write;
+use std::time::Instant;
 
 use eyre::eyre;
 use oleanderpass_config::content::Content;
 use oleanderpass_config::delta::apply;
 use oleanderpass_config::delta::diff;
+use oleanderpass_config::distribution::Distribution;
+use oleanderpass_config::distribution::Input;
 use oleanderpass_proto::peer::DocumentDelta;
+use oleanderpass_types::clock::Timestamp;
+use oleanderpass_types::id::InstanceId;
 
 use super::SIZES;
 use super::Size;
@@ -65,6 +70,9 @@
 /// Callers of each organisation. 1,300 organisations with 5 callers come near 1 MB.
 pub const CALLERS: usize = 5;
 
+/// Ticks of 100 ms after which a document has settled (1.5 s).
+const SETTLE_TICKS: usize = 20;
+
 /// Measure all sizes.
 ///
 /// # Errors
@@ -72,9 +80,10 @@
 /// Return an error when a document is invalid or memory can't be read.
 pub fn table() -> eyre::Result<String> {
     let mut text = String::from(
-        "| Organisations | Canonical document | Patch of one changed value | Make the patch | \
-         Apply the patch | Check the result | One change in all | Memory of a checked document |\n\
-         |---|---|---|---|---|---|---|---|\n",
+        "| Organisations | Canonical document | Patch of one changed value | Check the YAML | \
+         Make the patch | Apply the patch | Check the JSON | A change at a reader, all steps | \
+         A change elsewhere | Memory of a checked document |\n\
+         |---|---|---|---|---|---|---|---|---|---|\n",
     );
     for (index, size) in SIZES.into_iter().enumerate() {
         let bytes = memory_apart("document", index)?;
@@ -109,6 +118,8 @@
         digest: new.document.digest.0.to_vec(),
     };
     let deltas = [delta];
+    let text = yaml(size.organisations, CALLERS, 2)?;
+    let yaml_checked = time(3, || Content::from_yaml(&text).is_ok());
     let made = time(5, || diff(&old.canonical, &new.canonical).is_ok());
     let applied = time(5, || apply(&old.canonical, &deltas).is_ok());
     let checked = time(5, || Content::from_json(&new.canonical).is_ok());
@@ -117,7 +128,36 @@
         show_bytes(new.canonical.len() as f64),
         show_bytes(patch.len() as f64),
     ];
-    cells.extend([made, applied, checked, made + applied + checked].map(show_time));
+    cells.extend([yaml_checked, made, applied, checked].map(show_time));
+    cells.push(show_time(reader_time(size.organisations)?));
+    cells.push(show_time(applied + checked));
     cells.push(show_bytes(bytes));
     Ok(row(&cells))
 }
+
+/// Measure a reader from the platform's text until the document is in force, in nanoseconds.
+fn reader_time(organisations: usize) -> eyre::Result<f64> {
+    let me: InstanceId = "entry-000".parse()?;
+    let mut reader = Distribution::new(Timestamp::ORIGIN, me);
+    let mut now = 0;
+    let mut times = Vec::new();
+    for generation in 1..=6 {
+        let text = yaml(organisations, CALLERS, generation)?;
+        let start = Instant::now();
+        let mut out = Vec::new();
+        reader.handle(Timestamp::from_millis(now), Input::Text(&text), &mut out);
+        for _ in 0..SETTLE_TICKS {
+            now += 100;
+            reader.handle(Timestamp::from_millis(now), Input::Tick, &mut out);
+        }
+        times.push(start.elapsed().as_nanos() as f64);
+        let in_force = reader.in_force().map(|version| version.generation.get());
+        if in_force != Some(generation) {
+            return Err(eyre!(
+                "generation {generation} is not in force: {in_force:?}"
+            ));
+        }
+    }
+    times.sort_by(f64::total_cmp);
+    Ok(times[times.len() / 2])
+}
--- a/crates/oleanderpass_bench/src/cost/membership.rs
+++ b/crates/oleanderpass_bench/src/cost/membership.rs
@@ -29,6 +29,9 @@
 /// The measured time.
 const MEASURED_MS: u64 = 30_000;
 
+/// The longest wait for news to spread.
+const SPREAD_LIMIT_MS: u64 = 60_000;
+
 /// The first port of the fleet.
 const FIRST_PORT: u16 = 10_000;
 
@@ -40,7 +43,8 @@
 pub fn table() -> eyre::Result<String> {
     let mut text = String::from(
         "| Instances | Datagrams/s sent by each | Bytes/s sent by each | Time each second | \
-         Known members after 120 s | Memory of each |\n|---|---|---|---|---|---|\n",
+         Known members after 120 s | Memory of each | News at 95% of all, s: median / worst of 20 | \
+         News at all, s: median / worst of 20 |\n|---|---|---|---|---|---|---|---|\n",
     );
     for (index, size) in SIZES.into_iter().enumerate() {
         let bytes = memory_apart("membership", index)?;
@@ -70,9 +74,21 @@
     nodes: Vec<Membership>,
     now: u64,
     rng: Pcg64Mcg,
-    queue: VecDeque<(usize, SocketAddr, Packet)>,
+    queue: VecDeque<Datagram>,
     datagrams: u64,
     bytes: u64,
+    /// The members that have heard the news of the current trial.
+    informed: Vec<bool>,
+    zones: usize,
+}
+
+/// A packet on its way.
+struct Datagram {
+    to: usize,
+    source: SocketAddr,
+    packet: Packet,
+    /// The sender had heard the news when it sent the packet.
+    news: bool,
 }
 
 fn addr(index: usize) -> SocketAddr {
@@ -89,6 +105,8 @@
             queue: VecDeque::new(),
             datagrams: 0,
             bytes: 0,
+            informed: vec![false; size.instances],
+            zones: size.zones,
         };
         for (index, own) in all.iter().enumerate() {
             let identity = Identity {
@@ -111,9 +129,10 @@
             for index in 0..self.nodes.len() {
                 self.input(index, Input::Tick);
             }
-            while let Some((to, source, packet)) = self.queue.pop_front() {
-                let packet = &packet;
-                self.input(to, Input::Packet { source, packet });
+            while let Some(datagram) = self.queue.pop_front() {
+                self.informed[datagram.to] |= datagram.news;
+                let (source, packet) = (datagram.source, &datagram.packet);
+                self.input(datagram.to, Input::Packet { source, packet });
             }
         }
     }
@@ -127,7 +146,33 @@
                 self.datagrams += 1;
                 self.bytes += (packet.encoded_len() + HMAC_BYTES) as u64;
                 let target = usize::from(to.port() - FIRST_PORT);
-                self.queue.push_back((target, addr(index), packet));
+                self.queue.push_back(Datagram {
+                    to: target,
+                    source: addr(index),
+                    packet,
+                    news: self.informed[index],
+                });
+            }
+        }
+    }
+
+    /// Give news to two members of each zone, the readers, and return after how many milliseconds
+    /// 95% and all members have heard it on the regular probes and their answers.
+    fn spread(&mut self) -> (u64, u64) {
+        self.informed.fill(false);
+        for reader in 0..(2 * self.zones).min(self.nodes.len()) {
+            self.informed[reader] = true;
+        }
+        let start = self.now;
+        let mut most = None;
+        loop {
+            self.run(100);
+            let informed = self.informed.iter().filter(|informed| **informed).count();
+            if informed * 100 >= self.nodes.len() * 95 {
+                most.get_or_insert(self.now - start);
+            }
+            if informed == self.nodes.len() || self.now - start > SPREAD_LIMIT_MS {
+                return (most.unwrap_or(SPREAD_LIMIT_MS), self.now - start);
             }
         }
     }
@@ -145,13 +190,25 @@
             .map(|node| node.present().count())
             .min()
             .unwrap_or(0);
+        let datagrams = self.datagrams as f64 / count / seconds;
+        let bytes = self.bytes as f64 / count / seconds;
+        let mut spreads: Vec<(u64, u64)> = (0..20).map(|_| self.spread()).collect();
+        let mut quantiles = |part: fn(&(u64, u64)) -> u64| {
+            spreads.sort_by_key(part);
+            let seconds = |index: usize| part(&spreads[index]) as f64 / 1_000.0;
+            format!("{:.1} / {:.1}", seconds(10), seconds(19))
+        };
+        let most = quantiles(|spread| spread.0);
+        let all = quantiles(|spread| spread.1);
         row(&[
             count.to_string(),
-            format!("{:.2}", self.datagrams as f64 / count / seconds),
-            format!("{:.0}", self.bytes as f64 / count / seconds),
+            format!("{datagrams:.2}"),
+            format!("{bytes:.0}"),
             show_time(spent),
             format!("{known} of {}", self.nodes.len() - 1),
             show_bytes(memory),
+            most,
+            all,
         ])
     }
 }
