Split the request task and the handler by their jobs

The delivery of answers and the parsing of requests have modules of their own. HMACs start from a key of the block length, which needs no fallible call.

--- a/crates/oleanderpass_entry/src/caller/mod.rs
+++ b/crates/oleanderpass_entry/src/caller/mod.rs
@@ -7,6 +7,7 @@
 pub mod head;
 pub mod openai;
 pub mod output;
+pub mod parse;
 pub mod prompt;
 pub mod server;
 pub mod stall;
--- /dev/null
+++ b/crates/oleanderpass_entry/src/caller/parse.rs
@@ -0,0 +1,288 @@
+//! Parse callers' requests into events and work.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::Method;
+use http::header::CONTENT_TYPE;
+use http::request::Parts;
+use hyper::body::Incoming;
+use oleanderpass_core::event::Event;
+use oleanderpass_core::event::NewRequest;
+use oleanderpass_core::event::Source;
+use oleanderpass_core::event::Target;
+use oleanderpass_types::error::Step;
+use oleanderpass_types::id::CallerId;
+use oleanderpass_types::id::OrganisationId;
+use oleanderpass_types::id::RequestId;
+use oleanderpass_types::id::RouteId;
+use oleanderpass_types::size::Bytes as ByteCount;
+use oleanderpass_types::size::Tokens;
+use serde::Deserialize;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::backend::service::ServiceCall;
+use crate::caller::body::read_body;
+use crate::caller::budget::Share;
+use crate::caller::head::Head;
+use crate::caller::openai::AnswerForm;
+use crate::caller::prompt::Interface;
+use crate::caller::prompt::Prompt;
+use crate::clock::unix_ms;
+use crate::generation_sink::GenerationWork;
+use crate::peer::forward::ForwardCall;
+use crate::request_task::ServiceWork;
+use crate::request_task::Work;
+use crate::shared::Shared;
+
+/// The prefix of calls of plain services.
+pub const SERVICE_PREFIX: &str = "/svc/";
+
+/// The longest body that is parsed on a socket thread, in bytes. It takes about 0.1 ms.
+const INLINE_PARSE_BYTES: usize = 64 << 10;
+
+/// A request that the edge refuses: step, HTTP status and cause.
+pub struct Refused {
+    /// The step that failed.
+    pub step: Step,
+    /// The HTTP status.
+    pub status: u16,
+    /// What is wrong.
+    pub cause: SmolStr,
+}
+
+impl Refused {
+    /// Create a refusal.
+    pub fn new(step: Step, status: u16, cause: impl Into<SmolStr>) -> Self {
+        Self {
+            step,
+            status,
+            cause: cause.into(),
+        }
+    }
+}
+
+/// A body with its share of the byte budget.
+struct HeldBody {
+    bytes: Bytes,
+    share: Share,
+}
+
+/// The body of `POST /v1/tickets`.
+#[derive(Deserialize)]
+struct TicketBody {
+    route: String,
+}
+
+/// What a caller's request becomes.
+pub enum Parsed {
+    /// An answer in JSON.
+    Answer(Bytes),
+    /// A request for the core.
+    Task(Box<ParsedTask>),
+}
+
+/// A request for the core.
+pub struct ParsedTask {
+    /// The event that describes it.
+    pub event: Event,
+    /// What it asks for.
+    pub work: Work,
+    /// The part of the byte budget that its body takes.
+    pub share: Share,
+}
+
+/// The organisation and the caller that an API key belongs to.
+pub struct CallerNames {
+    /// The organisation.
+    pub organisation: OrganisationId,
+    /// The caller.
+    pub caller: CallerId,
+    /// The class of the organisation, for metrics.
+    pub class: &'static str,
+}
+
+async fn read(shared: &Shared, body: &mut Incoming) -> Result<HeldBody, Refused> {
+    let mut share = shared.budget.share();
+    let limit = usize::try_from(shared.limits.body.get()).unwrap_or(usize::MAX);
+    let bytes = read_body(body, limit, &mut share)
+        .await
+        .map_err(|(status, cause)| Refused::new(Step::Read, status, cause))?;
+    Ok(HeldBody { bytes, share })
+}
+
+fn new_request(id: &RequestId, head: Head, target: Target, body: &Bytes) -> NewRequest {
+    NewRequest {
+        id: id.clone(),
+        source: Source::Caller(head.key),
+        target,
+        ticket: head.ticket,
+        timeout: head.timeout,
+        priority: head.priority,
+        idempotent: head.idempotent,
+        prompt: Tokens::estimate(ByteCount::new(body.len() as u64)),
+        max_output: Tokens::ZERO,
+        prefixes: Vec::new(),
+        body_hash: xxh3_64(body),
+    }
+}
+
+/// Read and parse a generation request.
+///
+/// # Errors
+///
+/// Return why the body was refused.
+pub async fn generation(
+    shared: &Arc<Shared>,
+    id: &RequestId,
+    head: Head,
+    names: &CallerNames,
+    interface: Interface,
+    body: &mut Incoming,
+) -> Result<Parsed, Refused> {
+    let body = read(shared, body).await?;
+    let prompt = parse_prompt(interface, &body.bytes)
+        .await
+        .map_err(|cause| Refused::new(Step::Read, 400, cause))?;
+    let mut new = new_request(id, head, prompt.target.clone(), &body.bytes);
+    new.prompt = prompt.tokens;
+    new.max_output = prompt.max_output;
+    new.prefixes.clone_from(&prompt.prefixes);
+    let form = AnswerForm {
+        interface,
+        id: format!("gen-{id}"),
+        created: unix_ms() / 1_000,
+        model: prompt.model.clone(),
+        include_usage: prompt.include_usage,
+    };
+    let work = GenerationWork {
+        prompt,
+        form,
+        body: body.bytes,
+        text: String::new(),
+        arrived: shared.clock.now(),
+        class: names.class,
+    };
+    Ok(Parsed::Task(Box::new(ParsedTask {
+        event: Event::Request(Box::new(new)),
+        work: Work::Generation(Box::new(work)),
+        share: body.share,
+    })))
+}
+
+/// Parse a prompt. A long one takes milliseconds, which would hold up the streams of this thread.
+async fn parse_prompt(interface: Interface, body: &Bytes) -> Result<Prompt, SmolStr> {
+    if body.len() <= INLINE_PARSE_BYTES {
+        return Prompt::parse(interface, body);
+    }
+    let body = body.clone();
+    tokio::task::spawn_blocking(move || Prompt::parse(interface, &body))
+        .await
+        .unwrap_or_else(|_| Err("the prompt could not be parsed".into()))
+}
+
+/// Read and parse a request for a ticket.
+///
+/// # Errors
+///
+/// Return why the body was refused.
+pub async fn ticket(
+    shared: &Arc<Shared>,
+    id: &RequestId,
+    head: Head,
+    body: &mut Incoming,
+) -> Result<Parsed, Refused> {
+    let body = read(shared, body).await?;
+    let invalid = |cause: SmolStr| Refused::new(Step::Read, 400, cause);
+    let parsed: TicketBody = serde_json::from_slice(&body.bytes)
+        .map_err(|error| invalid(format_smolstr!("invalid JSON: {error}")))?;
+    let route: RouteId = parsed
+        .route
+        .parse()
+        .map_err(|error| invalid(format_smolstr!("route: {error}")))?;
+    Ok(Parsed::Task(Box::new(ParsedTask {
+        event: Event::IssueTicket {
+            req: id.clone(),
+            key: head.key,
+            route,
+        },
+        work: Work::Ticket,
+        share: body.share,
+    })))
+}
+
+/// Read and parse a call of a plain service.
+///
+/// # Errors
+///
+/// Return why the head or the body was refused.
+pub async fn service(
+    shared: &Arc<Shared>,
+    id: &RequestId,
+    head: Head,
+    names: CallerNames,
+    parts: &Parts,
+    body: &mut Incoming,
+) -> Result<Parsed, Refused> {
+    let (route, path) = split_route(&parts.uri)?;
+    let method = parts.method.clone();
+    if method == Method::CONNECT {
+        return Err(Refused::new(Step::Read, 405, "wrong method"));
+    }
+    let content_type: SmolStr = parts
+        .headers
+        .get(CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default()
+        .into();
+    let body = read(shared, body).await?;
+    let forward = head.ticket.clone().map(|ticket| ForwardCall {
+        ticket,
+        organisation: names.organisation,
+        caller: names.caller,
+        route: route.clone(),
+        priority: head.priority,
+    });
+    let call = ServiceCall {
+        method,
+        path,
+        content_type,
+        body: body.bytes.clone(),
+        record: head.ticket.is_some(),
+    };
+    let mut new = new_request(id, head, Target::Route(route), &body.bytes);
+    // The path and the method tell calls of one route apart.
+    new.body_hash = call_hash(&call);
+    Ok(Parsed::Task(Box::new(ParsedTask {
+        event: Event::Request(Box::new(new)),
+        work: Work::Service(Box::new(ServiceWork { call, forward })),
+        share: body.share,
+    })))
+}
+
+/// Hash what tells calls of one route apart.
+pub fn call_hash(call: &ServiceCall) -> u64 {
+    let mut hash = xxhash_rust::xxh3::Xxh3::new();
+    hash.update(call.method.as_str().as_bytes());
+    hash.update(b" ");
+    hash.update(call.path.as_bytes());
+    hash.update(b"\n");
+    hash.update(&call.body);
+    hash.digest()
+}
+
+/// Split `/svc/{route}/...` into the route and the path at the service.
+fn split_route(uri: &http::Uri) -> Result<(RouteId, SmolStr), Refused> {
+    let rest = uri.path().strip_prefix(SERVICE_PREFIX).unwrap_or_default();
+    let (route, path) = rest.split_once('/').unwrap_or((rest, ""));
+    let route = route
+        .parse()
+        .map_err(|error| Refused::new(Step::Read, 404, format_smolstr!("{error}")))?;
+    let path = match uri.query() {
+        Some(query) => format_smolstr!("/{path}?{query}"),
+        None => format_smolstr!("/{path}"),
+    };
+    Ok((route, path))
+}
--- a/crates/oleanderpass_entry/src/lib.rs
+++ b/crates/oleanderpass_entry/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 pub mod core_loop;
 pub mod daemon;
+pub mod delivery;
 pub mod edges;
 pub mod generation_sink;
 pub mod logging;
--- a/crates/oleanderpass_entry/src/peer/datagram.rs
+++ b/crates/oleanderpass_entry/src/peer/datagram.rs
@@ -3,17 +3,15 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use hmac::Hmac;
-use hmac::KeyInit;
 use hmac::Mac;
 use oleanderpass_core::event::Event;
 use oleanderpass_proto::peer::Packet;
 use prost::Message;
-use sha2::Sha256;
 use strum::Display;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::UnboundedReceiver;
 
+use crate::peer::mac;
 use crate::settings::FleetKey;
 use crate::shared::Shared;
 
@@ -38,14 +36,6 @@
     Malformed,
 }
 
-fn mac(key: &FleetKey) -> Hmac<Sha256> {
-    // HMAC accepts keys of any length, and this one has 32 bytes.
-    #[expect(clippy::expect_used, reason = "a 32-byte key is always accepted")]
-    let mut mac = Hmac::<Sha256>::new_from_slice(&key.0).expect("32-byte key");
-    mac.update(DOMAIN);
-    mac
-}
-
 /// Encode a packet, followed by its HMAC.
 ///
 /// # Errors
@@ -56,7 +46,10 @@
     if buf.len() + TAG_BYTES > MAX_DATAGRAM_BYTES {
         return Err(DatagramError::Length);
     }
-    let tag = mac(key).chain_update(&buf).finalize().into_bytes();
+    let tag = mac::start(key, DOMAIN)
+        .chain_update(&buf)
+        .finalize()
+        .into_bytes();
     buf.extend_from_slice(&tag);
     Ok(buf)
 }
@@ -73,7 +66,7 @@
     let (content, tag) = datagram
         .split_last_chunk::<TAG_BYTES>()
         .ok_or(DatagramError::Length)?;
-    mac(key)
+    mac::start(key, DOMAIN)
         .chain_update(content)
         .verify_slice(tag)
         .map_err(|_| DatagramError::Hmac)?;
--- a/crates/oleanderpass_entry/src/peer/mod.rs
+++ b/crates/oleanderpass_entry/src/peer/mod.rs
@@ -3,5 +3,6 @@
 pub mod client;
 pub mod datagram;
 pub mod forward;
+pub mod mac;
 pub mod proof;
 pub mod server;
--- a/crates/oleanderpass_entry/src/peer/proof.rs
+++ b/crates/oleanderpass_entry/src/peer/proof.rs
@@ -8,7 +8,6 @@
 use std::collections::VecDeque;
 
 use hmac::Hmac;
-use hmac::KeyInit;
 use hmac::Mac;
 use oleanderpass_core::instance::Identity;
 use oleanderpass_proto::peer::Proof;
@@ -18,6 +17,7 @@
 use sha2::Sha256;
 use strum::Display;
 
+use crate::peer::mac;
 use crate::settings::FleetKey;
 
 /// The largest difference between the sender's and the receiver's Unix time, in milliseconds.
@@ -48,9 +48,7 @@
 }
 
 fn mac(key: &FleetKey, method: &str, proof: &Proof, body: &impl Message) -> Hmac<Sha256> {
-    #[expect(clippy::expect_used, reason = "a 32-byte key is always accepted")]
-    let mut mac = Hmac::<Sha256>::new_from_slice(&key.0).expect("32-byte key");
-    mac.update(DOMAIN);
+    let mut mac = mac::start(key, DOMAIN);
     for text in [method, &proof.from] {
         mac.update(&(text.len() as u64).to_be_bytes());
         mac.update(text.as_bytes());
--- a/crates/oleanderpass_entry/src/peer/server.rs
+++ b/crates/oleanderpass_entry/src/peer/server.rs
@@ -33,9 +33,9 @@
 
 use crate::backend::service::ServiceCall;
 use crate::caller::answer::CallerGuard;
-use crate::caller::handler::call_hash;
 use crate::caller::output::ForwardEvent;
 use crate::caller::output::Output;
+use crate::caller::parse::call_hash;
 use crate::clock::unix_ms;
 use crate::core_loop::CallReply;
 use crate::peer::client::FETCH_DOCUMENT;
--- a/crates/oleanderpass_entry/src/request_task.rs
+++ b/crates/oleanderpass_entry/src/request_task.rs
@@ -2,37 +2,26 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
 use oleanderpass_core::action::Answer;
 use oleanderpass_core::action::StartAttempt;
 use oleanderpass_core::event::AttemptEnd;
 use oleanderpass_core::event::Event;
 use oleanderpass_core::event::Progress;
-use oleanderpass_core::event::RecordedAnswer;
 use oleanderpass_types::clock::Timestamp;
-use oleanderpass_types::error::Peer;
-use oleanderpass_types::error::Step;
-use oleanderpass_types::error::StepError;
-use oleanderpass_types::id::Generation;
 use oleanderpass_types::id::RequestId;
-use oleanderpass_types::outcome::Outcome;
-use serde_json::json;
 use smol_str::SmolStr;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::oneshot;
 
 use crate::backend::attempt::AttemptCx;
 use crate::backend::service;
-use crate::backend::service::ServiceAnswer;
 use crate::backend::service::ServiceCall;
 use crate::backend::stream;
-use crate::caller::answer::AnswerContext;
-use crate::caller::answer::JSON;
 use crate::caller::budget::Share;
-use crate::caller::openai::Usage;
 use crate::caller::output::Output;
-use crate::caller::output::WholeAnswer;
 use crate::core_loop::Command;
+use crate::delivery::Delivery;
+use crate::delivery::Finished;
 use crate::generation_sink::GenerationSink;
 use crate::generation_sink::GenerationWork;
 use crate::peer::forward;
@@ -59,13 +48,6 @@
     pub forward: Option<ForwardCall>,
 }
 
-/// The answer of a completed attempt, until the core confirms it.
-#[derive(Debug)]
-enum Finished {
-    Service(ServiceAnswer),
-    Generation(Usage),
-}
-
 /// The task of one request.
 #[derive(Debug)]
 pub struct RequestTask {
@@ -112,10 +94,14 @@
             },
             shared: Arc::clone(&shared),
             req: req.clone(),
-            output,
             share,
-            finished: None,
-            answered: false,
+            delivery: Delivery {
+                shared: Arc::clone(&shared),
+                req: req.clone(),
+                output,
+                finished: None,
+                answered: false,
+            },
         };
         runner.run(work).await;
         drop(runner);
@@ -160,10 +146,8 @@
     shared: Arc<Shared>,
     req: RequestId,
     inbox: Inbox,
-    output: Output,
     share: Share,
-    finished: Option<Finished>,
-    answered: bool,
+    delivery: Delivery,
 }
 
 impl Runner {
@@ -172,7 +156,7 @@
         loop {
             let command = match pending.take() {
                 Some(command) => Some(command),
-                None if self.answered => return,
+                None if self.delivery.answered => return,
                 None => self.inbox.next().await,
             };
             match command {
@@ -216,13 +200,13 @@
         cx: AttemptCx<'_>,
         work: &mut GenerationWork,
     ) -> (AttemptEnd, Option<Command>) {
-        if self.output.has_started() {
+        if self.delivery.output.has_started() {
             let cause = SmolStr::new_static("a part of the answer was already delivered");
             return (AttemptEnd::NotSent(cause), None);
         }
-        let context = self.context(self.shared.generation());
+        let context = self.delivery.context(self.shared.generation());
         let body = work.body.clone();
-        let mut sink = GenerationSink::new(&self.shared, context, work, &mut self.output);
+        let mut sink = GenerationSink::new(&self.shared, context, work, &mut self.delivery.output);
         let (end, pending) = {
             let attempt = stream::run(cx, body, &mut sink);
             tokio::pin!(attempt);
@@ -241,7 +225,7 @@
         };
         match &end {
             AttemptEnd::Completed { output, .. } => {
-                self.finished = Some(Finished::Generation(work.usage(*output)));
+                self.delivery.finished = Some(Finished::Generation(work.usage(*output)));
             }
             AttemptEnd::Cancelled => {
                 let pool = self.shared.pool.clone();
@@ -276,14 +260,14 @@
                 biased;
                 command = self.inbox.next() => command,
                 (end, answer) = &mut attempt => {
-                    self.finished = answer.map(Finished::Service);
+                    self.delivery.finished = answer.map(Finished::Service);
                     return end;
                 }
             };
             match command {
                 Some(Command::Cancel(attempt)) if attempt != cx.order.attempt => {}
                 Some(Command::Cancel(_)) | None => return AttemptEnd::Cancelled,
-                Some(Command::Answer(answer)) => self.deliver(None, answer).await,
+                Some(Command::Answer(answer)) => self.delivery.deliver(None, answer).await,
                 Some(command) => {
                     tracing::error!(req = %self.req, ?command, "unexpected command during an attempt");
                 }
@@ -321,12 +305,12 @@
         };
         match relayed {
             Ok(relayed) => {
-                let context = self.context(relayed.generation);
+                let context = self.delivery.context(relayed.generation);
                 let answer = relayed.into_answer(&context);
                 let outcome = answer.outcome;
                 self.shared.metrics.count_outcome(outcome);
-                self.output.whole(&context, answer).await;
-                self.answered = true;
+                self.delivery.output.whole(&context, answer).await;
+                self.delivery.answered = true;
                 let req = self.req.clone();
                 self.shared.core.event(Event::ForwardEnded { req, outcome });
             }
@@ -340,154 +324,11 @@
         self.shared.core.event(Event::ForwardFailed { req, cause });
     }
 
-    fn context(&self, generation: Generation) -> AnswerContext {
-        AnswerContext {
-            req: self.req.clone(),
-            generation,
-        }
-    }
-
     async fn answer(&mut self, work: &Work, answer: Answer) {
         let generation = match work {
             Work::Generation(work) => Some(work.as_ref()),
             Work::Service(_) | Work::Ticket => None,
         };
-        self.deliver(generation, answer).await;
-    }
-
-    async fn deliver(&mut self, work: Option<&GenerationWork>, answer: Answer) {
-        if std::mem::replace(&mut self.answered, true) {
-            return;
-        }
-        match answer {
-            Answer::Ticket {
-                ticket,
-                valid_for,
-                generation,
-            } => {
-                let body = json!({ "ticket": ticket.as_str(), "valid_for_ms": valid_for.get() });
-                let answer = WholeAnswer {
-                    status: 201,
-                    content_type: JSON.into(),
-                    body: body.to_string().into(),
-                    outcome: Outcome::Completed,
-                    error: None,
-                };
-                self.output.whole(&self.context(generation), answer).await;
-            }
-            Answer::End {
-                outcome,
-                status,
-                error,
-                generation,
-            } => {
-                self.shared.metrics.count_outcome(outcome);
-                let context = self.context(generation);
-                match error {
-                    None => self.completed(work, &context, outcome).await,
-                    Some(error) => self.failed(&context, status, outcome, error).await,
-                }
-            }
-            Answer::Recorded {
-                answer,
-                outcome,
-                generation,
-            } => {
-                let context = self.context(generation);
-                let answer = recorded(&context, answer.as_deref(), outcome);
-                self.output.whole(&context, answer).await;
-            }
-        }
-    }
-
-    async fn completed(
-        &mut self,
-        work: Option<&GenerationWork>,
-        context: &AnswerContext,
-        outcome: Outcome,
-    ) {
-        match (self.finished.take(), work) {
-            (Some(Finished::Service(answer)), _) => {
-                let answer = WholeAnswer {
-                    status: answer.status,
-                    content_type: answer.content_type,
-                    body: answer.body,
-                    outcome,
-                    error: None,
-                };
-                self.output.whole(context, answer).await;
-            }
-            (Some(Finished::Generation(usage)), Some(work)) if work.prompt.stream => {
-                let end = work.form.end(usage, context);
-                self.output.piece(context, end).await;
-                self.output.close();
-            }
-            (Some(Finished::Generation(usage)), Some(work)) => {
-                let answer = WholeAnswer {
-                    status: 200,
-                    content_type: JSON.into(),
-                    body: work.form.whole(&work.text, usage, context),
-                    outcome,
-                    error: None,
-                };
-                self.output.whole(context, answer).await;
-            }
-            _ => {
-                let cause = "the answer is missing";
-                let error = StepError::new(Step::Stream, Peer::Local, cause);
-                self.failed(context, 500, Outcome::Unknown, error).await;
-            }
-        }
-    }
-
-    async fn failed(
-        &mut self,
-        context: &AnswerContext,
-        status: u16,
-        outcome: Outcome,
-        error: StepError,
-    ) {
-        if self.output.has_started() {
-            let json = context.error_json(outcome, &error);
-            let mut event = b"data: ".to_vec();
-            event.extend_from_slice(&json);
-            event.extend_from_slice(b"\n\n");
-            self.output.piece(context, Bytes::from(event)).await;
-            self.output.close();
-        } else {
-            let answer = WholeAnswer::error(context, status, outcome, error);
-            self.output.whole(context, answer).await;
-        }
-    }
-}
-
-/// Build the answer to a second use of a ticket.
-fn recorded(
-    context: &AnswerContext,
-    answer: Option<&RecordedAnswer>,
-    outcome: Outcome,
-) -> WholeAnswer {
-    match answer {
-        Some(answer) => WholeAnswer {
-            status: answer.status,
-            content_type: answer.content_type.clone(),
-            body: answer.body.clone().into(),
-            outcome,
-            error: None,
-        },
-        None if outcome == Outcome::Completed => WholeAnswer {
-            status: 200,
-            content_type: JSON.into(),
-            body: json!({ "outcome": outcome, "answer_held": false })
-                .to_string()
-                .into(),
-            outcome,
-            error: None,
-        },
-        None => {
-            let cause = "the ticket's first use ended with this outcome";
-            let error = StepError::new(Step::Ticket, Peer::Local, cause);
-            WholeAnswer::error(context, 409, outcome, error)
-        }
+        self.delivery.deliver(generation, answer).await;
     }
 }
