Reserve the closed ports of tests

A test freed a port to have one that refuses connections. Another test got the same port in one of eight runs of the suite, and the call was answered. The port now stays bound without listening.

--- a/crates/oleanderpass_entry/tests/at_most_once.rs
+++ b/crates/oleanderpass_entry/tests/at_most_once.rs
@@ -22,6 +22,7 @@
 use oleanderpass_types::clock::Timestamp;
 use support::Entry;
 use support::ScriptedServer;
+use support::closed_port;
 use support::spawn_entry;
 use test_case::test_case;
 
@@ -141,9 +142,7 @@
 /// Guards against "nothing sent" for a server that can't be reached being taken as "may have run".
 #[test]
 fn unreachable_server_is_not_run() {
-    let closed = TcpListener::bind("127.0.0.1:0").unwrap();
-    let addr = closed.local_addr().unwrap();
-    drop(closed);
+    let (_socket, addr) = closed_port();
     let entry = spawn_entry(addr, addr, Limits::default());
     let (status, head, _) = entry.call(CHARGE, &[], b"");
     assert_eq!(status, 503);
--- a/crates/oleanderpass_entry/tests/peers.rs
+++ b/crates/oleanderpass_entry/tests/peers.rs
@@ -8,7 +8,6 @@
 
 mod support;
 
-use std::net::TcpListener;
 use std::net::UdpSocket;
 
 use oleanderpass_proto::peer::FetchDocumentRequest;
@@ -18,6 +17,7 @@
 use oleanderpass_proto::settings::Limits;
 use support::Entry;
 use support::ScriptedServer;
+use support::closed_port;
 use support::exchange;
 use support::settings;
 use support::spawn_entry;
@@ -34,9 +34,7 @@
 #[test]
 fn document_is_fetched_from_a_peer() {
     let (entry, _server) = start();
-    let closed = TcpListener::bind("127.0.0.1:0").unwrap();
-    let platform = closed.local_addr().unwrap();
-    drop(closed);
+    let (_socket, platform) = closed_port();
     let mut settings = settings("hafnir-2", platform, Limits::default());
     settings.seeds = vec![entry.addrs.peer.to_string()];
     let other = start_instance(&settings);
--- a/crates/oleanderpass_entry/tests/support/mod.rs
+++ b/crates/oleanderpass_entry/tests/support/mod.rs
@@ -26,6 +26,7 @@
 use oleanderpass_stand_in::platform::PlatformConfig;
 use sha2::Digest;
 use sha2::Sha256;
+use tokio::net::TcpSocket;
 
 /// The API key of the tests' caller.
 pub(crate) const KEY: &str = "medlar";
@@ -177,6 +178,15 @@
     }
 }
 
+/// Reserve an address that refuses connections until the socket is dropped. A closed listener
+/// would free its port for another test.
+pub(crate) fn closed_port() -> (TcpSocket, SocketAddr) {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let addr = socket.local_addr().unwrap();
+    (socket, addr)
+}
+
 /// Open a connection with a read timeout.
 pub(crate) fn connect(addr: SocketAddr) -> TcpStream {
     let tcp = TcpStream::connect(addr).unwrap();
