Skip the quarantine check for servers that run nothing

While any request is a suspect, each placement compared the attempts of every engine. Requests that are no suspects now need it only for servers where this instance runs attempts.

--- a/crates/oleanderpass_core/src/suspicion.rs
+++ b/crates/oleanderpass_core/src/suspicion.rs
@@ -114,7 +114,12 @@
         signature: Signature,
         server: &BackendServerId,
     ) -> bool {
-        if self.quarantine.suspects() == 0 {
+        let Some(view) = self.servers.get(server) else {
+            return false;
+        };
+        let rule = self.quarantine.rule(now, signature);
+        // Most servers run nothing of this instance, and most requests are no suspects.
+        if self.quarantine.suspects() == 0 || (rule == RunRule::Free && view.in_flight == 0) {
             return true;
         }
         let running: Vec<Signature> = self
@@ -128,12 +133,10 @@
             .values()
             .filter(|attempt| attempt.signature == signature)
             .count();
-        let idle = self.servers.get(server).is_some_and(|view| {
-            view.load
-                .as_ref()
-                .is_none_or(|(_, load)| load.running + load.queued == 0)
-        });
-        let rule = self.quarantine.rule(now, signature);
+        let idle = view
+            .load
+            .as_ref()
+            .is_none_or(|(_, load)| load.running + load.queued == 0);
         (rule != RunRule::Alone || idle)
             && self.quarantine.may_start(now, signature, &running, copies)
     }
