Treat a silent connection as one that may have sent

The task of a connection may write between the check for written bytes and its end. Only an end that the connection's task reports itself proves that nothing was sent.

--- a/crates/oleanderpass_entry/src/backend/attempt.rs
+++ b/crates/oleanderpass_entry/src/backend/attempt.rs
@@ -145,7 +145,8 @@
         let cause = match received {
             Some(Ok(answer)) => return Ok(answer),
             Some(Err(error)) => describe(&error),
-            None => "the connection is silent".into(),
+            // The connection's task still runs and may write before it is stopped.
+            None => return Err(SendError::Broken("the connection is silent".into())),
         };
         if connection.has_written() {
             Err(SendError::Broken(cause))
