Cover holds and orders in the fault scenarios

The fake engines load and unload versions on orders, lose their model in a crash, and those of one zone ignore the fencing number. A promotion changes the model's version, so that orders follow. The page counts what happened in the runs, because a check of runs in which nothing happens proves nothing.

A planned stop of an instance that is stopping is a second signal, and silence without a connection to the chosen server hits the other open ones; both cells had no hit before.

--- a/crates/oleanderpass_history/src/actions.rs
+++ b/crates/oleanderpass_history/src/actions.rs
@@ -16,6 +16,7 @@
 use oleanderpass_types::id::RequestId;
 use oleanderpass_types::id::StreamId;
 use oleanderpass_types::outcome::Outcome;
+use smol_str::SmolStr;
 
 use crate::fault::FaultStep;
 use crate::node::Origin;
@@ -349,12 +350,11 @@
                 server: server.to_string(),
                 incarnation: view.incarnation,
                 role: String::new(),
-                models: vec![engine::LoadedModel {
-                    model: "saga".to_owned(),
-                    version: "v1".to_owned(),
-                    adapters: Vec::new(),
-                    state: "ready".to_owned(),
-                }],
+                models: view
+                    .model
+                    .iter()
+                    .map(|held| self.loaded_model(held))
+                    .collect(),
                 fencing: view.fencing,
             })),
             Observation::Holds => {
@@ -388,6 +388,20 @@
         })
     }
 
+    fn loaded_model(&self, (version, ready): &(SmolStr, u64)) -> engine::LoadedModel {
+        let state = if *ready <= self.now {
+            "ready"
+        } else {
+            "loading"
+        };
+        engine::LoadedModel {
+            model: "saga".to_owned(),
+            version: version.to_string(),
+            adapters: Vec::new(),
+            state: state.to_owned(),
+        }
+    }
+
     fn send_order(
         &mut self,
         node: usize,
@@ -409,7 +423,7 @@
             return self.send_to_life(CALL_TIMEOUT, node, start, answered(order, None));
         };
         self.after(there, move |w| {
-            let accepted = w.order_server(index, order.fencing);
+            let accepted = w.order_server(index, &order);
             let answer = engine::OrderAnswer {
                 accepted,
                 reason: String::new(),
@@ -432,7 +446,7 @@
         };
         let there = self.travel(Place::Node(node), Place::Server(index));
         let back = self.travel(Place::Server(index), Place::Node(node));
-        let id = smol_str::SmolStr::from(hold.id.as_str());
+        let id = SmolStr::from(hold.id.as_str());
         let answered = move |granted| Event::HoldAnswered {
             server,
             hold: id,
@@ -463,13 +477,7 @@
         });
     }
 
-    fn release_hold(
-        &mut self,
-        node: usize,
-        start: u32,
-        server: BackendServerId,
-        hold: smol_str::SmolStr,
-    ) {
+    fn release_hold(&mut self, node: usize, start: u32, server: BackendServerId, hold: SmolStr) {
         let Some(index) = self.server_index(&server) else {
             return;
         };
--- a/crates/oleanderpass_history/src/injection.rs
+++ b/crates/oleanderpass_history/src/injection.rs
@@ -13,6 +13,7 @@
 use crate::node::Origin;
 use crate::record::CallNumber;
 use crate::record::Record;
+use crate::task::Task;
 use crate::world::Cut;
 use crate::world::World;
 use crate::world::ZONES;
@@ -122,6 +123,11 @@
             }
             Fault::CallerResend => call.is_some_and(|call| self.resend_now(call)),
             Fault::CallerGone => call.is_some_and(|call| self.close_call(call)),
+            Fault::PlannedStop if self.nodes[node].stopping_since.is_some() => {
+                let start = self.nodes[node].start;
+                self.at_node_after(1, node, start, move |w| w.handle(node, Event::Shutdown));
+                true
+            }
             Fault::PlannedStop => self.stop(node),
         }
     }
@@ -245,11 +251,17 @@
         true
     }
 
-    /// Let the open connections between an instance and a server deliver nothing more.
+    /// Let the open connections between an instance and a server deliver nothing more, or all its
+    /// open connections to servers if there is none to this one.
     fn silence(&mut self, node: usize, server: usize) -> bool {
+        let open = |task: &Task| !task.ended && task.sent.is_some();
+        let tasks = &mut self.nodes[node].tasks;
+        let any = !tasks
+            .values()
+            .any(|task| open(task) && task.server == server);
         let mut hit = false;
-        for task in self.nodes[node].tasks.values_mut() {
-            if task.server == server && !task.ended && task.sent.is_some() {
+        for task in tasks.values_mut() {
+            if open(task) && (any || task.server == server) {
                 task.silenced = task.connection;
                 hit = true;
             }
@@ -266,6 +278,10 @@
         if let Some(defaults) = &mut document.defaults {
             defaults.timeout_ms = 30_000 + timeout;
         }
+        let version = format!("v{}", document.generation);
+        for model in &mut document.models {
+            model.version.clone_from(&version);
+        }
         self.platform.document = Arc::new(document);
     }
 }
--- a/crates/oleanderpass_history/src/main.rs
+++ b/crates/oleanderpass_history/src/main.rs
@@ -35,6 +35,10 @@
     };
     let summary = run_seeds(args.seed, args.histories, args.threads.max(1), options)?;
     println!("{} histories, {} failed", summary.runs, summary.failed_runs);
+    summary
+        .events
+        .iter()
+        .for_each(|(kind, count)| println!("{kind}: {count}"));
     for (index, run) in summary.failures.iter().enumerate() {
         println!("seed {}:", run.seed);
         run.trace
--- a/crates/oleanderpass_history/src/matrix.rs
+++ b/crates/oleanderpass_history/src/matrix.rs
@@ -4,10 +4,12 @@
 use std::fmt::Write;
 use std::thread;
 
+use oleanderpass_types::outcome::Outcome;
 use strum::IntoEnumIterator;
 
 use crate::fault::Fault;
 use crate::fault::FaultStep;
+use crate::record::Record;
 use crate::scenario::Options;
 use crate::scenario::Run;
 use crate::scenario::run;
@@ -24,6 +26,8 @@
     /// The runs that the check rejected, in the order of seeds, without those beyond
     /// [`KEPT_FAILURES`] a thread.
     pub failures: Vec<Run>,
+    /// What happened in all runs, by kind. A check of runs in which nothing happens proves nothing.
+    pub events: BTreeMap<&'static str, u64>,
     /// The number of runs that the check rejected.
     pub failed_runs: u64,
 }
@@ -34,6 +38,11 @@
 impl Summary {
     fn add(&mut self, run: Run) {
         self.runs += 1;
+        for entry in &run.history.entries {
+            if let Some(kind) = kind(&entry.record) {
+                *self.events.entry(kind).or_default() += 1;
+            }
+        }
         let passed = run.violations.is_empty();
         let cells = if passed {
             &mut self.passed
@@ -54,6 +63,9 @@
     fn merge(&mut self, other: Summary) {
         self.runs += other.runs;
         self.failed_runs += other.failed_runs;
+        for (kind, count) in other.events {
+            *self.events.entry(kind).or_default() += count;
+        }
         for (cell, count) in other.passed {
             *self.passed.entry(cell).or_default() += count;
         }
@@ -105,6 +117,11 @@
         "Seeds {first} to {last}: {} histories, {} rejected by the check.\n",
         summary.runs, summary.failed_runs
     )?;
+    writeln!(page, "| Event | Number |\n|---|---|")?;
+    for (kind, count) in &summary.events {
+        writeln!(page, "| {kind} | {count} |")?;
+    }
+    writeln!(page)?;
     write!(page, "| Fault |")?;
     FaultStep::iter().try_for_each(|step| write!(page, " {step} |"))?;
     write!(page, "\n|---|")?;
@@ -138,6 +155,26 @@
 
 ";
 
+fn kind(record: &Record) -> Option<&'static str> {
+    Some(match record {
+        Record::Invoke { once: true, .. } => "call, at most once",
+        Record::Invoke { once: false, .. } => "call, idempotent",
+        Record::Answer { outcome, .. } => match outcome {
+            Outcome::Completed => "answer: completed",
+            Outcome::Failed => "answer: failed",
+            Outcome::NotRun => "answer: not run",
+            Outcome::Unknown => "answer: unknown",
+        },
+        Record::ConnectionLost(_) => "connection lost",
+        Record::Start { .. } => "start at a backend server",
+        Record::Exit(_) => "planned stop completed",
+        Record::HoldTaken { .. } => "hold taken",
+        Record::OrderApplied { .. } => "order applied",
+        Record::ServerCrashed(_) => "server crash or restart",
+        _ => return None,
+    })
+}
+
 fn cell(summary: &Summary, fault: Fault, step: FaultStep) -> String {
     if step.never().is_some() {
         return "n/a".to_owned();
--- a/crates/oleanderpass_history/src/servers.rs
+++ b/crates/oleanderpass_history/src/servers.rs
@@ -8,6 +8,7 @@
 use oleanderpass_core::event::Refusal;
 use oleanderpass_core::event::ServerLoad;
 use oleanderpass_core::stream::StreamEvent;
+use oleanderpass_proto::engine;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::clock::Timestamp;
 use oleanderpass_types::id::Generation;
@@ -66,6 +67,8 @@
     /// Holds by id: tokens, owner, owner incarnation, deadline.
     pub(crate) holds: BTreeMap<SmolStr, (u64, String, u64, u64)>,
     pub(crate) fencing: u64,
+    /// The version of the model, and when it is or was loaded.
+    pub(crate) model: Option<(SmolStr, u64)>,
 }
 
 impl Server {
@@ -114,10 +117,16 @@
         };
         self.record(record);
         let view = &self.servers[server];
+        let loaded = view
+            .model
+            .as_ref()
+            .is_some_and(|(_, ready)| *ready <= self.now);
         let refusal = if view.leaving {
             Some(Refusal::Leaving)
         } else if view.running() >= CAPACITY {
             Some(Refusal::Full)
+        } else if view.engine && !loaded {
+            Some(Refusal::NotLoaded)
         } else if self.now >= sent.deadline {
             Some(Refusal::Deadline)
         } else {
@@ -275,6 +284,7 @@
         view.leaving = false;
         view.holds.clear();
         view.fencing = 0;
+        view.model = None;
         view.listed.state = Lifecycle::Live;
         let streams = std::mem::take(&mut view.streams);
         let id = view.listed.id.clone();
@@ -309,16 +319,26 @@
     }
 
     /// Take an order at an engine. Return whether it was accepted.
-    pub(crate) fn order_server(&mut self, server: usize, fencing: u64) -> bool {
-        let checks = true;
+    pub(crate) fn order_server(&mut self, server: usize, order: &engine::Order) -> bool {
+        // Engines of the second zone ignore the fencing number.
+        let checks = server % 4 < 2;
+        let ready = self.now + self.rng.random_range(500..4_000);
         let view = &mut self.servers[server];
-        if fencing < view.fencing {
+        if !view.up || checks && order.fencing < view.fencing {
             return false;
         }
-        view.fencing = fencing;
+        view.fencing = view.fencing.max(order.fencing);
+        let held = view.model.as_ref().map(|(version, _)| version.as_str());
+        match order.kind.as_str() {
+            "load" if held != Some(order.version.as_str()) => {
+                view.model = Some((order.version.as_str().into(), ready));
+            }
+            "unload" => view.model = None,
+            _ => {}
+        }
         let record = Record::OrderApplied {
             server: view.listed.id.clone(),
-            fencing: Generation::new(fencing),
+            fencing: Generation::new(order.fencing),
             checks,
         };
         self.record(record);
--- a/crates/oleanderpass_history/src/world.rs
+++ b/crates/oleanderpass_history/src/world.rs
@@ -150,6 +150,7 @@
                 streams: BTreeMap::new(),
                 holds: BTreeMap::new(),
                 fencing: 0,
+                model: Some(("v1".into(), 0)),
             });
         }
         Some(Self {
@@ -307,8 +308,6 @@
         let (life, start) = (target.life(), target.start);
         self.record(Record::Started(life));
         self.tick(node, start);
-        // Edges read the instance list on their own from time to time.
-        self.read_list(node, start);
     }
 
     fn tick(&mut self, node: usize, start: u32) {
@@ -321,16 +320,6 @@
         self.after(TICK, move |w| w.tick(node, start));
     }
 
-    fn read_list(&mut self, node: usize, start: u32) {
-        if self.nodes[node].start != start || !self.nodes[node].is_up() {
-            return;
-        }
-        if !self.nodes[node].paused {
-            self.send_list(node);
-        }
-        self.after(1_000, move |w| w.read_list(node, start));
-    }
-
     /// Answer a read of the instance list.
     pub(crate) fn send_list(&mut self, node: usize) {
         let start = self.nodes[node].start;
