--- a/crates/oleanderpass_entry/tests/support/mod.rs
+++ b/crates/oleanderpass_entry/tests/support/mod.rs
@@ -26,6 +26,7 @@
 use oleanderpass_stand_in::platform::PlatformConfig;
 use sha2::Digest;
 use sha2::Sha256;
+use tokio::net::TcpSocket;
 
 /// The API key of the tests' caller.
 pub(crate) const KEY: &str = "medlar";
@@ -107,7 +108,12 @@
 
 /// Start an instance that reads a given platform.
 pub(crate) fn spawn_instance(id: &str, platform: SocketAddr, limits: raw::Limits) -> Entry {
-    let settings = raw::Settings {
+    start_instance(&settings(id, platform, limits))
+}
+
+/// Return the settings of an instance on free ports.
+pub(crate) fn settings(id: &str, platform: SocketAddr, limits: raw::Limits) -> raw::Settings {
+    raw::Settings {
         instance: id.to_owned(),
         zone: "hafnir".to_owned(),
         caller_addr: "127.0.0.1:0".to_owned(),
@@ -118,8 +124,12 @@
         fleet_key: "5a".repeat(32),
         limits: Some(limits),
         ..raw::Settings::default()
-    };
-    let daemon = Daemon::bind(&Settings::try_from(&settings).unwrap()).unwrap();
+    }
+}
+
+/// Start an instance and wait until it is ready.
+pub(crate) fn start_instance(settings: &raw::Settings) -> Entry {
+    let daemon = Daemon::bind(&Settings::try_from(settings).unwrap()).unwrap();
     let mut entry = Entry {
         addrs: daemon.addrs(),
         core: daemon.core(),
@@ -168,6 +178,15 @@
     }
 }
 
+/// Reserve an address that refuses connections until the socket is dropped. A closed listener
+/// would free its port for another test.
+pub(crate) fn closed_port() -> (TcpSocket, SocketAddr) {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let addr = socket.local_addr().unwrap();
+    (socket, addr)
+}
+
 /// Open a connection with a read timeout.
 pub(crate) fn connect(addr: SocketAddr) -> TcpStream {
     let tcp = TcpStream::connect(addr).unwrap();
