--- a/crates/oleanderpass_stand_in/src/main.rs
+++ b/crates/oleanderpass_stand_in/src/main.rs
@@ -1,6 +1,7 @@
 //! Run one stand-in as a process.
 
 use std::future::pending;
+use std::process::ExitCode;
 
 use clap::Parser;
 use clap::Subcommand;
@@ -34,12 +35,22 @@
 }
 
 #[tokio::main]
-async fn main() -> eyre::Result<()> {
+async fn main() -> ExitCode {
     tracing_subscriber::fmt()
         .json()
         .with_writer(std::io::stderr)
         .init();
-    match Cli::parse().command {
+    match run(Cli::parse().command).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("error: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(command: Command) -> eyre::Result<()> {
+    match command {
         Command::Engine(cfg) => {
             let engine = Engine::start(*cfg)?;
             println!("{}", engine.addr());
