--- a/crates/oleanderpass_entry/src/platform.rs
+++ b/crates/oleanderpass_entry/src/platform.rs
@@ -61,9 +61,9 @@
         thread::Builder::new()
             .name("platform-list".to_owned())
             .spawn(move || {
-                let agent = agent(ANSWER);
+                let mut reader = ListReader::new(addr);
                 for () in list_reads {
-                    list_core.event(list_event(read_list(&agent, addr)));
+                    list_core.event(reader.read());
                 }
             })
             .wrap_err("start the reader of the instance list")?;
@@ -89,26 +89,56 @@
     }
 }
 
-fn list_event(read: eyre::Result<InstanceList>) -> Event {
-    match read {
-        Ok(list) => Event::InstanceList(Arc::new(list)),
-        Err(error) => Event::InstanceListFailed {
-            cause: format_smolstr!("{error:#}"),
-        },
-    }
+/// Read the instance list and keep the last one.
+struct ListReader {
+    addr: SocketAddr,
+    agent: Agent,
+    /// The last text and its checked form. The list rarely changes between two reads, and parsing
+    /// one of the largest size takes longer than comparing it.
+    held: Option<(String, Arc<InstanceList>)>,
 }
 
-fn read_list(agent: &Agent, addr: SocketAddr) -> eyre::Result<InstanceList> {
-    let url = format!("http://{addr}/v1/instances");
-    let mut answer = agent.get(&url).call().wrap_err("request")?;
-    let text = answer
-        .body_mut()
-        .with_config()
-        .limit(MAX_LIST_BYTES)
-        .read_to_string()
-        .wrap_err("read")?;
-    let list: raw::InstanceList = serde_json::from_str(&text).wrap_err("parse")?;
-    check_list(&list)
+impl ListReader {
+    fn new(addr: SocketAddr) -> Self {
+        Self {
+            addr,
+            agent: agent(ANSWER),
+            held: None,
+        }
+    }
+
+    fn read(&mut self) -> Event {
+        match self.read_list() {
+            Ok(list) => Event::InstanceList(list),
+            Err(error) => Event::InstanceListFailed {
+                cause: format_smolstr!("{error:#}"),
+            },
+        }
+    }
+
+    fn read_list(&mut self) -> eyre::Result<Arc<InstanceList>> {
+        let text = self.fetch()?;
+        if let Some((held, list)) = &self.held
+            && *held == text
+        {
+            return Ok(Arc::clone(list));
+        }
+        let raw: raw::InstanceList = serde_json::from_str(&text).wrap_err("parse")?;
+        let list = Arc::new(check_list(&raw)?);
+        self.held = Some((text, Arc::clone(&list)));
+        Ok(list)
+    }
+
+    fn fetch(&self) -> eyre::Result<String> {
+        let url = format!("http://{}/v1/instances", self.addr);
+        let mut answer = self.agent.get(&url).call().wrap_err("request")?;
+        answer
+            .body_mut()
+            .with_config()
+            .limit(MAX_LIST_BYTES)
+            .read_to_string()
+            .wrap_err("read")
+    }
 }
 
 fn read_document(addr: SocketAddr, key: &str, read: DocumentRead) -> Event {
