Aim half of the server faults at requests that must run once

Half of the triggers at connect, dispatch, start and stream now count only the other requests, and a quarter of the burst is made of them.

--- a/crates/oleanderpass_history/src/fault.rs
+++ b/crates/oleanderpass_history/src/fault.rs
@@ -100,6 +100,8 @@
     pub fault: Fault,
     /// The step.
     pub step: FaultStep,
+    /// Count only occurrences that belong to a request that must run at most once.
+    pub once_only: bool,
     /// Fire at this occurrence of the step, from 1.
     pub occurrence: u32,
 }
--- a/crates/oleanderpass_history/src/injection.rs
+++ b/crates/oleanderpass_history/src/injection.rs
@@ -37,10 +37,16 @@
         server: Option<usize>,
         call: Option<CallNumber>,
     ) {
-        let occurrence = self.occurrences.entry(step).or_default();
-        *occurrence += 1;
-        let occurrence = *occurrence;
-        let fires = |t: &&Trigger| t.step == step && t.occurrence == occurrence;
+        let operation = call.map(|call| self.calls[call.0 as usize].operation);
+        let once = operation.is_some_and(|operation| self.operations[operation].once);
+        let counts = self.occurrences.entry(step).or_default();
+        counts[0] += 1;
+        counts[1] += u32::from(once);
+        let counts = *counts;
+        let fires = |t: &&Trigger| {
+            let counted = once || !t.once_only;
+            t.step == step && counted && t.occurrence == counts[usize::from(t.once_only)]
+        };
         let due: Vec<Trigger> = self.triggers.iter().filter(fires).copied().collect();
         for trigger in due {
             let victim = Victim {
--- a/crates/oleanderpass_history/src/scenario.rs
+++ b/crates/oleanderpass_history/src/scenario.rs
@@ -98,9 +98,15 @@
         FaultStep::Queue | FaultStep::Hold | FaultStep::Order | FaultStep::Shutdown => 1,
         _ => rng.random_range(1..10),
     };
+    // The steps of a backend server are mostly those of idempotent requests.
+    let at_server = matches!(
+        step,
+        FaultStep::Connect | FaultStep::Dispatch | FaultStep::Start | FaultStep::Stream
+    );
     let first = Trigger {
         fault,
         step,
+        once_only: at_server && rng.random_bool(0.5),
         occurrence,
     };
     let mut triggers = vec![first];
@@ -116,6 +122,7 @@
             triggers.push(Trigger {
                 fault,
                 step,
+                once_only: false,
                 occurrence,
             });
         }
@@ -146,7 +153,8 @@
     // A burst fills the servers, so that requests wait.
     let burst = WORK_BEGINS + world.rng.random_range(0..WORK_TIME);
     for _ in 0..24 {
-        world.after(burst, |w| w.new_operation(false, false));
+        let once = world.rng.random_bool(0.25);
+        world.after(burst, move |w| w.new_operation(once, false));
     }
     let promotion = WORK_BEGINS + world.rng.random_range(0..WORK_TIME);
     world.after(promotion, |w| w.publish(1));
--- a/crates/oleanderpass_history/src/world.rs
+++ b/crates/oleanderpass_history/src/world.rs
@@ -82,7 +82,8 @@
     pub(crate) operations: Vec<Operation>,
     pub(crate) calls: Vec<Call>,
     pub(crate) triggers: Vec<Trigger>,
-    pub(crate) occurrences: BTreeMap<FaultStep, u32>,
+    /// How often each step began: for all requests, and for those that must run at most once.
+    pub(crate) occurrences: BTreeMap<FaultStep, [u32; 2]>,
     pub(crate) hits: BTreeMap<(Fault, FaultStep), u32>,
     pub(crate) trace: Vec<(u64, String)>,
     pub(crate) last_peer_call: u64,
