Take the instance list from a peer, and leave memory beside joined prompts

Cause 1: an instance that started while the platform was down took the document from its peers, reported ready and answered 503, because it knew no backend server. Change: it fetches the list from a random peer by a new call, FetchInstances, and is ready only when it holds a list.

Change: the plan leaves a fifth of each engine free where the zone is large enough and keeps the same free memory on all engines of the plan. Prompts that fit one engine only without that fifth join engines too, as the routing policy says, instead of waiting until they are urgent.

--- a/crates/oleanderpass_core/src/action.rs
+++ b/crates/oleanderpass_core/src/action.rs
@@ -71,6 +71,14 @@
     },
     /// Read the instance list from the platform once and report it or `InstanceListFailed`.
     ReadInstanceList,
+    /// Fetch the instance list from a peer and report it. A failure is not reported: the next failed
+    /// read of the platform's list leads to the next fetch.
+    FetchInstanceList {
+        /// The peer.
+        from: InstanceId,
+        /// Its address.
+        addr: SocketAddr,
+    },
     /// Fetch a document from a peer and report `DocumentFetched` or `DocumentFetchFailed`.
     FetchDocument {
         /// The peer.
--- a/crates/oleanderpass_core/src/holding.rs
+++ b/crates/oleanderpass_core/src/holding.rs
@@ -7,11 +7,13 @@
 use oleanderpass_holds::orphan::OwnerState;
 use oleanderpass_holds::orphan::find_orphans;
 use oleanderpass_holds::plan::EngineRoom;
+use oleanderpass_holds::plan::MAX_ENGINES_PER_PROMPT;
 use oleanderpass_holds::plan::Plan;
 use oleanderpass_membership::member::Liveness;
 use oleanderpass_proto::engine;
 use oleanderpass_routing::cost::free_memory;
 use oleanderpass_routing::request::LengthClass;
+use oleanderpass_routing::split::RESERVE_DIVISOR;
 use oleanderpass_routing::view::Dispatch;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::clock::Timestamp;
@@ -74,7 +76,34 @@
                 free: free_memory(server),
             })
             .collect();
-        Plan::new(most_memory(&req.new), &rooms)
+        let reserve = self.join_reserve(now, id, model)?;
+        Plan::new(most_memory(&req.new), &rooms, reserve)
+    }
+
+    /// Return the memory that a long prompt leaves free on each engine that it joins: none when it
+    /// is urgent, or when all engines together are too small for it with their reserve.
+    pub(crate) fn join_reserve(
+        &self,
+        now: Timestamp,
+        id: &RequestId,
+        model: &ModelId,
+    ) -> Option<Tokens> {
+        let req = self.requests.get(id)?;
+        let view = self.views.get(model)?;
+        let mut sizes: Vec<Tokens> = view
+            .pool_servers()
+            .map(|server| server.spec.memory)
+            .collect();
+        sizes.sort_by(|a, b| b.cmp(a));
+        let largest = sizes.first().copied().unwrap_or_default();
+        let reserve = Tokens::new(largest.get() / RESERVE_DIVISOR);
+        let room: Tokens = sizes
+            .iter()
+            .take(MAX_ENGINES_PER_PROMPT)
+            .map(|size| size.saturating_sub(reserve))
+            .sum();
+        let needed = req.is_urgent(now) || room < most_memory(&req.new);
+        Some(if needed { Tokens::ZERO } else { reserve })
     }
 
     /// Begin to take the holds of a plan. The request leaves the queue.
--- a/crates/oleanderpass_core/src/instance.rs
+++ b/crates/oleanderpass_core/src/instance.rs
@@ -199,7 +199,7 @@
 
     /// Return whether the balancer should send callers here.
     pub fn is_ready(&self) -> bool {
-        self.serving_document().is_some() && self.drain == Drain::Serving
+        self.serving_document().is_some() && self.list.is_some() && self.drain == Drain::Serving
     }
 
     /// Return the document in force, once the instance knows that it is current.
@@ -323,6 +323,7 @@
             Event::FetchDocumentCall { call, query } => self.on_fetch_call(call, &query, out),
             Event::InstanceListFailed { cause } => {
                 tracing::warn!(%cause, "could not read the instance list");
+                self.fetch_list_from_peer(out);
             }
             Event::LeaseQuotaCall {
                 call,
--- a/crates/oleanderpass_core/src/placement.rs
+++ b/crates/oleanderpass_core/src/placement.rs
@@ -2,12 +2,12 @@
 
 use oleanderpass_config::document::Document;
 use oleanderpass_config::document::Service;
-use oleanderpass_routing::fair::URGENT_DIVISOR;
 use oleanderpass_routing::policy::Choice;
 use oleanderpass_routing::policy::Policy;
 use oleanderpass_routing::policy::Refusal;
 use oleanderpass_routing::policy::SplitOptions;
 use oleanderpass_routing::policy::choose;
+use oleanderpass_routing::request::LengthClass;
 use oleanderpass_routing::request::Request as RoutedRequest;
 use oleanderpass_routing::view::EngineSpec;
 use oleanderpass_routing::view::Report;
@@ -29,7 +29,6 @@
 use crate::holding::Join;
 use crate::holding::most_memory;
 use crate::instance::Instance;
-use crate::request::Phase;
 use crate::request::Request;
 use crate::server::ServerView;
 
@@ -71,8 +70,14 @@
             return self.place_on_any(now, id);
         }
         let largest = view.pool_servers().map(|server| server.spec.memory).max();
+        let reserve = self.join_reserve(now, id, &model);
         let memory = self.requests.get(id).map(|req| most_memory(&req.new));
-        if memory > largest {
+        if memory
+            .zip(reserve)
+            .map(|(memory, reserve)| memory + reserve)
+            > largest
+            && self.is_long(id, &model)
+        {
             return match self.plan_holds(now, id, &model) {
                 Some(plan) => Place::Join(Join { model, plan }),
                 None => Place::WaitForMemory,
@@ -105,13 +110,18 @@
         let (Some(req), Some(view)) = (self.requests.get(id), self.views.get(model)) else {
             return Choice::Wait;
         };
-        let urgent = matches!(req.phase, Phase::Queued { since, .. }
-            if now.since(since).saturating_mul(URGENT_DIVISOR) > req.deadline.since(since));
-        let routed = routed(&req.new, req.deadline, excluded, urgent);
+        let routed = routed(&req.new, req.deadline, excluded, req.is_urgent(now));
         let policy = Policy::Split(SplitOptions::default());
         choose(policy, view, now, &routed, &mut self.rng)
     }
 
+    fn is_long(&self, id: &RequestId, model: &ModelId) -> bool {
+        let (Some(req), Some(view)) = (self.requests.get(id), self.views.get(model)) else {
+            return false;
+        };
+        LengthClass::of(req.new.prompt, view.long_prompt()) == LengthClass::Long
+    }
+
     /// Return why a new request can't finish in time or fit at all, however long it waits.
     pub(crate) fn hopeless(
         &mut self,
--- a/crates/oleanderpass_core/src/servers.rs
+++ b/crates/oleanderpass_core/src/servers.rs
@@ -5,9 +5,11 @@
 
 use indexmap::IndexSet;
 use oleanderpass_membership::membership::Input;
+use oleanderpass_membership::membership::Membership;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::clock::Timestamp;
 use oleanderpass_types::id::BackendServerId;
+use rand::seq::IndexedRandom;
 
 use crate::action::Action;
 use crate::event::InstanceList;
@@ -73,6 +75,28 @@
         self.dispatch_queued(now, out);
     }
 
+    /// Ask a random peer for the list, if none is held: an instance that starts while the platform
+    /// can't be reached knows no backend server otherwise.
+    pub(crate) fn fetch_list_from_peer(&mut self, out: &mut Vec<Action>) {
+        if self.list.is_some() {
+            return;
+        }
+        let peers: Vec<_> = self
+            .membership
+            .iter()
+            .flat_map(Membership::present)
+            .map(|member| (member.id.clone(), member.addr))
+            .collect();
+        if let Some((from, addr)) = peers.choose(&mut self.rng).cloned() {
+            out.push(Action::FetchInstanceList { from, addr });
+        }
+    }
+
+    /// Return the instance list that is held.
+    pub fn instance_list(&self) -> Option<&Arc<InstanceList>> {
+        self.list.as_ref()
+    }
+
     /// Look again at the leaving servers, although the list is the same as before.
     fn clear_outdated_marks(&mut self, now: Timestamp) {
         let marked: Vec<BackendServerId> = self
--- a/crates/oleanderpass_core/tests/common/fleet.rs
+++ b/crates/oleanderpass_core/tests/common/fleet.rs
@@ -53,6 +53,7 @@
         let mut bed = Bed::bare(&format!("entry-{}", index + 1), incarnation);
         bed.instance = bed.instance.with_peers(addr(index), seeds);
         bed.now = now;
+        bed.list(Bed::live(&[], &[]));
         self.beds[index] = bed;
         self.read[index] = 0;
         self.cut.remove(&index);
--- a/crates/oleanderpass_entry/src/daemon.rs
+++ b/crates/oleanderpass_entry/src/daemon.rs
@@ -130,7 +130,7 @@
         let platform = PlatformReaders::spawn(
             settings.platform_addr,
             settings.config_key.clone(),
-            shared.core.clone(),
+            Arc::clone(&shared),
         )?;
         let edges = Edges {
             runtime: runtime.handle().clone(),
@@ -229,6 +229,7 @@
         pool: Pool::new(clock),
         peers: PeerCalls::new(identity.clone(), settings.fleet_key.clone()),
         metrics: Arc::new(Metrics::new().wrap_err("create the metrics")?),
+        list: watch::channel(None).0,
         last_request: AtomicU64::new(0),
     })
 }
--- a/crates/oleanderpass_entry/src/edges.rs
+++ b/crates/oleanderpass_entry/src/edges.rs
@@ -7,12 +7,15 @@
 use oleanderpass_core::event::Event;
 use oleanderpass_proto::peer::Packet;
 use oleanderpass_types::id::BackendServerId;
+use oleanderpass_types::id::InstanceId;
+use smol_str::format_smolstr;
 use tokio::runtime::Handle;
 use tokio::sync::mpsc::UnboundedSender;
 
 use crate::backend::observe::ServerCalls;
 use crate::platform::DocumentRead;
 use crate::platform::PlatformReaders;
+use crate::platform::parse_list;
 use crate::shared::Shared;
 
 /// What performs actions.
@@ -45,6 +48,10 @@
                 self.runtime
                     .spawn(peers.fetch_document(core, from, addr, *query));
             }
+            Action::FetchInstanceList { from, addr } => {
+                let shared = Arc::clone(&self.shared);
+                self.runtime.spawn(fetch_instance_list(shared, from, addr));
+            }
             Action::LeaseQuota {
                 home,
                 addr,
@@ -87,3 +94,20 @@
         self.runtime.spawn(async move { core.event(call.await) });
     }
 }
+
+/// Fetch the instance list from a peer, hand it to the core and keep it for other peers.
+async fn fetch_instance_list(shared: Arc<Shared>, from: InstanceId, addr: SocketAddr) {
+    let fetched = shared.peers.fetch_instances(addr).await;
+    let list = fetched.and_then(|bytes| {
+        let text = String::from_utf8(bytes).map_err(|error| format_smolstr!("{error}"))?;
+        let list = parse_list(&text).map_err(|error| format_smolstr!("{error:#}"))?;
+        Ok((text, list))
+    });
+    match list {
+        Ok((text, list)) => {
+            shared.list.send_replace(Some(text.into()));
+            shared.core.event(Event::InstanceList(Arc::new(list)));
+        }
+        Err(cause) => tracing::warn!(%from, %cause, "a peer has no instance list"),
+    }
+}
--- a/crates/oleanderpass_entry/src/peer/client.rs
+++ b/crates/oleanderpass_entry/src/peer/client.rs
@@ -48,6 +48,8 @@
 pub const FORWARD: &str = "Forward";
 /// The name of the call for a document.
 pub const FETCH_DOCUMENT: &str = "FetchDocument";
+/// The name of the call for the instance list.
+pub const FETCH_INSTANCES: &str = "FetchInstances";
 /// The name of the call for quota.
 pub const LEASE_QUOTA: &str = "LeaseQuota";
 
@@ -124,6 +126,22 @@
         core.event(event);
     }
 
+    /// Fetch the text of the instance list that a peer holds.
+    ///
+    /// # Errors
+    ///
+    /// Return the cause when the peer doesn't answer in time.
+    pub async fn fetch_instances(&self, addr: SocketAddr) -> Result<Vec<u8>, SmolStr> {
+        let mut req = peer::FetchInstancesRequest { proof: None };
+        req.proof = Some(self.sign(FETCH_INSTANCES, &req));
+        let call = async {
+            let mut client = self.client(addr)?;
+            client.fetch_instances(req).await.map_err(describe)
+        };
+        let answer = within(FETCH_TIMEOUT, call).await?;
+        Ok(answer.into_inner().list)
+    }
+
     /// Lease quota and report it to the core.
     pub async fn lease_quota(
         self,
--- a/crates/oleanderpass_entry/src/peer/server.rs
+++ b/crates/oleanderpass_entry/src/peer/server.rs
@@ -39,6 +39,7 @@
 use crate::clock::unix_ms;
 use crate::core_loop::CallReply;
 use crate::peer::client::FETCH_DOCUMENT;
+use crate::peer::client::FETCH_INSTANCES;
 use crate::peer::client::FORWARD;
 use crate::peer::client::LEASE_QUOTA;
 use crate::peer::proof::ProofChecker;
@@ -239,6 +240,18 @@
         self.ask_core(call, event, CallReply::Fetch(tx), rx).await
     }
 
+    async fn fetch_instances(
+        &self,
+        req: Request<peer::FetchInstancesRequest>,
+    ) -> Result<Response<peer::FetchInstancesResponse>, Status> {
+        let mut query = req.into_inner();
+        let proof = query.proof.take();
+        self.check(FETCH_INSTANCES, proof.as_ref(), &query)?;
+        let held = self.shared.list.borrow().clone();
+        let list = held.map_or_else(Vec::new, |text| text.as_bytes().to_vec());
+        Ok(Response::new(peer::FetchInstancesResponse { list }))
+    }
+
     async fn lease_quota(
         &self,
         req: Request<peer::LeaseQuotaRequest>,
--- a/crates/oleanderpass_entry/src/platform.rs
+++ b/crates/oleanderpass_entry/src/platform.rs
@@ -20,7 +20,7 @@
 use smol_str::format_smolstr;
 use ureq::Agent;
 
-use crate::core_loop::CoreSender;
+use crate::shared::Shared;
 
 /// The time for an answer of the platform, on top of the wait of a watch.
 const ANSWER: Duration = Duration::from_secs(3);
@@ -54,16 +54,16 @@
     /// # Errors
     ///
     /// Return the cause when a thread can't be started.
-    pub fn spawn(addr: SocketAddr, config_key: SmolStr, core: CoreSender) -> eyre::Result<Self> {
+    pub fn spawn(addr: SocketAddr, config_key: SmolStr, shared: Arc<Shared>) -> eyre::Result<Self> {
         let (documents, document_reads) = mpsc::channel::<DocumentRead>();
         let (lists, list_reads) = mpsc::channel();
-        let list_core = core.clone();
+        let core = shared.core.clone();
         thread::Builder::new()
             .name("platform-list".to_owned())
             .spawn(move || {
-                let mut reader = ListReader::new(addr);
+                let mut reader = ListReader::new(addr, Arc::clone(&shared));
                 for () in list_reads {
-                    list_core.event(reader.read());
+                    shared.core.event(reader.read());
                 }
             })
             .wrap_err("start the reader of the instance list")?;
@@ -93,16 +93,18 @@
 struct ListReader {
     addr: SocketAddr,
     agent: Agent,
+    shared: Arc<Shared>,
     /// The last text and its checked form. The list rarely changes between two reads, and parsing
     /// one of the largest size takes longer than comparing it.
-    held: Option<(String, Arc<InstanceList>)>,
+    held: Option<(Arc<str>, Arc<InstanceList>)>,
 }
 
 impl ListReader {
-    fn new(addr: SocketAddr) -> Self {
+    fn new(addr: SocketAddr, shared: Arc<Shared>) -> Self {
         Self {
             addr,
             agent: agent(ANSWER),
+            shared,
             held: None,
         }
     }
@@ -119,12 +121,13 @@
     fn read_list(&mut self) -> eyre::Result<Arc<InstanceList>> {
         let text = self.fetch()?;
         if let Some((held, list)) = &self.held
-            && *held == text
+            && **held == text
         {
             return Ok(Arc::clone(list));
         }
-        let raw: raw::InstanceList = serde_json::from_str(&text).wrap_err("parse")?;
-        let list = Arc::new(check_list(&raw)?);
+        let list = Arc::new(parse_list(&text)?);
+        let text: Arc<str> = text.into();
+        self.shared.list.send_replace(Some(Arc::clone(&text)));
         self.held = Some((text, Arc::clone(&list)));
         Ok(list)
     }
@@ -179,6 +182,16 @@
         .into()
 }
 
+/// Read the text of an instance list.
+///
+/// # Errors
+///
+/// Return the cause when the text isn't an instance list.
+pub fn parse_list(text: &str) -> eyre::Result<InstanceList> {
+    let raw: raw::InstanceList = serde_json::from_str(text).wrap_err("parse")?;
+    check_list(&raw)
+}
+
 /// Turn a raw instance list into a checked one.
 ///
 /// # Errors
--- a/crates/oleanderpass_entry/src/shared.rs
+++ b/crates/oleanderpass_entry/src/shared.rs
@@ -39,6 +39,8 @@
     pub peers: PeerCalls,
     /// The metrics.
     pub metrics: Arc<Metrics>,
+    /// The text of the platform's instance list, as it was read last.
+    pub list: watch::Sender<Option<Arc<str>>>,
     /// The number of the last request.
     pub last_request: AtomicU64,
 }
--- a/crates/oleanderpass_history/src/actions.rs
+++ b/crates/oleanderpass_history/src/actions.rs
@@ -1,5 +1,6 @@
 //! Carry out the core's actions in place of the edges.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use oleanderpass_core::action::Action;
@@ -59,6 +60,7 @@
             }
             Action::ReadDocument { after, wait } => self.read_document(node, start, after, wait),
             Action::ReadInstanceList => self.send_list(node),
+            Action::FetchInstanceList { addr, .. } => self.fetch_list(node, start, addr),
             Action::FetchDocument { from, addr, query } => {
                 let failed = Event::DocumentFetchFailed {
                     from: from.clone(),
@@ -128,6 +130,25 @@
         }
     }
 
+    /// Let an instance take the instance list from a peer.
+    fn fetch_list(&mut self, node: usize, start: u32, addr: SocketAddr) {
+        let Some(peer) = self.node_at(addr) else {
+            return;
+        };
+        let there = self.travel(Place::Node(node), Place::Node(peer));
+        let back = self.travel(Place::Node(peer), Place::Node(node));
+        let (Some(there), Some(back)) = (there, back) else {
+            return;
+        };
+        let peer_start = self.nodes[peer].start;
+        self.at_node_after(there, peer, peer_start, move |w| {
+            let core = w.nodes[peer].core.as_ref();
+            if let Some(list) = core.and_then(|core| core.instance_list()).cloned() {
+                w.send_to_life(back, node, start, Event::InstanceList(list));
+            }
+        });
+    }
+
     /// Hand an event to whatever life an instance has then.
     fn send_to_node(&mut self, ms: u64, node: usize, event: Event) {
         let start = self.nodes[node].start;
--- a/crates/oleanderpass_holds/src/plan.rs
+++ b/crates/oleanderpass_holds/src/plan.rs
@@ -35,29 +35,24 @@
 }
 
 impl Plan {
-    /// Split `total` over as few engines as possible, those with the most free memory first.
+    /// Split `total` over as few engines as possible, those with the most free memory first, and
+    /// leave at least `reserve` free on each.
+    ///
+    /// The engines keep the same free memory where possible, because a short prompt waits on an
+    /// engine that is full for as long as the long prompt runs.
     ///
     /// Return `None` when [`MAX_ENGINES_PER_PROMPT`] of them don't have enough.
-    pub fn new(total: Tokens, rooms: &[EngineRoom]) -> Option<Self> {
-        let mut rooms: Vec<&EngineRoom> = rooms.iter().filter(|r| r.free > Tokens::ZERO).collect();
+    pub fn new(total: Tokens, rooms: &[EngineRoom], reserve: Tokens) -> Option<Self> {
+        let mut rooms: Vec<&EngineRoom> = rooms.iter().filter(|r| r.free > reserve).collect();
         rooms.sort_by(|a, b| b.free.cmp(&a.free).then_with(|| a.server.cmp(&b.server)));
         rooms.dedup_by(|a, b| a.server == b.server);
-        let mut left = total;
-        let mut parts = Vec::new();
-        for room in rooms.into_iter().take(MAX_ENGINES_PER_PROMPT) {
-            if left == Tokens::ZERO {
-                break;
-            }
-            let tokens = left.min(room.free);
-            left = left.saturating_sub(tokens);
-            parts.push(Part {
-                server: room.server.clone(),
-                tokens,
-            });
-        }
-        if left > Tokens::ZERO || parts.is_empty() {
-            return None;
-        }
+        rooms.truncate(MAX_ENGINES_PER_PROMPT);
+        let usable = |room: &&EngineRoom| room.free.saturating_sub(reserve);
+        let least = (1..=rooms.len())
+            .find(|count| rooms[..*count].iter().map(usable).sum::<Tokens>() >= total)?;
+        rooms.truncate(least);
+        let mut parts = level(total, &rooms);
+        parts.retain(|part| part.tokens > Tokens::ZERO);
         parts.sort_by(|a, b| a.server.cmp(&b.server));
         Some(Self { parts })
     }
@@ -78,3 +73,24 @@
         largest.map(|part| &part.server)
     }
 }
+
+/// Take `total` from rooms in descending order of free memory so that what stays free is level.
+fn level(total: Tokens, rooms: &[&EngineRoom]) -> Vec<Part> {
+    let mut left = total.get();
+    let mut parts: Vec<Part> = Vec::with_capacity(rooms.len());
+    // The smallest room first: where an equal share doesn't fit, the others take the rest.
+    for (index, room) in rooms.iter().enumerate().rev() {
+        let others: u64 = rooms[..index].iter().map(|other| other.free.get()).sum();
+        let count = index as u64 + 1;
+        let stays_free = (others + room.free.get())
+            .saturating_sub(left)
+            .div_ceil(count);
+        let tokens = room.free.get().saturating_sub(stays_free).min(left);
+        left -= tokens;
+        parts.push(Part {
+            server: room.server.clone(),
+            tokens: Tokens::new(tokens),
+        });
+    }
+    parts
+}
--- a/crates/oleanderpass_routing/src/lib.rs
+++ b/crates/oleanderpass_routing/src/lib.rs
@@ -13,5 +13,5 @@
 pub mod rendezvous;
 pub mod request;
 pub mod share;
-mod split;
+pub mod split;
 pub mod view;
--- a/crates/oleanderpass_routing/src/split.rs
+++ b/crates/oleanderpass_routing/src/split.rs
@@ -32,7 +32,7 @@
 ///
 /// A short prompt that finds no memory waits for the end of a long one. One fifth of 450,000
 /// tokens holds about 15 short requests, and three engines still hold 1,000,000 tokens.
-const RESERVE_DIVISOR: u64 = 5;
+pub const RESERVE_DIVISOR: u64 = 5;
 
 pub(crate) fn choose(
     placement: &Placement<'_>,
