Refuse a request after three crashes even if it never ran alone

An instance can't keep other instances from using the engine of a request that runs alone, so the third crash needn't count as alone and a fourth server was at risk. Three crashes without a finished run now refuse the signature.

--- a/crates/oleanderpass_quarantine/src/lib.rs
+++ b/crates/oleanderpass_quarantine/src/lib.rs
@@ -10,7 +10,8 @@
 //!   that it had dispatched before the first crash, because it runs one copy of a suspect at a time.
 //!   A caller that resends through `m` instances before evidence spreads takes down at most `3 * m`
 //!   servers and those copies.
-//! - An innocent suspect is never refused unless its server crashes while it runs alone. It waits
+//! - An innocent suspect is never refused unless its server crashes while it runs alone, or three
+//!   servers crash under it and none of its runs finishes in between. It waits
 //!   only for a server without the other suspects, or, after two crashes, for an idle one. Its first
 //!   whole run clears it, and all suspicion ends [`evidence::EVIDENCE_LIFETIME`] after the crash.
 
--- a/crates/oleanderpass_quarantine/src/table.rs
+++ b/crates/oleanderpass_quarantine/src/table.rs
@@ -23,6 +23,11 @@
 /// The crashes after which a signature runs alone.
 const CRASHES_BEFORE_ALONE: usize = 2;
 
+/// The crashes after which a signature is refused even if it never ran alone. An instance can't keep
+/// other instances from using the engine of a request that runs alone, so a busy fleet would lose a
+/// fourth server. An innocent request is in so many crashes only if none of its runs finished.
+const CRASHES_BEFORE_REFUSED: usize = 3;
+
 /// A crash within its lifetime.
 #[derive(Clone, Debug)]
 struct Crash {
@@ -116,15 +121,20 @@
             let left = EVIDENCE_LIFETIME.saturating_sub(now.since(crash.at));
             (left > Millis::ZERO).then_some((crash.alone, left))
         });
-        let mut count = 0;
+        let mut lefts = Vec::new();
         let mut refused_for = Millis::ZERO;
         for (alone, left) in live {
-            count += 1;
+            lefts.push(left);
             if alone {
                 refused_for = refused_for.max(left);
             }
         }
-        match count {
+        // The latest crashes count until the first of them expires.
+        lefts.sort_unstable_by(|a, b| b.cmp(a));
+        if let Some(left) = lefts.get(CRASHES_BEFORE_REFUSED - 1) {
+            refused_for = refused_for.max(*left);
+        }
+        match lefts.len() {
             _ if refused_for > Millis::ZERO => RunRule::Refused { left: refused_for },
             0 => RunRule::Free,
             n if n < CRASHES_BEFORE_ALONE => RunRule::Apart,
--- a/crates/oleanderpass_quarantine/tests/quarantine.rs
+++ b/crates/oleanderpass_quarantine/tests/quarantine.rs
@@ -125,6 +125,20 @@
     assert_eq!(table.rule(START, BAD), RunRule::Apart);
 }
 
+/// Requests of other instances may share the engine of a request that should run alone.
+#[test]
+fn a_request_that_never_runs_alone_is_refused_after_three_crashes() {
+    let mut table = Quarantine::new();
+    for server in 1..=3 {
+        assert!(!matches!(table.rule(START, BAD), RunRule::Refused { .. }));
+        let neighbour = Signature(server);
+        table.on_crash(START, &crash(server, &[BAD, neighbour], false));
+    }
+    let left = EVIDENCE_LIFETIME;
+    assert_eq!(table.rule(START, BAD), RunRule::Refused { left });
+    assert_eq!(table.rule(START, Signature(1)), RunRule::Apart);
+}
+
 #[test]
 fn the_table_is_bounded_and_keeps_quarantined_signatures() {
     let mut table = Quarantine::new();
