Poll servers of other zones that lost a connection

An instance polled only its own zone, so it never learned that a server of another zone had crashed under its request, and recorded no suspects. A request that crashes servers then took down two more through the same instance.

--- a/crates/oleanderpass_core/src/observe.rs
+++ b/crates/oleanderpass_core/src/observe.rs
@@ -143,8 +143,9 @@
         }
     }
 
-    /// Return the servers that this instance polls: its part of those of its zone, and leaving ones
-    /// of other zones, whose next incarnation it would not notice otherwise.
+    /// Return the servers that this instance polls: its part of those of its zone, those that lost
+    /// one of its connections, and leaving ones of other zones, whose next incarnation it would not
+    /// notice otherwise.
     fn polled_servers(&self) -> Vec<BackendServerId> {
         let in_zone = |view: &ServerView| view.zone == self.identity.zone;
         let count = self.servers.values().filter(|view| in_zone(view)).count();
@@ -161,7 +162,9 @@
         let polled = |id: &BackendServerId, view: &ServerView| {
             // Orders follow from the state of all engines of the zone.
             let part = || issues_orders || polls(own, &instances, node_key(id.as_str()), count);
-            view.listed.is_some() && (view.leaving.is_some() || (in_zone(view) && part()))
+            // Only an answer tells a crash from a broken connection.
+            let asked = view.leaving.is_some() || !view.losses.is_empty();
+            view.listed.is_some() && (asked || (in_zone(view) && part()))
         };
         self.servers
             .iter()
