Tighten the history checks and count control traffic

Cause: the checks extended the limits of R6 and R8 by any fault of an instance, a cut from the platform included, although a leaving server must get no work after 3 s and a promotion must spread whether the platform answers or not. R1 allowed 1,500 ms after the deadline for one tick of 100 ms. Change: only a pause, a cut from the server (R6) or from peers (R8) extends a limit; the slack of R1 is 200 ms.

--- a/crates/oleanderpass_entry/src/backend/observe.rs
+++ b/crates/oleanderpass_entry/src/backend/observe.rs
@@ -1,6 +1,7 @@
 //! Ask backend servers about themselves and give orders to engines.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -30,6 +31,8 @@
 use crate::backend::pool::Pool;
 use crate::caller::answer::JSON;
 use crate::clock::Clock;
+use crate::metrics::ControlTraffic;
+use crate::metrics::Metrics;
 
 /// The time for one exchange. It equals the period of load reports.
 const TIMEOUT: Duration = Duration::from_secs(2);
@@ -51,6 +54,8 @@
     pub server: BackendServerId,
     /// Its address.
     pub addr: SocketAddr,
+    /// The metrics.
+    pub metrics: Arc<Metrics>,
 }
 
 impl ServerCalls {
@@ -139,6 +144,8 @@
             .exchange(Method::GET, path, Bytes::new(), TIMEOUT)
             .await?;
         ensure!(status.is_success(), "{path}: status {status}");
+        self.metrics
+            .count_control_bytes(ControlTraffic::Polls, body.len());
         serde_json::from_slice(&body).wrap_err_with(|| format!("parse the answer to {path}"))
     }
 
--- a/crates/oleanderpass_entry/src/backend/stream.rs
+++ b/crates/oleanderpass_entry/src/backend/stream.rs
@@ -1,5 +1,6 @@
 //! Run a generation on a model engine and resume its stream on a new connection when one dies.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -226,6 +227,7 @@
                 clock: self.cx.shared.clock,
                 server: hold.server.clone(),
                 addr: hold.addr,
+                metrics: Arc::clone(&self.cx.shared.metrics),
             };
             engine
                 .import_kv(&transfer)
--- a/crates/oleanderpass_entry/src/daemon.rs
+++ b/crates/oleanderpass_entry/src/daemon.rs
@@ -256,7 +256,12 @@
     let (tx, rx) = mpsc::unbounded_channel();
     let udp = Arc::clone(&sockets.udp);
     runtime.spawn(datagram::receive(udp, key.clone(), Arc::clone(shared)));
-    runtime.spawn(datagram::send(sockets.udp, key.clone(), rx));
+    runtime.spawn(datagram::send(
+        sockets.udp,
+        key.clone(),
+        Arc::clone(&shared.metrics),
+        rx,
+    ));
     let service = PeerService::new(Arc::clone(shared), ProofChecker::new(key));
     let limit = usize::try_from(settings.limits.body.get()).unwrap_or(usize::MAX);
     let service = PeerServer::new(service).max_decoding_message_size(limit.saturating_add(4_096));
--- a/crates/oleanderpass_entry/src/edges.rs
+++ b/crates/oleanderpass_entry/src/edges.rs
@@ -84,6 +84,7 @@
         ServerCalls {
             pool: self.shared.pool.clone(),
             clock: self.shared.clock,
+            metrics: Arc::clone(&self.shared.metrics),
             server,
             addr,
         }
--- a/crates/oleanderpass_entry/src/metrics.rs
+++ b/crates/oleanderpass_entry/src/metrics.rs
@@ -13,6 +13,7 @@
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
+use strum::IntoStaticStr;
 
 use crate::snapshot::Snapshot;
 
@@ -36,6 +37,22 @@
 /// The class label of a caller that isn't known.
 pub const UNKNOWN_CLASS: &str = "unknown";
 
+/// What carries control traffic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum ControlTraffic {
+    /// Datagrams to peers.
+    DatagramsSent,
+    /// Datagrams of peers.
+    DatagramsReceived,
+    /// Documents read from the platform.
+    Documents,
+    /// Instance lists read from the platform.
+    InstanceLists,
+    /// Answers of backend servers to polls.
+    Polls,
+}
+
 /// The metrics of the process.
 #[derive(Clone, Debug)]
 pub struct Metrics {
@@ -43,6 +60,7 @@
     ttft: HistogramVec,
     requests: IntCounterVec,
     refused: IntCounterVec,
+    control_bytes: IntCounterVec,
     /// Attempts after the first one of a request.
     pub retries: IntCounter,
     /// Resumed streams.
@@ -92,6 +110,12 @@
                 "Requests refused before the core, by HTTP status",
                 "status",
             )?,
+            control_bytes: counters(
+                &registry,
+                "control_bytes_total",
+                "Bytes of control traffic without the heads of HTTP, UDP and TCP",
+                "kind",
+            )?,
             retries: counter(&registry, "retries_total", "Attempts after the first one")?,
             resumes: counter(&registry, "resumes_total", "Resumed streams")?,
             connections: gauge(&registry, "connections", "Open caller connections")?,
@@ -163,6 +187,14 @@
             .inc();
     }
 
+    /// Count bytes of control traffic.
+    pub fn count_control_bytes(&self, kind: ControlTraffic, bytes: usize) {
+        let label: &str = kind.into();
+        self.control_bytes
+            .with_label_values(&[label])
+            .inc_by(bytes as u64);
+    }
+
     /// Count a message of a peer that failed its check.
     pub fn count_rejected_peer_message(&self, reason: impl AsRef<str>) {
         self.rejected_peer_messages
--- a/crates/oleanderpass_entry/src/peer/datagram.rs
+++ b/crates/oleanderpass_entry/src/peer/datagram.rs
@@ -11,6 +11,8 @@
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::UnboundedReceiver;
 
+use crate::metrics::ControlTraffic;
+use crate::metrics::Metrics;
 use crate::peer::mac;
 use crate::settings::FleetKey;
 use crate::shared::Shared;
@@ -87,6 +89,9 @@
                 continue;
             }
         };
+        shared
+            .metrics
+            .count_control_bytes(ControlTraffic::DatagramsReceived, length);
         match decode(&key, &buf[..length]) {
             Ok(packet) => {
                 let packet = Arc::new(packet);
@@ -106,6 +111,7 @@
 pub async fn send(
     socket: Arc<UdpSocket>,
     key: FleetKey,
+    metrics: Arc<Metrics>,
     mut packets: UnboundedReceiver<(SocketAddr, Box<Packet>)>,
 ) {
     while let Some((to, packet)) = packets.recv().await {
@@ -116,8 +122,9 @@
                 continue;
             }
         };
-        if let Err(error) = socket.send_to(&datagram, to).await {
-            tracing::debug!(%to, %error, "send of a datagram failed");
+        match socket.send_to(&datagram, to).await {
+            Ok(bytes) => metrics.count_control_bytes(ControlTraffic::DatagramsSent, bytes),
+            Err(error) => tracing::debug!(%to, %error, "send of a datagram failed"),
         }
     }
 }
--- a/crates/oleanderpass_entry/src/platform.rs
+++ b/crates/oleanderpass_entry/src/platform.rs
@@ -20,6 +20,7 @@
 use smol_str::format_smolstr;
 use ureq::Agent;
 
+use crate::metrics::ControlTraffic;
 use crate::shared::Shared;
 
 /// The time for an answer of the platform, on top of the wait of a watch.
@@ -58,6 +59,7 @@
         let (documents, document_reads) = mpsc::channel::<DocumentRead>();
         let (lists, list_reads) = mpsc::channel();
         let core = shared.core.clone();
+        let metrics = Arc::clone(&shared.metrics);
         thread::Builder::new()
             .name("platform-list".to_owned())
             .spawn(move || {
@@ -71,7 +73,11 @@
             .name("platform-config".to_owned())
             .spawn(move || {
                 for read in document_reads {
-                    core.event(read_document(addr, &config_key, read));
+                    let event = read_document(addr, &config_key, read);
+                    if let Event::DocumentText(text) = &event {
+                        metrics.count_control_bytes(ControlTraffic::Documents, text.len());
+                    }
+                    core.event(event);
                 }
             })
             .wrap_err("start the reader of the document")?;
@@ -120,6 +126,9 @@
 
     fn read_list(&mut self) -> eyre::Result<Arc<InstanceList>> {
         let text = self.fetch()?;
+        self.shared
+            .metrics
+            .count_control_bytes(ControlTraffic::InstanceLists, text.len());
         if let Some((held, list)) = &self.held
             && **held == text
         {
--- a/crates/oleanderpass_history/src/check.rs
+++ b/crates/oleanderpass_history/src/check.rs
@@ -13,13 +13,14 @@
 
 use crate::record::CallNumber;
 use crate::record::History;
+use crate::record::Impairment;
 use crate::record::Life;
 use crate::record::Operation;
 use crate::record::Record;
 
 /// The time after its deadline in which a call must have its answer: one tick of 100 ms, and the
-/// way to the caller and a forwarding hop.
-pub const ANSWER_SLACK: Millis = Millis::new(1_500);
+/// ways to the caller and over a forwarding hop.
+pub const ANSWER_SLACK: Millis = Millis::new(200);
 
 /// The time after which a leaving server receives no new work. Source: requirement R6.
 pub const LEAVING_LIMIT: Millis = Millis::from_secs(3);
@@ -162,27 +163,28 @@
 }
 
 /// The times in which a fault kept each instance from acting.
-struct Faults<'a>(BTreeMap<&'a Life, Vec<Span>>);
+struct Faults<'a>(BTreeMap<&'a Life, Vec<Span<'a>>>);
 
-struct Span {
+struct Span<'a> {
     begin: Timestamp,
     end: Timestamp,
-    paused: bool,
+    impairment: &'a Impairment,
 }
 
 impl<'a> Faults<'a> {
     fn of(history: &'a History) -> Self {
-        let mut spans: BTreeMap<&Life, Vec<Span>> = BTreeMap::new();
+        let mut spans: BTreeMap<&Life, Vec<Span<'_>>> = BTreeMap::new();
         let open = Timestamp::from_millis(u64::MAX);
         for entry in &history.entries {
             match &entry.record {
-                Record::FaultBegins { at, paused } => spans.entry(at).or_default().push(Span {
+                Record::FaultBegins { at, impairment } => spans.entry(at).or_default().push(Span {
                     begin: entry.at,
                     end: open,
-                    paused: *paused,
+                    impairment,
                 }),
-                Record::FaultEnds { at, paused } => {
-                    let ends = |span: &&mut Span| span.end == open && span.paused == *paused;
+                Record::FaultEnds { at, impairment } => {
+                    let ends =
+                        |span: &&mut Span<'_>| span.end == open && span.impairment == impairment;
                     let list = spans.entry(at).or_default();
                     if let Some(span) = list.iter_mut().find(ends) {
                         span.end = entry.at;
@@ -194,27 +196,19 @@
         Self(spans)
     }
 
-    /// Return the end of `from + time` when the time of faults doesn't count and the instance needs
-    /// the whole `time` after each fault.
-    fn extend(&self, life: &Life, from: Timestamp, time: Millis) -> Timestamp {
-        self.extend_by(life, from, time, |_| true)
-    }
-
-    /// Do the same for pauses only.
-    fn extend_by_pauses(&self, life: &Life, from: Timestamp, time: Millis) -> Timestamp {
-        self.extend_by(life, from, time, |span| span.paused)
-    }
-
-    fn extend_by(
+    /// Return the end of `from + time` when the time of impairments that count isn't reckoned and
+    /// the instance needs the whole `time` after each of them. Pauses always count.
+    fn extend(
         &self,
         life: &Life,
         from: Timestamp,
         time: Millis,
-        counts: impl Fn(&Span) -> bool,
+        counts: impl Fn(&Impairment) -> bool,
     ) -> Timestamp {
         let mut end = from + time;
         for span in self.0.get(life).into_iter().flatten() {
-            if counts(span) && span.begin <= end && span.end >= from {
+            let counted = *span.impairment == Impairment::Paused || counts(span.impairment);
+            if counted && span.begin <= end && span.end >= from {
                 end = end.max(span.end + time);
             }
         }
@@ -228,8 +222,8 @@
     let faults = Faults::of(history);
     let mut found = Vec::new();
     for call in calls(history).values() {
-        let limit = faults.extend_by_pauses(call.at, call.deadline, ANSWER_SLACK);
-        let read_limit = faults.extend_by_pauses(call.at, call.invoked, ANSWER_SLACK);
+        let limit = faults.extend(call.at, call.deadline, ANSWER_SLACK, |_| false);
+        let read_limit = faults.extend(call.at, call.invoked, ANSWER_SLACK, |_| false);
         if let Some(at) = call.read.filter(|at| *at > read_limit) {
             let cause = format!("{:?} was read late", call.number);
             found.push(violation(Requirement::R1, at, cause));
@@ -351,7 +345,8 @@
     found
 }
 
-/// R6: a leaving server receives no work after the limit.
+/// R6: a leaving server receives no work after the limit, whether the platform and the peers can be
+/// reached or not. Only a pause, or a cut from this server, extends the limit.
 pub fn check_no_work_to_leaving(history: &History) -> Vec<Violation> {
     let faults = Faults::of(history);
     let mut leaving: BTreeMap<&BackendServerId, Timestamp> = BTreeMap::new();
@@ -368,7 +363,12 @@
                 let Some(since) = leaving.get(server) else {
                     continue;
                 };
-                let limit = faults.extend(by, *since, LEAVING_LIMIT);
+                let limit = faults.extend(
+                    by,
+                    *since,
+                    LEAVING_LIMIT,
+                    |held| matches!(held, Impairment::CutFromServer(cut) if cut == server),
+                );
                 if entry.at > limit {
                     let cause =
                         format!("{server} leaves since {since} and got {call:?} from {by:?}");
@@ -405,7 +405,8 @@
 /// R8: the version in force at an instance never goes down, and each accepted version, or a higher
 /// one, is in force at every instance within the limit.
 ///
-/// An instance counts from its start, and a fault of the instance gives it the limit again.
+/// An instance counts from its start. A pause or a cut from peers gives it the limit again; an
+/// outage of the platform doesn't, because peers hand on what one of them accepted.
 pub fn check_promotion(history: &History) -> Vec<Violation> {
     type Version = (Generation, Digest);
     let faults = Faults::of(history);
@@ -443,7 +444,9 @@
     for (version, accepted_at) in &accepted {
         for (life, (started, stopped)) in &lives {
             let from = (*accepted_at).max(*started);
-            let limit = faults.extend(life, from, PROMOTION_LIMIT);
+            let limit = faults.extend(life, from, PROMOTION_LIMIT, |held| {
+                *held == Impairment::CutFromPeers
+            });
             if limit > history.end() || stopped.is_some_and(|at| at <= limit) {
                 continue;
             }
--- a/crates/oleanderpass_history/src/injection.rs
+++ b/crates/oleanderpass_history/src/injection.rs
@@ -12,6 +12,7 @@
 use crate::fault::Trigger;
 use crate::node::Origin;
 use crate::record::CallNumber;
+use crate::record::Impairment;
 use crate::record::Record;
 use crate::task::Task;
 use crate::world::Cut;
@@ -80,18 +81,22 @@
         match fault {
             Fault::Kill => self.kill(node),
             Fault::Pause => self.pause(node),
-            Fault::OneWayCut => self.cut(Cut::NodeToPeers(node), &[node]),
+            Fault::OneWayCut => self.cut(
+                Cut::NodeToPeers(node),
+                vec![(node, Impairment::CutFromPeers)],
+            ),
             Fault::TwoWayCut => {
-                let all: Vec<usize> = (0..self.nodes.len()).collect();
-                let per_zone = all.len() / ZONES.len();
-                self.cut(Cut::Zone(node / per_zone), &all)
+                let zone = node / (self.nodes.len() / ZONES.len());
+                let impaired = self.impaired_by_zone_cut();
+                self.cut(Cut::Zone(zone), impaired)
             }
-            Fault::ServerCut => self.cut(Cut::NodeServer(node, server), &[node]),
-            Fault::SilentConnection => self.silence(node, server),
-            Fault::ConfigDown => {
-                let all: Vec<usize> = (0..self.nodes.len()).collect();
-                self.cut(Cut::Platform, &all)
+            Fault::ServerCut => {
+                let id = self.servers[server].listed.id.clone();
+                let impaired = vec![(node, Impairment::CutFromServer(id))];
+                self.cut(Cut::NodeServer(node, server), impaired)
             }
+            Fault::SilentConnection => self.silence(node, server),
+            Fault::ConfigDown => self.cut(Cut::Platform, Vec::new()),
             Fault::ConfigStale => {
                 self.platform.stale = true;
                 let time = self.rng.random_range(2_000..20_000);
@@ -216,7 +221,8 @@
         }
         self.nodes[node].paused = true;
         let (at, start) = (self.nodes[node].life(), self.nodes[node].start);
-        self.record(Record::FaultBegins { at, paused: true });
+        let impairment = Impairment::Paused;
+        self.record(Record::FaultBegins { at, impairment });
         let time = self.rng.random_range(300..15_000);
         self.after(time, move |w| {
             if w.nodes[node].start != start || !w.nodes[node].paused {
@@ -224,7 +230,8 @@
             }
             w.nodes[node].paused = false;
             let at = w.nodes[node].life();
-            w.record(Record::FaultEnds { at, paused: true });
+            let impairment = Impairment::Paused;
+            w.record(Record::FaultEnds { at, impairment });
             // What arrived in the pause is handled before or after the first tick.
             if w.rng.random_bool(0.5) {
                 w.handle(node, Event::Tick);
@@ -237,21 +244,36 @@
         true
     }
 
-    fn cut(&mut self, cut: Cut, nodes: &[usize]) -> bool {
+    /// Return what a cut between the two zones keeps each instance from.
+    fn impaired_by_zone_cut(&self) -> Vec<(usize, Impairment)> {
+        let mut impaired = Vec::new();
+        for (index, node) in self.nodes.iter().enumerate() {
+            impaired.push((index, Impairment::CutFromPeers));
+            let others = self.servers.iter().map(|server| &server.listed);
+            for server in others.filter(|server| server.zone != node.zone) {
+                impaired.push((index, Impairment::CutFromServer(server.id.clone())));
+            }
+        }
+        impaired
+    }
+
+    fn cut(&mut self, cut: Cut, impaired: Vec<(usize, Impairment)>) -> bool {
         if self.cuts.contains(&cut) {
             return false;
         }
         self.cuts.push(cut);
-        let lives: Vec<_> = nodes.iter().map(|node| self.nodes[*node].life()).collect();
-        for at in &lives {
-            let at = at.clone();
-            self.record(Record::FaultBegins { at, paused: false });
+        let impaired: Vec<_> = impaired
+            .into_iter()
+            .map(|(node, impairment)| (self.nodes[node].life(), impairment))
+            .collect();
+        for (at, impairment) in impaired.iter().cloned() {
+            self.record(Record::FaultBegins { at, impairment });
         }
         let time = self.rng.random_range(1_000..12_000);
         self.after(time, move |w| {
             w.cuts.retain(|held| *held != cut);
-            for at in lives {
-                w.record(Record::FaultEnds { at, paused: false });
+            for (at, impairment) in impaired {
+                w.record(Record::FaultEnds { at, impairment });
             }
         });
         true
--- a/crates/oleanderpass_history/src/record.rs
+++ b/crates/oleanderpass_history/src/record.rs
@@ -25,6 +25,18 @@
     pub start: u32,
 }
 
+/// What a fault keeps an instance from. A requirement is extended only by what bears on it: a cut
+/// from the platform, for example, extends none.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Impairment {
+    /// It doesn't act at all.
+    Paused,
+    /// It doesn't hear some peers, or they don't hear it.
+    CutFromPeers,
+    /// It can't exchange messages with a backend server.
+    CutFromServer(BackendServerId),
+}
+
 /// Something that happened.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Record {
@@ -100,15 +112,15 @@
     FaultBegins {
         /// The instance.
         at: Life,
-        /// The instance doesn't act at all. Otherwise it still has to end its calls in time.
-        paused: bool,
+        /// What it keeps the instance from.
+        impairment: Impairment,
     },
     /// The fault of an instance is over.
     FaultEnds {
         /// The instance.
         at: Life,
         /// The value of the beginning.
-        paused: bool,
+        impairment: Impairment,
     },
     /// An instance was asked to stop.
     ShutdownBegins(Life),
--- a/crates/oleanderpass_history/tests/check.rs
+++ b/crates/oleanderpass_history/tests/check.rs
@@ -18,6 +18,7 @@
 use oleanderpass_history::check::check;
 use oleanderpass_history::record::CallNumber;
 use oleanderpass_history::record::History;
+use oleanderpass_history::record::Impairment;
 use oleanderpass_history::record::Life;
 use oleanderpass_history::record::Operation;
 use oleanderpass_history::record::Record;
@@ -110,6 +111,11 @@
     }
 }
 
+fn cut(impairment: Impairment) -> Record {
+    let at = life();
+    Record::FaultBegins { at, impairment }
+}
+
 fn end() -> (u64, Record) {
     let memory = Record::MemoryAtEnd {
         server: server(),
@@ -123,16 +129,16 @@
 }
 
 #[test_case(vec![(0, invoke(1, 1, true)), (5, start(1, 1, 4)), (9, ok(1))], None; "a completed call")]
-#[test_case(vec![(0, invoke(1, 1, false)), (21_500, ok(1))], None; "an answer within the slack")]
-#[test_case(vec![(0, invoke(1, 1, false)), (21_501, ok(1))], Some(R1); "a late answer")]
+#[test_case(vec![(0, invoke(1, 1, false)), (20_200, ok(1))], None; "an answer within the slack")]
+#[test_case(vec![(0, invoke(1, 1, false)), (20_201, ok(1))], Some(R1); "a late answer")]
 #[test_case(vec![(0, invoke(1, 1, false))], Some(R1); "no answer")]
 #[test_case(vec![(0, invoke(1, 1, false)), (9, ok(1)), (9, ok(1))], Some(R1); "two answers")]
 #[test_case(vec![(0, invoke(1, 1, false)), (9, Record::CallerGone(CallNumber(1)))], None; "a caller that left")]
-#[test_case(vec![(0, invoke(1, 1, false)), (9, Record::FaultBegins { at: life(), paused: true }), (30_000, Record::FaultEnds { at: life(), paused: true }), (31_400, answer(1, Unknown, ""))], None; "a paused instance answers when it wakes")]
-#[test_case(vec![(0, invoke(1, 1, false)), (9, Record::FaultBegins { at: life(), paused: false }), (30_000, Record::FaultEnds { at: life(), paused: false }), (31_000, ok(1))], Some(R1); "a cut instance still ends its calls in time")]
-#[test_case(vec![(0, invoke(1, 1, false)), (1_501, read(1, 9_000)), (8_000, ok(1))], Some(R1); "read late without a pause")]
-#[test_case(vec![(0, invoke(1, 1, false)), (10, read(1, 9_000)), (10_501, ok(1))], Some(R1); "late after the reading")]
-#[test_case(vec![(0, Record::FaultBegins { at: life(), paused: true }), (1, invoke(1, 1, false)), (5_000, Record::FaultEnds { at: life(), paused: true }), (5_001, read(1, 25_000)), (26_500, ok(1))], None; "read after a pause")]
+#[test_case(vec![(0, invoke(1, 1, false)), (9, Record::FaultBegins { at: life(), impairment: Impairment::Paused }), (30_000, Record::FaultEnds { at: life(), impairment: Impairment::Paused }), (30_200, answer(1, Unknown, ""))], None; "a paused instance answers when it wakes")]
+#[test_case(vec![(0, invoke(1, 1, false)), (9, Record::FaultBegins { at: life(), impairment: Impairment::CutFromPeers }), (30_000, Record::FaultEnds { at: life(), impairment: Impairment::CutFromPeers }), (31_000, ok(1))], Some(R1); "a cut instance still ends its calls in time")]
+#[test_case(vec![(0, invoke(1, 1, false)), (201, read(1, 9_000)), (8_000, ok(1))], Some(R1); "read late without a pause")]
+#[test_case(vec![(0, invoke(1, 1, false)), (10, read(1, 9_000)), (9_201, ok(1))], Some(R1); "late after the reading")]
+#[test_case(vec![(0, Record::FaultBegins { at: life(), impairment: Impairment::Paused }), (1, invoke(1, 1, false)), (5_000, Record::FaultEnds { at: life(), impairment: Impairment::Paused }), (5_001, read(1, 25_000)), (25_200, ok(1))], None; "read after a pause")]
 #[test_case(vec![(0, hold(true))], Some(R2); "a hold is left")]
 #[test_case(vec![(0, hold(true)), (1, hold(false))], None; "a released hold")]
 #[test_case(vec![(0, hold(true)), (1, Record::ServerCrashed(server()))], None; "a crash empties memory")]
@@ -150,6 +156,8 @@
 #[test_case(vec![(0, invoke(1, 1, false)), (5, start(1, 1, 4)), (6, start(1, 1, 5)), (9, ok(1))], None; "a retried question")]
 #[test_case(vec![(0, Record::ServerLeaving(server())), (3_000, dispatch(1))], None; "work within the limit")]
 #[test_case(vec![(0, Record::ServerLeaving(server())), (3_001, dispatch(1))], Some(R6); "work to a leaving server")]
+#[test_case(vec![(0, Record::ServerLeaving(server())), (1, cut(Impairment::CutFromPeers)), (3_001, dispatch(1))], Some(R6); "work to a leaving server beside a cut from peers")]
+#[test_case(vec![(0, Record::ServerLeaving(server())), (1, cut(Impairment::CutFromServer(server()))), (3_001, dispatch(1))], None; "work to a leaving server that can't be reached")]
 #[test_case(vec![(0, Record::ServerLeaving(server())), (100, Record::ServerCrashed(server())), (9_000, dispatch(1))], None; "work to the next incarnation")]
 #[test_case(vec![(0, invoke(1, 1, false)), (5, Record::Exit(life())), (6, Record::ConnectionLost(CallNumber(1)))], Some(R7); "a planned stop cuts a call")]
 #[test_case(vec![(0, invoke(1, 1, false)), (5, ok(1)), (6, Record::Exit(life()))], None; "a planned stop after the answer")]
@@ -158,7 +166,7 @@
 #[test_case(vec![(0, in_force(2, 2)), (5, in_force(2, 1))], Some(R8); "a lower digest of one generation")]
 #[test_case(vec![(0, Record::Started(peer())), (5, in_force(2, 1))], Some(R8); "a promotion that misses an instance")]
 #[test_case(vec![(0, Record::Started(peer())), (5, in_force(2, 1)), (900, Record::Killed(peer()))], None; "a promotion and a killed instance")]
-#[test_case(vec![(0, Record::Started(peer())), (5, in_force(2, 1)), (6, Record::FaultBegins { at: peer(), paused: false })], None; "a promotion and a cut instance")]
+#[test_case(vec![(0, Record::Started(peer())), (5, in_force(2, 1)), (6, Record::FaultBegins { at: peer(), impairment: Impairment::CutFromPeers })], None; "a promotion and a cut instance")]
 fn each_requirement_is_checked(records: Vec<(u64, Record)>, broken: Option<Requirement>) {
     let mut history = History::default();
     for (at, record) in records.into_iter().chain([end()]) {
