--- a/crates/oleanderpass_core/src/admission.rs
+++ b/crates/oleanderpass_core/src/admission.rs
@@ -223,7 +223,7 @@
             let error = caller_error(Step::Admit, "the request's time is over");
             return Err(Rejection::new(504, error));
         }
-        if let Some(refusal) = self.hopeless(now, new, deadline) {
+        if let Some(refusal) = self.early_refusal(now, new, deadline) {
             let (status, error) = describe_refusal(refusal);
             return Err(Rejection::new(status, error));
         }
--- a/crates/oleanderpass_core/src/attempt.rs
+++ b/crates/oleanderpass_core/src/attempt.rs
@@ -152,10 +152,10 @@
             | AttemptEnd::Refused(Refusal::Full | Refusal::NotLoaded)
             | AttemptEnd::Broken { .. } => {
                 // Attempts that were under way when the server was left alone tell nothing new.
-                if attempt.since >= server.avoid_until || server.rebuffs == 0 {
-                    let delay = retry_delay(server.rebuffs.saturating_add(2), &mut self.rng);
+                if attempt.since >= server.avoid_until || server.rejections == 0 {
+                    let delay = retry_delay(server.rejections.saturating_add(2), &mut self.rng);
                     let unreachable = !matches!(end, AttemptEnd::Refused(_));
-                    server.on_rebuff(now, delay, unreachable);
+                    server.on_rejected(now, delay, unreachable);
                 }
             }
             AttemptEnd::Failed(_) => self.quarantine.on_finished(attempt.signature),
--- a/crates/oleanderpass_core/src/dispatch.rs
+++ b/crates/oleanderpass_core/src/dispatch.rs
@@ -156,7 +156,7 @@
     }
 
     /// End requests that wait for a service without any live server.
-    pub(crate) fn end_serverless(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+    pub(crate) fn end_without_servers(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         if self.queue.is_empty() {
             return;
         }
--- a/crates/oleanderpass_core/src/instance.rs
+++ b/crates/oleanderpass_core/src/instance.rs
@@ -347,7 +347,7 @@
         self.quarantine.tick(now);
         self.observe_wait(now);
         self.dispatch_queued(now, out);
-        self.end_serverless(now, out);
+        self.end_without_servers(now, out);
         self.poll_servers(now, out);
         self.ask_for_quota(now, out);
         self.issue_orders(now, out);
--- a/crates/oleanderpass_core/src/placement.rs
+++ b/crates/oleanderpass_core/src/placement.rs
@@ -123,7 +123,7 @@
     }
 
     /// Return why a new request can't finish in time or fit at all, however long it waits.
-    pub(crate) fn hopeless(
+    pub(crate) fn early_refusal(
         &mut self,
         now: Timestamp,
         new: &NewRequest,
--- a/crates/oleanderpass_core/src/server.rs
+++ b/crates/oleanderpass_core/src/server.rs
@@ -72,7 +72,7 @@
     /// The polls of this server.
     pub polls: Polls,
     /// Connections that failed and refusals since the last success.
-    pub rebuffs: u32,
+    pub rejections: u32,
     /// The last attempt found no server at the address or lost its connection.
     pub unreachable: bool,
     /// Attempts whose connection was lost, until it is known whether the server crashed.
@@ -97,7 +97,7 @@
             engine: None,
             silent: false,
             polls: Polls::default(),
-            rebuffs: 0,
+            rejections: 0,
             unreachable: false,
             losses: Vec::new(),
             avoid_until: Timestamp::ORIGIN,
@@ -205,15 +205,15 @@
     }
 
     /// Note an attempt that the server refused or didn't accept, and leave it alone for a while.
-    pub fn on_rebuff(&mut self, now: Timestamp, delay: Millis, unreachable: bool) {
+    pub fn on_rejected(&mut self, now: Timestamp, delay: Millis, unreachable: bool) {
         self.unreachable = unreachable;
-        self.rebuffs = self.rebuffs.saturating_add(1);
+        self.rejections = self.rejections.saturating_add(1);
         self.avoid_until = now + delay;
     }
 
     /// Note an attempt that the server accepted.
     pub fn on_accepted(&mut self) {
-        self.rebuffs = 0;
+        self.rejections = 0;
         self.unreachable = false;
         self.avoid_until = Timestamp::ORIGIN;
     }
--- a/crates/oleanderpass_routing/tests/policy.rs
+++ b/crates/oleanderpass_routing/tests/policy.rs
@@ -182,7 +182,12 @@
 #[test_case(2, 1_000_000, 300_000, Choice::Refuse(Refusal::TooLarge); "too large")]
 #[test_case(0, 1_000, 300_000, Choice::Refuse(Refusal::NoServer); "no server")]
 #[test_case(4, 350_000, 20_000, Choice::Refuse(Refusal::Deadline); "prefill longer than deadline")]
-fn hopeless_requests_are_refused(engines: u32, prompt: u64, deadline: u64, expected: Choice) {
+fn requests_that_cannot_finish_are_refused(
+    engines: u32,
+    prompt: u64,
+    deadline: u64,
+    expected: Choice,
+) {
     let req = Request {
         deadline: Timestamp::from_millis(deadline),
         ..request(prompt)
