Show in the status how long ago the platform answered

Cause: the status told the generation in force but not how stale the instance's view of the platform may be. Change: platform_answered_ms_ago is the time since the last answer to a read of the document or the list, null if there was none in this life. The test with real processes checks both cases.

--- a/crates/oleanderpass/tests/processes.rs
+++ b/crates/oleanderpass/tests/processes.rs
@@ -112,6 +112,12 @@
     wait_for("the new instance to be ready", || fleet.is_ready(1));
     let answer = fleet.call(1, "balance", None, TIMEOUT_MS).unwrap();
     assert_eq!((answer.status, answer.generation), (200, 2));
+    let stale = |index| fleet.status(index)["platform_answered_ms_ago"].clone();
+    assert!(
+        stale(0).is_u64(),
+        "the platform answered before it went down"
+    );
+    assert!(stale(1).is_null(), "the platform never answered this life");
 }
 
 /// Guard against requests that a replacement of all instances cuts or loses.
--- a/crates/oleanderpass_entry/src/daemon.rs
+++ b/crates/oleanderpass_entry/src/daemon.rs
@@ -230,6 +230,7 @@
         peers: PeerCalls::new(identity.clone(), settings.fleet_key.clone()),
         metrics: Arc::new(Metrics::new().wrap_err("create the metrics")?),
         list: watch::channel(None).0,
+        platform_answered_unix_ms: AtomicU64::new(0),
         last_request: AtomicU64::new(0),
     })
 }
--- a/crates/oleanderpass_entry/src/operator.rs
+++ b/crates/oleanderpass_entry/src/operator.rs
@@ -5,6 +5,7 @@
 use std::thread;
 
 use eyre::WrapErr;
+use oleanderpass_types::clock::Millis;
 use serde_json::json;
 use tiny_http::Header;
 use tiny_http::Response;
@@ -122,6 +123,7 @@
         "in_flight": snapshot.in_flight,
         "connections": shared.metrics.connections.get(),
         "generation": snapshot.generation(),
+        "platform_answered_ms_ago": shared.platform_silence().map(Millis::get),
         "digest": document.map(|document| document.digest.to_string()),
         "counts": *snapshot.counts,
         "environment": document.map(|document| document.environment.name.as_str()),
--- a/crates/oleanderpass_entry/src/platform.rs
+++ b/crates/oleanderpass_entry/src/platform.rs
@@ -59,7 +59,7 @@
         let (documents, document_reads) = mpsc::channel::<DocumentRead>();
         let (lists, list_reads) = mpsc::channel();
         let core = shared.core.clone();
-        let metrics = Arc::clone(&shared.metrics);
+        let document_shared = Arc::clone(&shared);
         thread::Builder::new()
             .name("platform-list".to_owned())
             .spawn(move || {
@@ -75,8 +75,12 @@
                 for read in document_reads {
                     let event = read_document(addr, &config_key, read);
                     if let Event::DocumentText(text) = &event {
+                        let metrics = &document_shared.metrics;
                         metrics.count_control_bytes(ControlTraffic::Documents, text.len());
                     }
+                    if !matches!(event, Event::DocumentReadFailed { .. }) {
+                        document_shared.note_platform_answer();
+                    }
                     core.event(event);
                 }
             })
@@ -126,6 +130,7 @@
 
     fn read_list(&mut self) -> eyre::Result<Arc<InstanceList>> {
         let text = self.fetch()?;
+        self.shared.note_platform_answer();
         self.shared
             .metrics
             .count_control_bytes(ControlTraffic::InstanceLists, text.len());
--- a/crates/oleanderpass_entry/src/shared.rs
+++ b/crates/oleanderpass_entry/src/shared.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 
 use oleanderpass_core::instance::Identity;
+use oleanderpass_types::clock::Millis;
 use oleanderpass_types::id::Generation;
 use oleanderpass_types::id::RequestId;
 use tokio::sync::watch;
@@ -12,6 +13,7 @@
 use crate::backend::pool::Pool;
 use crate::caller::budget::Budget;
 use crate::clock::Clock;
+use crate::clock::unix_ms;
 use crate::core_loop::CoreSender;
 use crate::metrics::Metrics;
 use crate::peer::client::PeerCalls;
@@ -41,6 +43,8 @@
     pub metrics: Arc<Metrics>,
     /// The text of the platform's instance list, as it was read last.
     pub list: watch::Sender<Option<Arc<str>>>,
+    /// The Unix time of the platform's last answer, in milliseconds; 0 before the first one.
+    pub platform_answered_unix_ms: AtomicU64,
     /// The number of the last request.
     pub last_request: AtomicU64,
 }
@@ -55,6 +59,18 @@
         }
     }
 
+    /// Note that the platform answered a read.
+    pub fn note_platform_answer(&self) {
+        self.platform_answered_unix_ms
+            .store(unix_ms(), Ordering::Relaxed);
+    }
+
+    /// Return the time since the platform's last answer, if it ever answered.
+    pub fn platform_silence(&self) -> Option<Millis> {
+        let answered = self.platform_answered_unix_ms.load(Ordering::Relaxed);
+        (answered > 0).then(|| Millis::new(unix_ms().saturating_sub(answered)))
+    }
+
     /// Return the generation in force.
     pub fn generation(&self) -> Generation {
         self.snapshot.borrow().generation()
