Serve published routes on the users' platform

The product had no way to run in front of the platform's workers. This adds the decisions (oleanderpass_gateway, no IO), the single-threaded edge (oleanderpass_gateway_io), the adapter (platform/) and the deploy file. Crash evidence is converted in the quarantine crate, so that both cores share it; the retry budget takes its bounds as arguments.

--- a/crates/oleanderpass/src/main.rs
+++ b/crates/oleanderpass/src/main.rs
@@ -3,6 +3,7 @@
 mod check;
 mod demo;
 mod diff;
+mod gateway;
 mod serve;
 mod status;
 
@@ -31,6 +32,15 @@
         #[arg(long, value_name = "FILE")]
         settings: PathBuf,
     },
+    /// Run an entry instance on the platform.
+    Gateway {
+        /// The settings file (YAML). Default: the one that the platform names in the environment.
+        #[arg(long, value_name = "FILE")]
+        settings: Option<PathBuf>,
+        /// Check the settings and stop.
+        #[arg(long)]
+        check: bool,
+    },
     /// Print the status of an instance.
     Status {
         /// The address of its operator port.
@@ -58,6 +68,7 @@
     let result = match Args::parse().command {
         Command::Demo => demo::run(),
         Command::Serve { settings } => serve::run(&settings),
+        Command::Gateway { settings, check } => gateway::run(settings.as_deref(), check),
         Command::Status { addr } => status::run(addr),
         Command::Check { file } => check::run(&file),
         Command::Diff { old, new } => diff::run(&old, &new),
--- a/crates/oleanderpass_core/src/suspicion.rs
+++ b/crates/oleanderpass_core/src/suspicion.rs
@@ -144,19 +144,10 @@
     /// Take the evidence of a peer.
     pub(crate) fn on_peer_evidence(&mut self, now: Timestamp, crashes: &[peer::CrashEvidence]) {
         for raw in crashes {
-            let Ok(server) = raw.server.parse() else {
-                continue;
-            };
-            let evidence = Evidence {
-                crash: CrashId {
-                    server,
-                    incarnation: Incarnation::new(raw.server_incarnation),
-                },
-                signatures: raw.signatures.iter().copied().map(Signature).collect(),
-                alone: raw.alone,
-                age: Millis::new(raw.age_ms),
-            };
-            self.quarantine.on_crash(now, &evidence);
+            match Evidence::try_from(raw) {
+                Ok(evidence) => self.quarantine.on_crash(now, &evidence),
+                Err(error) => tracing::warn!(%error, "a peer sent evidence that names no server"),
+            }
         }
     }
 
@@ -169,13 +160,7 @@
         self.quarantine
             .take_evidence(now, repeats)
             .into_iter()
-            .map(|evidence| peer::CrashEvidence {
-                server: evidence.crash.server.to_string(),
-                server_incarnation: evidence.crash.incarnation.get(),
-                signatures: evidence.signatures.iter().map(|sig| sig.0).collect(),
-                alone: evidence.alone,
-                age_ms: evidence.age.get(),
-            })
+            .map(peer::CrashEvidence::from)
             .collect()
     }
 }
--- /dev/null
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -0,0 +1,787 @@
+//! Join the decisions of one entry instance.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use indexmap::IndexMap;
+use oleanderpass_limits::retry::RetryBudget;
+use oleanderpass_membership::membership::Identity;
+use oleanderpass_proto::peer::Bulletin;
+use oleanderpass_proto::peer::CrashEvidence;
+use oleanderpass_proto::peer::Packet;
+use oleanderpass_quarantine::evidence::CrashId;
+use oleanderpass_quarantine::evidence::Evidence;
+use oleanderpass_quarantine::evidence::Signature;
+use oleanderpass_quarantine::rule::RunRule;
+use oleanderpass_quarantine::table::Quarantine;
+use oleanderpass_types::clock::Millis;
+use oleanderpass_types::clock::Timestamp;
+use oleanderpass_types::id::BackendServerId;
+use oleanderpass_types::id::Generation as Version;
+use oleanderpass_types::id::ServiceId;
+use oleanderpass_types::size::Tokens;
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+use smol_str::SmolStr;
+use strum::Display;
+
+use crate::backend::Announcement;
+use crate::backend::BackendKey;
+use crate::config::Configuration;
+use crate::config::Organisation;
+use crate::health::Health;
+use crate::health::Sign;
+use crate::load::AttemptId;
+use crate::load::LoadBook;
+use crate::load::Work;
+use crate::peers::Fleet;
+use crate::placement::Candidate;
+use crate::placement::Generation;
+use crate::placement::Plan;
+use crate::placement::place_call;
+use crate::placement::place_generation;
+use crate::registry::Change;
+use crate::registry::Read;
+use crate::registry::Registry;
+use crate::registry::Standing;
+use crate::registry::What;
+use crate::retry_after;
+use crate::route::Route;
+use crate::verdict::Cause;
+use crate::verdict::Execution;
+use crate::verdict::may_retry;
+use crate::verdict::status;
+
+/// How often one piece of crash evidence is sent to all peers. Two of three datagrams may be lost.
+const EVIDENCE_REPEATS: u32 = 3;
+
+/// Attempts that reached no server, after which a request is refused.
+const MAX_UNSENT: u32 = 5;
+
+/// The part of the published retry budget that is used, so that instances that count apart stay
+/// below it together.
+const BUDGET_SHARE: f64 = 0.85;
+
+/// The instances that share the retry budget until more are known.
+const ASSUMED_INSTANCES: usize = 8;
+
+/// The part of a request's time within which its first event is expected, in hundredths. A request
+/// that is expected later is refused at once.
+const EXPECTED_PERCENT: u64 = 80;
+
+/// The incarnations of leaving servers in one bulletin.
+const MAX_LEAVING: usize = 16;
+
+/// The time for which leaving servers are told to peers.
+const LEAVING_NEWS_LIFETIME: Millis = Millis::from_secs(10);
+
+/// The priority of the least urgent requests at engines. Source: the platform's protocol.
+const LEAST_URGENT: u8 = 9;
+
+/// The time between two checks of what has expired.
+const TICK_HEALTH: Millis = Millis::new(250);
+
+/// The published bounds that decisions keep.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
+    /// Retries for each request.
+    pub retry_ratio: f64,
+    /// Retries beyond the ratio in one window, of all instances.
+    pub retry_slack: u32,
+}
+
+/// Why a request is not admitted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Rejection {
+    /// No configuration or list of backend servers is known yet.
+    NotReady,
+    /// No route has the host and path.
+    NoRoute,
+    /// Nobody holds the key.
+    UnknownKey,
+}
+
+/// Under which terms a request is admitted.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    /// The version of the configuration.
+    pub version: Version,
+    /// The route.
+    pub route: Rc<Route>,
+    /// Whose request it is.
+    pub organisation: Option<Rc<Organisation>>,
+    /// The service that runs it.
+    pub service: ServiceId,
+}
+
+impl Admission {
+    /// Return how urgent the request is for engines; 0 is the most urgent.
+    pub fn engine_priority(&self) -> Option<u8> {
+        let own = self.organisation.as_ref().and_then(|o| o.priority);
+        let priority = own.unwrap_or(self.route.priority).min(LEAST_URGENT);
+        self.route.kind.is_stream().then_some(priority)
+    }
+}
+
+/// What a request asks for.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// The caller's id of the request.
+    pub id: SmolStr,
+    /// The host.
+    pub host: SmolStr,
+    /// The path and query.
+    pub path: SmolStr,
+    /// The caller's key.
+    pub key: Option<SmolStr>,
+    /// The prompt.
+    pub prompt: Tokens,
+    /// The most that is written.
+    pub output: Tokens,
+    /// The end of the time that the caller waits, and of the route's timeout.
+    pub deadline: Timestamp,
+    /// The same path, caller and body have the same one.
+    pub signature: Signature,
+}
+
+/// A request in flight.
+#[derive(Debug)]
+pub struct Request {
+    /// What it asks for.
+    pub ask: Ask,
+    /// Under which terms it was admitted.
+    pub admission: Admission,
+    /// Backend servers that it was sent to.
+    pub sent: u32,
+    /// Attempts that reached no server.
+    pub unsent: u32,
+    /// What all attempts together showed.
+    pub worst: Execution,
+    /// A part of the answer is with the caller.
+    pub delivering: bool,
+    tried: Vec<BackendKey>,
+    draw: u32,
+}
+
+/// One attempt of a request.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    /// The number.
+    pub id: AttemptId,
+    /// Where it goes.
+    pub plan: Plan,
+    /// The server that gets the request.
+    pub first: Announcement,
+    /// The helping engines, in the order of the plan.
+    pub helpers: Vec<SocketAddr>,
+}
+
+/// What to do next with a request.
+#[derive(Debug)]
+pub enum Next {
+    /// Send it.
+    Send(Box<Attempt>),
+    /// Answer it.
+    End {
+        /// The HTTP status.
+        status: u16,
+        /// Why.
+        cause: Cause,
+        /// When the caller may return, if the request did not run.
+        retry_after: Option<Millis>,
+    },
+    /// The configuration in force does not allow it any more.
+    Rejected(Rejection),
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum AttemptEnd {
+    /// The whole answer was a success.
+    Completed,
+    /// The server could not be reached; no byte of the request was sent.
+    NotSent,
+    /// A connection that had been idle turned out to be closed; no byte of the request was sent.
+    StaleConnection,
+    /// The server said that it did not run the request.
+    Refused,
+    /// Another server has the address.
+    WrongServer,
+    /// A server that was to help is at fault; the request did not run.
+    HelperFailed,
+    /// The server answered that the request failed.
+    Failed,
+    /// The connection broke, or the bytes were no answer to this request.
+    Broken,
+    /// The server stayed silent for too long.
+    Silent,
+    /// The caller left or the time is over.
+    Cancelled,
+}
+
+/// The decisions of one entry instance.
+#[derive(Debug)]
+pub struct Gateway {
+    identity: Identity,
+    bounds: Bounds,
+    rng: Pcg64Mcg,
+    config: Option<Rc<Configuration>>,
+    registry: Registry,
+    load: LoadBook,
+    health: IndexMap<BackendKey, Health>,
+    fleet: Fleet,
+    quarantine: Quarantine,
+    budget: RetryBudget,
+    attempts: u64,
+    store_revision: u64,
+    leaving_news: Vec<(Timestamp, BackendKey)>,
+    health_ticked: Timestamp,
+    draining: bool,
+    urgent: bool,
+}
+
+impl Gateway {
+    /// Create the decisions of an instance that has just started.
+    pub fn new(
+        now: Timestamp,
+        identity: Identity,
+        seeds: Vec<SocketAddr>,
+        bounds: Bounds,
+        seed: u64,
+    ) -> Self {
+        let mut gateway = Self {
+            fleet: Fleet::new(now, identity.clone(), seeds),
+            identity,
+            bounds,
+            rng: Pcg64Mcg::new(u128::from(seed)),
+            config: None,
+            registry: Registry::default(),
+            load: LoadBook::default(),
+            health: IndexMap::new(),
+            quarantine: Quarantine::new(),
+            budget: RetryBudget::default(),
+            attempts: 0,
+            store_revision: 0,
+            leaving_news: Vec::new(),
+            health_ticked: now,
+            draining: false,
+            urgent: false,
+        };
+        let saved = gateway.saved_retries();
+        gateway.budget = RetryBudget::full(bounds.retry_ratio * BUDGET_SHARE, saved);
+        gateway
+    }
+
+    /// Change the published bounds.
+    pub fn set_bounds(&mut self, bounds: Bounds) {
+        if bounds != self.bounds {
+            self.bounds = bounds;
+            let saved = self.saved_retries();
+            self.budget = RetryBudget::full(bounds.retry_ratio * BUDGET_SHARE, saved);
+        }
+    }
+
+    /// Return the configuration in force.
+    pub fn configuration(&self) -> Option<&Rc<Configuration>> {
+        self.config.as_ref()
+    }
+
+    /// Return the list of backend servers.
+    pub fn registry(&self) -> &Registry {
+        &self.registry
+    }
+
+    /// Return the other entry instances.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    /// Return whether the balancer should send callers here.
+    pub fn is_ready(&self) -> bool {
+        self.config.is_some() && self.registry.is_complete() && !self.draining
+    }
+
+    /// Return whether the instance is stopping.
+    pub fn is_draining(&self) -> bool {
+        self.draining
+    }
+
+    /// Begin to stop: let the balancer send callers elsewhere.
+    pub fn begin_drain(&mut self, now: Timestamp, out: &mut Vec<(SocketAddr, Packet)>) {
+        self.draining = true;
+        self.fleet.leave(now, &mut self.rng, out);
+    }
+
+    /// Take a configuration, unless a later one is in force. Return whether it was taken.
+    pub fn on_configuration(&mut self, config: Configuration) -> bool {
+        let held = self.config.as_ref().map(|config| config.version);
+        if held.is_some_and(|held| held >= config.version) {
+            return false;
+        }
+        tracing::info!(
+            version = %config.version,
+            previous = held.map_or(0, Version::get),
+            routes = config.routes(),
+            "configuration in force"
+        );
+        self.config = Some(Rc::new(config));
+        self.urgent = true;
+        true
+    }
+
+    /// Return the newest revision of the store that this instance has read.
+    pub fn store_revision(&self) -> u64 {
+        self.store_revision
+    }
+
+    /// Note that all changes up to this revision of the store have been read.
+    pub fn on_store_revision(&mut self, revision: u64) {
+        self.store_revision = self.store_revision.max(revision);
+    }
+
+    /// Return the newest revision of the store that a live peer has read.
+    pub fn newest_peer_revision(&self, now: Timestamp) -> u64 {
+        let live = self.fleet.live(now);
+        live.map(|(_, peer)| peer.store_revision).max().unwrap_or(0)
+    }
+
+    /// Note that the store answers again after an interruption.
+    pub fn on_store_returned(&mut self, now: Timestamp) {
+        self.registry.on_store_returned(now);
+    }
+
+    /// Take a whole list of backend servers, read at `revision`.
+    pub fn on_list(
+        &mut self,
+        now: Timestamp,
+        revision: u64,
+        list: Vec<(BackendServerId, u64, Read)>,
+    ) {
+        let changes = self.registry.replace(now, revision, list);
+        self.note_changes(now, &changes);
+    }
+
+    /// Take one changed entry of the list.
+    pub fn on_entry(&mut self, now: Timestamp, id: BackendServerId, revision: u64, read: Read) {
+        let mut changes = Vec::new();
+        self.registry.update(now, id, revision, read, &mut changes);
+        self.note_changes(now, &changes);
+    }
+
+    /// Take the removal of an entry of the list.
+    pub fn on_entry_removed(&mut self, now: Timestamp, id: BackendServerId, revision: u64) {
+        let mut changes = Vec::new();
+        self.registry.vanish(now, id, revision, &mut changes);
+        self.note_changes(now, &changes);
+    }
+
+    fn note_changes(&mut self, now: Timestamp, changes: &[Change]) {
+        for change in changes {
+            tracing::info!(
+                server = %change.id,
+                change = %change.what,
+                store_revision = self.store_revision,
+                "a backend server changed"
+            );
+            match change.what {
+                What::Draining => {
+                    self.leaving_news.push((now, change.key));
+                    self.urgent = true;
+                }
+                What::Removed => {
+                    self.health.swap_remove(&change.key);
+                }
+                What::Listed | What::Vanished => {}
+            }
+        }
+    }
+
+    /// Take a datagram of a peer.
+    pub fn on_packet(
+        &mut self,
+        now: Timestamp,
+        source: SocketAddr,
+        packet: &Packet,
+        out: &mut Vec<(SocketAddr, Packet)>,
+    ) {
+        for raw in &packet.crashes {
+            match Evidence::try_from(raw) {
+                Ok(evidence) => self.quarantine.on_crash(now, &evidence),
+                Err(error) => tracing::warn!(%error, "a peer sent evidence that names no server"),
+            }
+        }
+        let news = self
+            .fleet
+            .on_packet(now, source, packet, &mut self.rng, out);
+        let Some(news) = news else {
+            return;
+        };
+        let saved = self.saved_retries();
+        self.budget.set_max_saved(saved);
+        let later = self
+            .load
+            .on_bulletin(now, news.from, news.sequence, news.placed);
+        if later {
+            let mut changes = Vec::new();
+            for key in news.leaving {
+                self.registry.on_leaving(now, key, &mut changes);
+            }
+            self.note_changes(now, &changes);
+        }
+    }
+
+    /// Let time pass. Expected every 100 ms, and after each change of own work.
+    pub fn on_tick(&mut self, now: Timestamp, out: &mut Vec<(SocketAddr, Packet)>) {
+        self.fleet.on_tick(now, &mut self.rng, out);
+        let elapsed = now.since(self.health_ticked);
+        if elapsed >= TICK_HEALTH {
+            self.health_ticked = now;
+            self.health.values_mut().for_each(|h| h.decay(elapsed));
+            self.load.tick(now);
+            self.quarantine.tick(now);
+            let mut changes = Vec::new();
+            self.registry.tick(now, &mut changes);
+            self.note_changes(now, &changes);
+            self.leaving_news
+                .retain(|(at, _)| now.since(*at) < LEAVING_NEWS_LIFETIME);
+        }
+        self.send_bulletin(now, out);
+    }
+
+    /// Tell peers what changed, if something did and the last bulletin isn't too recent.
+    pub fn send_bulletin(&mut self, now: Timestamp, out: &mut Vec<(SocketAddr, Packet)>) {
+        let changed = self.load.take_changed();
+        self.urgent |= changed;
+        if !self.fleet.is_due(now, self.urgent) {
+            return;
+        }
+        self.urgent = false;
+        let leaving = self.leaving_news.iter().rev().take(MAX_LEAVING);
+        let bulletin = Bulletin {
+            store_revision: self.store_revision,
+            config_version: self.config.as_ref().map_or(0, |c| c.version.get()),
+            leaving: leaving.map(|(_, key)| key.0).collect(),
+            ..Bulletin::default()
+        };
+        let from = out.len();
+        self.fleet
+            .send_bulletin(now, bulletin, self.load.placed(), out);
+        let evidence = self.quarantine.take_evidence(now, EVIDENCE_REPEATS);
+        let crashes: Vec<CrashEvidence> = evidence.into_iter().map(Into::into).collect();
+        for (_, packet) in &mut out[from..] {
+            packet.crashes.clone_from(&crashes);
+        }
+    }
+
+    /// Return how many retries this instance may save up: its share of the fleet's.
+    fn saved_retries(&self) -> u32 {
+        let instances = self.fleet.largest().max(ASSUMED_INSTANCES);
+        let share = f64::from(self.bounds.retry_slack) * BUDGET_SHARE / instances as f64;
+        (share as u32).max(1)
+    }
+
+    /// Check a request against the configuration in force.
+    ///
+    /// # Errors
+    ///
+    /// Return why it isn't admitted.
+    pub fn admit(
+        &mut self,
+        host: &str,
+        path: &str,
+        key: Option<&str>,
+        draw: u32,
+    ) -> Result<Admission, Rejection> {
+        let config = self.config.as_ref().ok_or(Rejection::NotReady)?;
+        if !self.registry.is_complete() {
+            return Err(Rejection::NotReady);
+        }
+        let route = config.route(host, path).ok_or(Rejection::NoRoute)?;
+        let organisation = config
+            .authenticate(route, key)
+            .map_err(|_| Rejection::UnknownKey)?;
+        Ok(Admission {
+            version: config.version,
+            route: route.clone(),
+            organisation,
+            service: route.service(draw).clone(),
+        })
+    }
+
+    /// Begin to serve an admitted request.
+    pub fn begin(&mut self, ask: Ask, admission: Admission, draw: u32) -> Request {
+        self.budget.earn();
+        Request {
+            ask,
+            admission,
+            sent: 0,
+            unsent: 0,
+            worst: Execution::NotRun,
+            delivering: false,
+            tried: Vec::new(),
+            draw,
+        }
+    }
+
+    /// Draw a number for the choice of a service.
+    pub fn draw(&mut self) -> u32 {
+        self.rng.random()
+    }
+
+    /// Decide what to do with a request that has no attempt.
+    pub fn next(&mut self, now: Timestamp, req: &mut Request) -> Next {
+        if let Err(rejection) = self.recheck(req) {
+            return Next::Rejected(rejection);
+        }
+        if now >= req.ask.deadline {
+            return self.end(now, req, Cause::Timeout);
+        }
+        let rule = self.quarantine.rule(now, req.ask.signature);
+        if matches!(rule, RunRule::Refused { .. }) {
+            return self.end(now, req, Cause::Quarantined);
+        }
+        let again = req.sent > 0;
+        let allowed = req.sent < req.admission.route.max_attempts
+            && req.unsent < MAX_UNSENT
+            && may_retry(req.admission.route.kind, req.worst);
+        if !allowed || (again && !self.budget.take()) {
+            return self.end(now, req, Cause::AttemptFailed);
+        }
+        let Some(plan) = self.place(now, req) else {
+            return self.end(now, req, Cause::NoCapacity);
+        };
+        let left = now.until(req.ask.deadline).get() * EXPECTED_PERCENT / 100;
+        if !req.delivering && plan.expected_ms > left as f64 {
+            return self.end(now, req, Cause::NoCapacity);
+        }
+        match self.attempt(req, plan) {
+            Some(attempt) => Next::Send(Box::new(attempt)),
+            None => self.end(now, req, Cause::NoCapacity),
+        }
+    }
+
+    /// Check a request again when a newer configuration came into force.
+    fn recheck(&mut self, req: &mut Request) -> Result<(), Rejection> {
+        let version = self.config.as_ref().map(|config| config.version);
+        if version == Some(req.admission.version) {
+            return Ok(());
+        }
+        let (host, path) = (req.ask.host.clone(), req.ask.path.clone());
+        let key = req.ask.key.clone();
+        let service = req.admission.service.clone();
+        req.admission = self.admit(&host, &path, key.as_deref(), req.draw)?;
+        if req.admission.route.allows(&service) {
+            req.admission.service = service;
+        }
+        Ok(())
+    }
+
+    fn end(&mut self, now: Timestamp, req: &Request, cause: Cause) -> Next {
+        let status = status(req.worst, cause);
+        let left = now.until(req.ask.deadline);
+        let expected = match cause {
+            Cause::NoCapacity => req.admission.route.objective,
+            _ => Millis::ZERO,
+        };
+        let retry_after = (req.worst == Execution::NotRun && cause != Cause::Quarantined)
+            .then(|| retry_after::choose(expected, left, &mut self.rng));
+        Next::End {
+            status,
+            cause,
+            retry_after,
+        }
+    }
+
+    fn place(&mut self, now: Timestamp, req: &Request) -> Option<Plan> {
+        let service = &req.admission.service;
+        let mut candidates = self.candidates(now, service);
+        let untried = |c: &Candidate| !req.tried.contains(&c.key);
+        if candidates.iter().any(untried) {
+            candidates.retain(untried);
+        }
+        let config = self.config.clone()?;
+        match config.engine(service) {
+            Some(engine) => {
+                let generation = Generation {
+                    prompt: req.ask.prompt,
+                    output: req.ask.output,
+                    gap: req.admission.route.gap,
+                };
+                place_generation(engine, &candidates, &generation, &mut self.rng)
+            }
+            None => place_call(&candidates, &mut self.rng),
+        }
+    }
+
+    fn candidates(&self, now: Timestamp, service: &ServiceId) -> Vec<Candidate> {
+        let usable = self.registry.usable(now, service);
+        usable
+            .map(|(key, backend)| {
+                let zone = &backend.announcement.zone;
+                let health = self.health.get(&key);
+                Candidate {
+                    key,
+                    slots: backend.announcement.slots,
+                    load: self.load.summary(now, key),
+                    avoided: backend.standing != Standing::Ready
+                        || health.is_some_and(|health| health.is_avoided(now))
+                        || self.fleet.reaches(now, zone) == Some(false),
+                    own_zone: *zone == self.identity.zone,
+                }
+            })
+            .collect()
+    }
+
+    fn attempt(&mut self, req: &mut Request, plan: Plan) -> Option<Attempt> {
+        let addr = |key: BackendKey| Some(self.registry.get(key)?.announcement.addr);
+        let first = self.registry.get(plan.first)?.announcement.clone();
+        let helpers: Option<Vec<SocketAddr>> =
+            plan.helpers.iter().map(|helper| addr(helper.key)).collect();
+        let helpers = helpers?;
+        self.attempts += 1;
+        let id = AttemptId(self.attempts);
+        self.load.place(
+            plan.first,
+            id,
+            Work {
+                unread_ms: plan.part_ms,
+                gap: req.admission.route.gap,
+                memory: plan.memory,
+                slot: true,
+            },
+        );
+        for helper in &plan.helpers {
+            let work = Work {
+                unread_ms: plan.part_ms,
+                gap: None,
+                memory: helper.reserve.unwrap_or_default(),
+                slot: false,
+            };
+            self.load.place(helper.key, id, work);
+        }
+        req.tried.push(plan.first);
+        Some(Attempt {
+            id,
+            plan,
+            first,
+            helpers,
+        })
+    }
+
+    /// Return whether an attempt may still be sent: the last check before the write.
+    pub fn may_send(&self, now: Timestamp, req: &Request, attempt: &Attempt) -> bool {
+        let version = self.config.as_ref().map(|config| config.version);
+        let usable = self
+            .registry
+            .get(attempt.plan.first)
+            .is_some_and(|backend| backend.standing != Standing::Leaving);
+        now < req.ask.deadline && version == Some(req.admission.version) && usable
+    }
+
+    /// Note that an attempt is being sent.
+    pub fn on_sent(&mut self, req: &mut Request) {
+        req.sent += 1;
+    }
+
+    /// Note that an attempt that was being sent found its connection closed before the first byte.
+    pub fn on_unsent(&mut self, req: &mut Request) {
+        req.sent -= 1;
+    }
+
+    /// Return whether a request may leave the server that runs it for another one.
+    pub fn may_abandon(&self, req: &Request) -> bool {
+        let route = &req.admission.route;
+        route.kind.may_repeat() && req.sent < route.max_attempts && !self.budget.is_empty()
+    }
+
+    /// Note that the first event of an attempt arrived.
+    pub fn on_first_event(&mut self, attempt: &Attempt) {
+        self.load.on_first_event(attempt.plan.keys(), attempt.id);
+    }
+
+    /// Note that the server at fault of an attempt is another one than the first.
+    pub fn on_fault(&mut self, now: Timestamp, addr: SocketAddr) {
+        let key = self
+            .registry
+            .iter()
+            .find(|(_, backend)| backend.announcement.addr == addr)
+            .map(|(key, _)| key);
+        if let Some(key) = key {
+            let health = self.health.entry(key).or_default();
+            health.record(now, Sign::Unreachable);
+        }
+    }
+
+    /// Take the end of an attempt. `events` says whether its server sent any event.
+    pub fn on_attempt_end(
+        &mut self,
+        now: Timestamp,
+        req: &mut Request,
+        attempt: &Attempt,
+        end: AttemptEnd,
+        events: bool,
+    ) {
+        self.load.end(attempt.plan.keys(), attempt.id);
+        let execution = match end {
+            AttemptEnd::NotSent
+            | AttemptEnd::StaleConnection
+            | AttemptEnd::Refused
+            | AttemptEnd::WrongServer
+            | AttemptEnd::HelperFailed => Execution::NotRun,
+            AttemptEnd::Broken | AttemptEnd::Silent | AttemptEnd::Cancelled => Execution::Unknown,
+            AttemptEnd::Completed | AttemptEnd::Failed => Execution::Ran,
+        };
+        req.worst = req.worst.max(execution);
+        let sign = match end {
+            AttemptEnd::Completed => Some(Sign::Good),
+            AttemptEnd::Failed | AttemptEnd::Broken => Some(Sign::Bad),
+            AttemptEnd::NotSent | AttemptEnd::Silent => Some(Sign::Unreachable),
+            AttemptEnd::StaleConnection
+            | AttemptEnd::Refused
+            | AttemptEnd::WrongServer
+            | AttemptEnd::HelperFailed
+            | AttemptEnd::Cancelled => None,
+        };
+        if let Some(sign) = sign {
+            let health = self.health.entry(attempt.plan.first).or_default();
+            health.record(now, sign);
+        }
+        match end {
+            AttemptEnd::NotSent | AttemptEnd::StaleConnection => req.unsent += 1,
+            AttemptEnd::Completed => self.quarantine.on_finished(req.ask.signature),
+            AttemptEnd::Broken if !events => self.suspect(now, req, attempt),
+            _ => {}
+        }
+        if end == AttemptEnd::StaleConnection {
+            // The server itself showed no fault.
+            req.tried.pop();
+        }
+        tracing::info!(
+            request = %req.ask.id,
+            route = %req.admission.route.name,
+            config_version = %req.admission.version,
+            attempt = req.sent + req.unsent,
+            server = %attempt.first.id,
+            helpers = attempt.helpers.len(),
+            %end,
+            execution = %req.worst,
+            "an attempt ended"
+        );
+    }
+
+    fn suspect(&mut self, now: Timestamp, req: &Request, attempt: &Attempt) {
+        let evidence = Evidence {
+            crash: CrashId {
+                server: attempt.first.id.clone(),
+                incarnation: attempt.first.incarnation,
+            },
+            signatures: vec![req.ask.signature],
+            alone: false,
+            age: Millis::ZERO,
+        };
+        self.quarantine.on_crash(now, &evidence);
+        self.urgent = true;
+    }
+}
--- /dev/null
+++ b/crates/oleanderpass_gateway/src/load.rs
@@ -0,0 +1,184 @@
+//! Know what work backend servers have from all entry instances.
+//!
+//! Own work counts at once. Peers tell theirs in bulletins, which replace what they said before, so
+//! that a lost datagram does no lasting harm.
+
+use indexmap::IndexMap;
+use oleanderpass_types::clock::Millis;
+use oleanderpass_types::clock::Timestamp;
+use oleanderpass_types::id::InstanceId;
+use oleanderpass_types::size::Tokens;
+
+use crate::backend::BackendKey;
+
+/// The age from which a peer's bulletin no longer counts. It is three times the longest interval
+/// between bulletins.
+pub const BULLETIN_LIFETIME: Millis = Millis::new(1_500);
+
+/// A number that names one attempt of this instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptId(pub u64);
+
+/// The work of one attempt at one backend server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Work {
+    /// The time that the server reads for it, until the first event.
+    pub unread_ms: f64,
+    /// The longest pause between events that is on time, if the attempt writes at this server.
+    pub gap: Option<Millis>,
+    /// The KV memory that it takes there.
+    pub memory: Tokens,
+    /// It takes a slot.
+    pub slot: bool,
+}
+
+/// The work of several attempts at one backend server.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Summary {
+    /// The time that the server reads before it has begun all of them.
+    pub unread_ms: f64,
+    /// Attempts that take a slot.
+    pub in_flight: u32,
+    /// The shortest pause between events that is on time among those that write.
+    pub gap: Option<Millis>,
+    /// Attempts that write with a pause of [`TIGHT_GAP`] or less.
+    pub tight_writers: u32,
+    /// KV memory.
+    pub memory: Tokens,
+}
+
+/// The longest pause at which a stream counts as tight. Longer ones allow a pass in which the engine
+/// reads a whole long prompt.
+pub const TIGHT_GAP: Millis = Millis::new(350);
+
+impl Summary {
+    fn add_work(&mut self, work: &Work) {
+        self.unread_ms += work.unread_ms;
+        self.in_flight += u32::from(work.slot);
+        self.memory += work.memory;
+        if let Some(gap) = work.gap {
+            self.gap = Some(self.gap.map_or(gap, |held| held.min(gap)));
+            self.tight_writers += u32::from(gap <= TIGHT_GAP);
+        }
+    }
+
+    fn add(&mut self, other: &Summary) {
+        self.unread_ms += other.unread_ms;
+        self.in_flight += other.in_flight;
+        self.memory += other.memory;
+        self.tight_writers += other.tight_writers;
+        self.gap = match (self.gap, other.gap) {
+            (Some(a), Some(b)) => Some(a.min(b)),
+            (a, b) => a.or(b),
+        };
+    }
+}
+
+#[derive(Debug)]
+struct PeerLoad {
+    heard: Timestamp,
+    sequence: u64,
+    placed: IndexMap<BackendKey, Summary>,
+}
+
+/// The work at all backend servers.
+#[derive(Debug, Default)]
+pub struct LoadBook {
+    own: IndexMap<BackendKey, IndexMap<AttemptId, Work>>,
+    peers: IndexMap<InstanceId, PeerLoad>,
+    changed: bool,
+}
+
+impl LoadBook {
+    /// Add the work of an attempt.
+    pub fn place(&mut self, key: BackendKey, attempt: AttemptId, work: Work) {
+        self.own.entry(key).or_default().insert(attempt, work);
+        self.changed = true;
+    }
+
+    /// Note that the servers of an attempt have read its prompt.
+    pub fn on_first_event(&mut self, keys: impl IntoIterator<Item = BackendKey>, id: AttemptId) {
+        for key in keys {
+            if let Some(work) = self.own.get_mut(&key).and_then(|works| works.get_mut(&id)) {
+                work.unread_ms = 0.0;
+                self.changed = true;
+            }
+        }
+    }
+
+    /// Remove the work of an attempt that has ended.
+    pub fn end(&mut self, keys: impl IntoIterator<Item = BackendKey>, id: AttemptId) {
+        for key in keys {
+            if let Some(works) = self.own.get_mut(&key) {
+                works.shift_remove(&id);
+                self.changed = true;
+                if works.is_empty() {
+                    self.own.swap_remove(&key);
+                }
+            }
+        }
+    }
+
+    /// Return what all instances have at a server.
+    pub fn summary(&self, now: Timestamp, key: BackendKey) -> Summary {
+        let mut sum = self.own_summary(key);
+        for peer in self.peers.values() {
+            if now.since(peer.heard) < BULLETIN_LIFETIME
+                && let Some(placed) = peer.placed.get(&key)
+            {
+                sum.add(placed);
+            }
+        }
+        sum
+    }
+
+    /// Return what this instance has at a server.
+    pub fn own_summary(&self, key: BackendKey) -> Summary {
+        let mut sum = Summary::default();
+        for work in self.own.get(&key).into_iter().flat_map(IndexMap::values) {
+            sum.add_work(work);
+        }
+        sum
+    }
+
+    /// Return all that this instance has placed, for a bulletin.
+    pub fn placed(&self) -> impl Iterator<Item = (BackendKey, Summary)> {
+        self.own.keys().map(|key| (*key, self.own_summary(*key)))
+    }
+
+    /// Return whether own work changed since the last call.
+    pub fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
+    }
+
+    /// Take a bulletin. Return `false` if a later one of the same peer is known.
+    pub fn on_bulletin(
+        &mut self,
+        now: Timestamp,
+        from: InstanceId,
+        sequence: u64,
+        placed: IndexMap<BackendKey, Summary>,
+    ) -> bool {
+        if self.peers.get(&from).is_some_and(|held| {
+            held.sequence >= sequence && now.since(held.heard) < BULLETIN_LIFETIME
+        }) {
+            return false;
+        }
+        let heard = now;
+        self.peers.insert(
+            from,
+            PeerLoad {
+                heard,
+                sequence,
+                placed,
+            },
+        );
+        true
+    }
+
+    /// Drop peers that fell silent.
+    pub fn tick(&mut self, now: Timestamp) {
+        self.peers
+            .retain(|_, peer| now.since(peer.heard) < BULLETIN_LIFETIME);
+    }
+}
--- /dev/null
+++ b/crates/oleanderpass_gateway/src/peers.rs
@@ -0,0 +1,277 @@
+//! Know the other entry instances and exchange bulletins with them.
+
+use std::net::SocketAddr;
+
+use indexmap::IndexMap;
+use oleanderpass_membership::membership::Identity;
+use oleanderpass_membership::membership::Input;
+use oleanderpass_membership::membership::Membership;
+use oleanderpass_membership::membership::Output;
+use oleanderpass_membership::packet::MAX_PACKET_BYTES;
+use oleanderpass_proto::peer::Bulletin;
+use oleanderpass_proto::peer::Packet;
+use oleanderpass_proto::peer::Placed;
+use oleanderpass_types::clock::Millis;
+use oleanderpass_types::clock::Timestamp;
+use oleanderpass_types::id::Incarnation;
+use oleanderpass_types::id::InstanceId;
+use oleanderpass_types::id::ZoneId;
+use oleanderpass_types::size::Tokens;
+use rand::Rng;
+
+use crate::backend::BackendKey;
+use crate::load::Summary;
+use crate::load::TIGHT_GAP;
+
+/// The longest time between two bulletins.
+pub const BULLETIN_INTERVAL: Millis = Millis::new(450);
+
+/// The shortest time between two bulletins. News of several requests within it share a datagram.
+pub const BULLETIN_PAUSE: Millis = Millis::new(15);
+
+/// The silence after which a peer counts as out of reach: three bulletins.
+pub const SILENCE: Millis = Millis::new(1_350);
+
+/// The time for which a silent peer still speaks for its availability zone. After it, the zone may
+/// simply have no instances any more.
+const ZONE_MEMORY: Millis = Millis::from_secs(20);
+
+/// The size of one [`Placed`] in a datagram, at most.
+const PLACED_BYTES: usize = 36;
+
+/// The entries in one datagram.
+const MAX_PLACED: usize = MAX_PACKET_BYTES / 2 / PLACED_BYTES;
+
+/// What a peer said last.
+#[derive(Clone, Debug)]
+pub struct PeerView {
+    /// The address of its peer protocols.
+    pub addr: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// When it was last heard.
+    pub heard: Timestamp,
+    /// The newest revision of the store that it has read.
+    pub store_revision: u64,
+    /// The version of its configuration.
+    pub config_version: u64,
+}
+
+/// A bulletin of a peer, checked.
+#[derive(Clone, Debug)]
+pub struct PeerNews {
+    /// The peer.
+    pub from: InstanceId,
+    /// The number of the bulletin, over all incarnations of the peer.
+    pub sequence: u64,
+    /// What it has placed.
+    pub placed: IndexMap<BackendKey, Summary>,
+    /// Incarnations of backend servers that it knows to be leaving.
+    pub leaving: Vec<BackendKey>,
+}
+
+/// The other entry instances.
+#[derive(Debug)]
+pub struct Fleet {
+    identity: Identity,
+    seeds: Vec<SocketAddr>,
+    membership: Membership,
+    peers: IndexMap<InstanceId, PeerView>,
+    sequence: u64,
+    last_sent: Timestamp,
+    largest: usize,
+}
+
+impl Fleet {
+    /// Start with no peer known.
+    pub fn new(now: Timestamp, identity: Identity, seeds: Vec<SocketAddr>) -> Self {
+        Self {
+            membership: Membership::new(now, identity.clone(), seeds.clone()),
+            identity,
+            seeds,
+            peers: IndexMap::new(),
+            sequence: 0,
+            last_sent: Timestamp::ORIGIN,
+            largest: 0,
+        }
+    }
+
+    /// Return the peers that were heard lately.
+    pub fn live(&self, now: Timestamp) -> impl Iterator<Item = (&InstanceId, &PeerView)> {
+        self.peers
+            .iter()
+            .filter(move |(_, peer)| now.since(peer.heard) < SILENCE)
+    }
+
+    /// Return the most instances that were ever live together, this one included. An instance that
+    /// is cut off must not believe that it is alone.
+    pub fn largest(&self) -> usize {
+        self.largest + 1
+    }
+
+    /// Return whether an availability zone can be reached: `None` if nothing is known of it.
+    pub fn reaches(&self, now: Timestamp, zone: &ZoneId) -> Option<bool> {
+        if *zone == self.identity.zone {
+            return Some(true);
+        }
+        let in_zone = || self.peers.values().filter(|peer| peer.zone == *zone);
+        if in_zone().any(|peer| now.since(peer.heard) < SILENCE) {
+            return Some(true);
+        }
+        in_zone()
+            .any(|peer| now.since(peer.heard) < ZONE_MEMORY)
+            .then_some(false)
+    }
+
+    /// Take a datagram. Return the news of a bulletin.
+    pub fn on_packet(
+        &mut self,
+        now: Timestamp,
+        source: SocketAddr,
+        packet: &Packet,
+        rng: &mut impl Rng,
+        out: &mut Vec<(SocketAddr, Packet)>,
+    ) -> Option<PeerNews> {
+        self.run(now, Input::Packet { source, packet }, rng, out);
+        let from = packet.from.parse::<InstanceId>().ok()?;
+        let bulletin = packet.bulletin.as_ref()?;
+        if from == self.identity.id {
+            return None;
+        }
+        let zone = bulletin.zone.parse::<ZoneId>().ok()?;
+        let peer = self.peers.entry(from.clone()).or_insert_with(|| PeerView {
+            addr: source,
+            zone: zone.clone(),
+            heard: now,
+            store_revision: 0,
+            config_version: 0,
+        });
+        peer.addr = source;
+        peer.zone = zone;
+        peer.heard = now;
+        peer.store_revision = peer.store_revision.max(bulletin.store_revision);
+        peer.config_version = peer.config_version.max(bulletin.config_version);
+        self.largest = self.largest.max(self.live(now).count());
+        let placed = bulletin.placed.iter().map(summary_of).collect();
+        let leaving = bulletin.leaving.iter().copied().map(BackendKey).collect();
+        Some(PeerNews {
+            from,
+            sequence: bulletin.sequence,
+            placed,
+            leaving,
+        })
+    }
+
+    /// Let time pass.
+    pub fn on_tick(
+        &mut self,
+        now: Timestamp,
+        rng: &mut impl Rng,
+        out: &mut Vec<(SocketAddr, Packet)>,
+    ) {
+        self.run(now, Input::Tick, rng, out);
+    }
+
+    /// Announce that this instance is leaving.
+    pub fn leave(
+        &mut self,
+        now: Timestamp,
+        rng: &mut impl Rng,
+        out: &mut Vec<(SocketAddr, Packet)>,
+    ) {
+        self.run(now, Input::Leave, rng, out);
+    }
+
+    /// Return whether a bulletin is due.
+    pub fn is_due(&self, now: Timestamp, news: bool) -> bool {
+        let pause = if news {
+            BULLETIN_PAUSE
+        } else {
+            BULLETIN_INTERVAL
+        };
+        now.since(self.last_sent) >= pause
+    }
+
+    /// Send a bulletin to all members that may be alive.
+    pub fn send_bulletin(
+        &mut self,
+        now: Timestamp,
+        mut bulletin: Bulletin,
+        placed: impl Iterator<Item = (BackendKey, Summary)>,
+        out: &mut Vec<(SocketAddr, Packet)>,
+    ) {
+        self.last_sent = now;
+        // Rises over restarts, because the incarnation does.
+        self.sequence = self.sequence.max(self.identity.incarnation.get()) + 1;
+        bulletin.sequence = self.sequence;
+        bulletin.zone = self.identity.zone.to_string();
+        bulletin.placed = placed.take(MAX_PLACED).map(placed_of).collect();
+        let packet = Packet {
+            from: self.identity.id.to_string(),
+            incarnation: self.identity.incarnation.get(),
+            bulletin: Some(bulletin),
+            ..Packet::default()
+        };
+        for member in self.membership.present() {
+            out.push((member.addr, packet.clone()));
+        }
+    }
+
+    fn run(
+        &mut self,
+        now: Timestamp,
+        input: Input<'_>,
+        rng: &mut impl Rng,
+        out: &mut Vec<(SocketAddr, Packet)>,
+    ) {
+        let mut outputs = Vec::new();
+        self.membership.handle(now, input, rng, &mut outputs);
+        for output in outputs {
+            match output {
+                Output::Send { to, packet } => out.push((to, packet)),
+                Output::Changed(member) => tracing::info!(
+                    instance = %member.id,
+                    incarnation = %member.incarnation,
+                    liveness = %member.liveness,
+                    leaving = member.leaving,
+                    "an entry instance changed"
+                ),
+                Output::Superseded(newer) => self.outbid(now, newer),
+            }
+        }
+    }
+
+    /// Take an incarnation above one that peers remember. The time of day was stepped back between
+    /// two lives of this instance.
+    fn outbid(&mut self, now: Timestamp, newer: Incarnation) {
+        tracing::warn!(%newer, "peers know a newer incarnation of this instance; taking the next");
+        self.identity.incarnation = Incarnation::new(newer.get() + 1);
+        self.membership = Membership::new(now, self.identity.clone(), self.seeds.clone());
+    }
+}
+
+fn placed_of((key, sum): (BackendKey, Summary)) -> Placed {
+    Placed {
+        server: key.0,
+        unread_ms: sum.unread_ms.ceil() as u32,
+        in_flight: sum.in_flight,
+        gap_ms: sum.gap.map_or(0, |gap| gap.get() as u32),
+        tight_writers: sum.tight_writers,
+        memory_tokens: sum.memory.get(),
+    }
+}
+
+fn summary_of(raw: &Placed) -> (BackendKey, Summary) {
+    let gap = (raw.gap_ms > 0).then(|| Millis::new(raw.gap_ms.into()));
+    let sum = Summary {
+        unread_ms: raw.unread_ms.into(),
+        in_flight: raw.in_flight,
+        gap,
+        tight_writers: match gap {
+            Some(gap) if gap <= TIGHT_GAP => raw.tight_writers,
+            _ => 0,
+        },
+        memory: Tokens::new(raw.memory_tokens),
+    };
+    (BackendKey(raw.server), sum)
+}
--- /dev/null
+++ b/crates/oleanderpass_gateway_io/src/operator.rs
@@ -0,0 +1,104 @@
+//! Serve readiness to the balancer, and metrics and the status to operators.
+
+use std::convert::Infallible;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use oleanderpass_platform::READINESS_PATH;
+use oleanderpass_types::clock::Millis;
+use tokio::net::TcpListener;
+
+use crate::clock::sleep_until;
+use crate::node::Shared;
+
+/// The path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// The path of the status.
+const STATUS_PATH: &str = "/status";
+
+/// The path on which peers read the copy of the platform's store.
+pub(crate) const COPY_PATH: &str = "/store";
+
+/// The pause after a connection that could not be accepted.
+const ACCEPT_PAUSE: Millis = Millis::new(10);
+
+/// Answer on a listener until the process ends.
+pub(crate) async fn run(node: Shared, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                tracing::warn!(%error, "could not accept a connection");
+                sleep_until(node.now() + ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let node = node.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|req| {
+                let answer = answer(&node, &req);
+                async move { Ok::<_, Infallible>(answer) }
+            });
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                tracing::debug!(%error, "a connection ended");
+            }
+        });
+    }
+}
+
+fn answer(node: &Shared, req: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let (status, body) = match req.uri().path() {
+        READINESS_PATH if node.gateway.borrow().is_ready() => (StatusCode::OK, Bytes::new()),
+        READINESS_PATH => (StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+        METRICS_PATH => match node.metrics.encode() {
+            Ok(text) => (StatusCode::OK, text.into()),
+            Err(error) => {
+                tracing::error!(error = format!("{error:#}"), "no metrics");
+                (StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
+            }
+        },
+        STATUS_PATH => (StatusCode::OK, status(node).into()),
+        COPY_PATH => (StatusCode::OK, node.copy.borrow().encode()),
+        _ => (StatusCode::NOT_FOUND, Bytes::new()),
+    };
+    let mut answer = Response::new(Full::new(body));
+    *answer.status_mut() = status;
+    answer
+}
+
+/// Return what the instance believes, as text with one fact a line.
+fn status(node: &Shared) -> String {
+    let gateway = node.gateway.borrow();
+    let now = node.now();
+    let version = gateway
+        .configuration()
+        .map_or(0, |config| config.version.get());
+    let mut text = format!(
+        "instance: {}\nready: {}\nconfig_version: {version}\nstore_revision: {}\npeers: {}\n",
+        node.settings.instance,
+        gateway.is_ready(),
+        gateway.store_revision(),
+        gateway.fleet().live(now).count(),
+    );
+    for (_, backend) in gateway.registry().iter() {
+        let entry = &backend.announcement;
+        text += &format!(
+            "server: {} {} {} {} for {}\n",
+            entry.id,
+            entry.service,
+            entry.zone,
+            backend.standing,
+            now.since(backend.since)
+        );
+    }
+    text
+}
--- /dev/null
+++ b/crates/oleanderpass_gateway_io/src/settings.rs
@@ -0,0 +1,142 @@
+//! Read and check the settings of an instance.
+
+use std::fs;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+
+use eyre::Result;
+use eyre::WrapErr;
+use eyre::bail;
+use oleanderpass_gateway::gateway::Bounds;
+use oleanderpass_types::clock::Millis;
+use oleanderpass_types::id::InstanceId;
+use oleanderpass_types::id::ZoneId;
+use serde::Deserialize;
+
+/// The settings as they are written. Unknown keys are errors.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawSettings {
+    instance: String,
+    zone: String,
+    ip: IpAddr,
+    caller_addr: SocketAddr,
+    readiness_addr: SocketAddr,
+    metrics_port: u16,
+    peer_port: u16,
+    /// Comma-separated addresses of instances to contact at the start.
+    seeds: String,
+    store_addr: SocketAddr,
+    stop_time_s: u64,
+    retry_ratio: f64,
+    retry_slack: u32,
+    reservation_max_ms: u64,
+}
+
+/// The checked settings of an instance.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// The id.
+    pub instance: InstanceId,
+    /// The availability zone.
+    pub zone: ZoneId,
+    /// Where callers connect.
+    pub caller_addr: SocketAddr,
+    /// Where the balancer asks whether the instance is ready.
+    pub readiness_addr: SocketAddr,
+    /// Where metrics and the status are read.
+    pub metrics_addr: SocketAddr,
+    /// Where peers connect, by UDP and TCP.
+    pub peer_addr: SocketAddr,
+    /// Instances to contact at the start.
+    pub seeds: Vec<SocketAddr>,
+    /// The platform's store.
+    pub store_addr: SocketAddr,
+    /// The time from the request to stop until the process is killed.
+    pub stop_time: Millis,
+    /// The published bounds that decisions keep.
+    pub bounds: Bounds,
+    /// The longest time that an engine holds reserved memory.
+    pub reservation_max: Millis,
+}
+
+impl Settings {
+    /// Read the settings from a file.
+    ///
+    /// # Errors
+    ///
+    /// Return the cause with the path of the file.
+    pub fn read(path: &Path) -> Result<Self> {
+        let text = fs::read_to_string(path)
+            .wrap_err_with(|| format!("read the settings {}", path.display()))?;
+        Self::parse(&text).wrap_err_with(|| format!("settings {}", path.display()))
+    }
+
+    /// Parse the settings from YAML.
+    ///
+    /// # Errors
+    ///
+    /// Return what is wrong with them.
+    pub fn parse(text: &str) -> Result<Self> {
+        let raw: RawSettings = serde_saphyr::from_str(text).wrap_err("parse the settings")?;
+        Self::try_from(raw)
+    }
+}
+
+impl TryFrom<RawSettings> for Settings {
+    type Error = eyre::Report;
+
+    fn try_from(raw: RawSettings) -> Result<Self> {
+        if !(0.0..=1.0).contains(&raw.retry_ratio) {
+            bail!("retry_ratio: {} is not between 0 and 1", raw.retry_ratio);
+        }
+        if raw.stop_time_s == 0 {
+            bail!("stop_time_s: must be at least 1");
+        }
+        let seeds: Result<Vec<SocketAddr>> = raw
+            .seeds
+            .split(',')
+            .map(str::trim)
+            .filter(|seed| !seed.is_empty())
+            .map(|seed| {
+                let seed: SocketAddr = seed.parse().wrap_err_with(|| format!("seed {seed}"))?;
+                // The list names each seed with another port; peers listen on the same one.
+                Ok(SocketAddr::new(seed.ip(), raw.peer_port))
+            })
+            .collect();
+        let peer_addr = SocketAddr::new(raw.ip, raw.peer_port);
+        let mut seeds = seeds?;
+        seeds.retain(|seed| *seed != peer_addr);
+        Ok(Self {
+            instance: raw.instance.parse().wrap_err("instance")?,
+            zone: raw.zone.parse().wrap_err("zone")?,
+            caller_addr: raw.caller_addr,
+            readiness_addr: raw.readiness_addr,
+            metrics_addr: SocketAddr::new(raw.ip, raw.metrics_port),
+            peer_addr,
+            seeds,
+            store_addr: raw.store_addr,
+            stop_time: Millis::from_secs(raw.stop_time_s),
+            bounds: Bounds {
+                retry_ratio: raw.retry_ratio,
+                retry_slack: raw.retry_slack,
+            },
+            reservation_max: Millis::new(raw.reservation_max_ms),
+        })
+    }
+}
+
+/// Return the path of the settings file from the command line or the environment.
+///
+/// # Errors
+///
+/// Return an error when neither names one.
+pub fn path(given: Option<&Path>, variable: &str) -> Result<PathBuf> {
+    match (given, std::env::var_os(variable)) {
+        (Some(path), _) => Ok(path.to_owned()),
+        (None, Some(path)) => Ok(path.into()),
+        (None, None) => bail!("no settings: give a file or set {variable}"),
+    }
+}
--- a/crates/oleanderpass_quarantine/src/evidence.rs
+++ b/crates/oleanderpass_quarantine/src/evidence.rs
@@ -2,9 +2,11 @@
 
 use std::fmt;
 
+use oleanderpass_proto::peer::CrashEvidence;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::id::BackendServerId;
 use oleanderpass_types::id::Incarnation;
+use oleanderpass_types::id::InvalidId;
 
 /// The time for which a crash counts against its suspects. Source: design section 4.8.
 pub const EVIDENCE_LIFETIME: Millis = Millis::from_secs(600);
@@ -47,3 +49,31 @@
     /// The time since the crash.
     pub age: Millis,
 }
+
+impl From<Evidence> for CrashEvidence {
+    fn from(evidence: Evidence) -> Self {
+        Self {
+            server: evidence.crash.server.to_string(),
+            server_incarnation: evidence.crash.incarnation.get(),
+            signatures: evidence.signatures.iter().map(|sig| sig.0).collect(),
+            alone: evidence.alone,
+            age_ms: evidence.age.get(),
+        }
+    }
+}
+
+impl TryFrom<&CrashEvidence> for Evidence {
+    type Error = InvalidId;
+
+    fn try_from(raw: &CrashEvidence) -> Result<Self, Self::Error> {
+        Ok(Self {
+            crash: CrashId {
+                server: raw.server.parse()?,
+                incarnation: Incarnation::new(raw.server_incarnation),
+            },
+            signatures: raw.signatures.iter().copied().map(Signature).collect(),
+            alone: raw.alone,
+            age: Millis::new(raw.age_ms),
+        })
+    }
+}
