Keep short streams and long prompts on different engines

All instances now order engines by one hash and derive the same border from the streams that they know of. Servers that fail some requests cost their expected repeat instead of being left out, so the others aren't overloaded.

Ruled out: overload of slots (236 of 368 in use in the worst seconds).

--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -29,6 +29,7 @@
 use crate::backend::BackendKey;
 use crate::config::Configuration;
 use crate::config::Organisation;
+use crate::drain::Drain;
 use crate::health::Health;
 use crate::health::Sign;
 use crate::load::AttemptId;
@@ -100,6 +101,8 @@
     NoRoute,
     /// Nobody holds the key.
     UnknownKey,
+    /// The instance stops before the request would end.
+    Stopping,
 }
 
 /// Under which terms a request is admitted.
@@ -238,7 +241,7 @@
     store_revision: u64,
     leaving_news: Vec<(Timestamp, BackendKey)>,
     health_ticked: Timestamp,
-    draining: bool,
+    drain: Option<Drain>,
     urgent: bool,
 }
 
@@ -266,7 +269,7 @@
             store_revision: 0,
             leaving_news: Vec::new(),
             health_ticked: now,
-            draining: false,
+            drain: None,
             urgent: false,
         };
         let saved = gateway.saved_retries();
@@ -300,17 +303,22 @@
 
     /// Return whether the balancer should send callers here.
     pub fn is_ready(&self) -> bool {
-        self.config.is_some() && self.registry.is_complete() && !self.draining
+        self.config.is_some() && self.registry.is_complete() && self.drain.is_none()
     }
 
     /// Return whether the instance is stopping.
     pub fn is_draining(&self) -> bool {
-        self.draining
+        self.drain.is_some()
     }
 
-    /// Begin to stop: let the balancer send callers elsewhere.
-    pub fn begin_drain(&mut self, now: Timestamp, out: &mut Vec<(SocketAddr, Packet)>) {
-        self.draining = true;
+    /// Begin to stop: let the balancer send callers elsewhere. The process ends at `end`.
+    pub fn begin_drain(
+        &mut self,
+        now: Timestamp,
+        end: Timestamp,
+        out: &mut Vec<(SocketAddr, Packet)>,
+    ) {
+        self.drain = Some(Drain { began: now, end });
         self.fleet.leave(now, &mut self.rng, out);
     }
 
@@ -488,7 +496,8 @@
     ///
     /// Return why it isn't admitted.
     pub fn admit(
-        &mut self,
+        &self,
+        now: Timestamp,
         host: &str,
         path: &str,
         key: Option<&str>,
@@ -502,6 +511,9 @@
         let organisation = config
             .authenticate(route, key)
             .map_err(|_| Rejection::UnknownKey)?;
+        if self.drain.is_some_and(|drain| !drain.admits(now, route)) {
+            return Err(Rejection::Stopping);
+        }
         Ok(Admission {
             version: config.version,
             route: route.clone(),
@@ -532,7 +544,7 @@
 
     /// Decide what to do with a request that has no attempt.
     pub fn next(&mut self, now: Timestamp, req: &mut Request) -> Next {
-        if let Err(rejection) = self.recheck(req) {
+        if let Err(rejection) = self.recheck(now, req) {
             return Next::Rejected(rejection);
         }
         if now >= req.ask.deadline {
@@ -563,7 +575,7 @@
     }
 
     /// Check a request again when a newer configuration came into force.
-    fn recheck(&mut self, req: &mut Request) -> Result<(), Rejection> {
+    fn recheck(&self, now: Timestamp, req: &mut Request) -> Result<(), Rejection> {
         let version = self.config.as_ref().map(|config| config.version);
         if version == Some(req.admission.version) {
             return Ok(());
@@ -571,7 +583,7 @@
         let (host, path) = (req.ask.host.clone(), req.ask.path.clone());
         let key = req.ask.key.clone();
         let service = req.admission.service.clone();
-        req.admission = self.admit(&host, &path, key.as_deref(), req.draw)?;
+        req.admission = self.admit(now, &host, &path, key.as_deref(), req.draw)?;
         if req.admission.route.allows(&service) {
             req.admission.service = service;
         }
@@ -626,8 +638,9 @@
                     slots: backend.announcement.slots,
                     load: self.load.summary(now, key),
                     avoided: backend.standing != Standing::Ready
-                        || health.is_some_and(|health| health.is_avoided(now))
+                        || health.is_some_and(|health| health.is_paused(now))
                         || self.fleet.reaches(now, zone) == Some(false),
+                    failure_rate: health.map_or(0.0, Health::failure_rate),
                     own_zone: *zone == self.identity.zone,
                 }
             })
@@ -737,7 +750,8 @@
         let sign = match end {
             AttemptEnd::Completed => Some(Sign::Good),
             AttemptEnd::Failed | AttemptEnd::Broken => Some(Sign::Bad),
-            AttemptEnd::NotSent | AttemptEnd::Silent => Some(Sign::Unreachable),
+            AttemptEnd::NotSent => Some(Sign::Unreachable),
+            AttemptEnd::Silent => Some(Sign::Silent),
             AttemptEnd::StaleConnection
             | AttemptEnd::Refused
             | AttemptEnd::WrongServer
--- a/crates/oleanderpass_gateway/src/health.rs
+++ b/crates/oleanderpass_gateway/src/health.rs
@@ -10,16 +10,18 @@
     Good,
     /// It answered with an error, or with bytes that are no answer.
     Bad,
-    /// It could not be reached, or went silent.
+    /// It took the request and went silent.
+    Silent,
+    /// It could not be reached.
     Unreachable,
 }
 
 /// The weight of the latest request in the failure rate. Ten requests outweigh all earlier ones.
 const LATEST_WEIGHT: f64 = 0.15;
 
-/// The failure rate from which on a server is avoided while others are better. It lies above the
-/// rate of application errors that healthy plain services return.
-const AVOIDED_RATE: f64 = 0.35;
+/// The silent requests in a row from which on a server counts as unreachable. A single answer may be
+/// lost on its way.
+const SILENT_IN_ROW: u32 = 2;
 
 /// The first time for which an unreachable server gets no requests; doubled with each failure.
 const FIRST_PAUSE: Millis = Millis::new(500);
@@ -46,7 +48,8 @@
                 self.paused_until = None;
             }
             Sign::Bad => {}
-            Sign::Unreachable => {
+            Sign::Silent if self.failures_in_row + 1 < SILENT_IN_ROW => self.failures_in_row += 1,
+            Sign::Silent | Sign::Unreachable => {
                 let pause = FIRST_PAUSE.saturating_mul(1 << self.failures_in_row.min(4));
                 self.paused_until = Some(now + pause.min(LONGEST_PAUSE));
                 self.failures_in_row += 1;
@@ -54,11 +57,6 @@
         }
     }
 
-    /// Return whether requests go to this server only when no other can take them.
-    pub fn is_avoided(&self, now: Timestamp) -> bool {
-        self.is_paused(now) || self.failure_rate > AVOIDED_RATE
-    }
-
     /// Return whether the server was unreachable a short time ago.
     pub fn is_paused(&self, now: Timestamp) -> bool {
         self.paused_until.is_some_and(|until| now < until)
--- a/crates/oleanderpass_gateway/src/lib.rs
+++ b/crates/oleanderpass_gateway/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod backend;
 pub mod config;
+pub mod drain;
 pub mod engine;
 pub mod gateway;
 pub mod health;
@@ -12,6 +13,7 @@
 pub mod patience;
 pub mod peers;
 pub mod placement;
+pub mod pools;
 pub mod registry;
 pub mod retry_after;
 pub mod route;
--- a/crates/oleanderpass_gateway/src/placement.rs
+++ b/crates/oleanderpass_gateway/src/placement.rs
@@ -11,6 +11,8 @@
 use crate::backend::BackendKey;
 use crate::engine::EngineModel;
 use crate::load::Summary;
+use crate::load::TIGHT_GAP;
+use crate::pools;
 
 /// The largest part of a prompt that one engine reads. In runs with parts of 8,000, 16,000 and 32,000
 /// tokens the smallest had the most answers on time.
@@ -29,9 +31,15 @@
 /// The cost of an engine without a free slot, in milliseconds: about the time until one is free.
 const NO_SLOT_MS: f64 = 1_500.0;
 
-/// The cost of an engine that failed lately, in milliseconds. Any other engine in reach goes first.
+/// The cost of an engine that can't be reached, in milliseconds. Any other engine goes first.
 const AVOIDED_MS: f64 = 20_000.0;
 
+/// The cost of a failed attempt, in milliseconds: about the silence after which it is given up.
+const FAILURE_MS: f64 = 1_500.0;
+
+/// The cost of reading on an engine with streams of short pauses, per stream, in milliseconds.
+const TIGHT_WRITER_MS: f64 = 25.0;
+
 /// The cost of one late event of one stream with a tight gap, per millisecond of reading beyond what
 /// its gap allows.
 const LATE_MS_PER_WRITER: f64 = 0.5;
@@ -43,6 +51,9 @@
 /// the pass and reading that peers placed in the same instant.
 const GAP_PERCENT: u64 = 60;
 
+/// The cost of a failed call to a plain service, in full loads of a server.
+const FAILED_CALLS: f64 = 1.0;
+
 /// A backend server that may take the attempt.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
@@ -54,6 +65,8 @@
     pub load: Summary,
     /// Take it only when no other can.
     pub avoided: bool,
+    /// The part of its recent requests that failed, from 0 to 1.
+    pub failure_rate: f64,
     /// It is in this instance's availability zone.
     pub own_zone: bool,
 }
@@ -101,9 +114,12 @@
 }
 
 /// Return the estimated cost in milliseconds of reading for `part_ms` on a server.
-fn cost(engine: &EngineModel, candidate: &Candidate, part_ms: f64) -> f64 {
+fn cost(engine: &EngineModel, candidate: &Candidate, part_ms: f64, tight: bool) -> f64 {
     let load = &candidate.load;
-    let mut cost = load.unread_ms + part_ms;
+    let mut cost = load.unread_ms + part_ms + candidate.failure_rate * FAILURE_MS;
+    if !tight {
+        cost += TIGHT_WRITER_MS * f64::from(load.tight_writers);
+    }
     if load.tight_writers > 0
         && let Some(gap) = load.gap
     {
@@ -133,10 +149,23 @@
     candidates: &[Candidate],
     generation: &Generation,
     rng: &mut impl Rng,
+) -> Option<Plan> {
+    let tight = generation.gap.is_some_and(|gap| gap <= TIGHT_GAP);
+    let pool = pools::choose(candidates, tight);
+    place_in(engine, &pool.engines, generation, rng)
+        .or_else(|| place_in(engine, candidates, generation, rng))
+}
+
+fn place_in(
+    engine: &EngineModel,
+    candidates: &[Candidate],
+    generation: &Generation,
+    rng: &mut impl Rng,
 ) -> Option<Plan> {
     if candidates.is_empty() {
         return None;
     }
+    let tight = generation.gap.is_some_and(|gap| gap <= TIGHT_GAP);
     let need = generation.prompt + generation.output;
     let usable = usable_memory(engine);
     let wanted = if generation.prompt < SPLIT_FROM {
@@ -153,7 +182,12 @@
     let part_ms = engine.read_ms(generation.prompt, parts);
     let mut ranked: Vec<(f64, &Candidate)> = candidates
         .iter()
-        .map(|c| (cost(engine, c, part_ms) + rng.random_range(0.0..1.0), c))
+        .map(|c| {
+            (
+                cost(engine, c, part_ms, tight) + rng.random_range(0.0..1.0),
+                c,
+            )
+        })
         .collect();
     ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
     let chosen: Vec<&Candidate> = ranked.iter().take(parts).map(|(_, c)| *c).collect();
@@ -221,7 +255,10 @@
     let ranked = candidates.iter().map(|c| {
         let share = f64::from(c.load.in_flight) / f64::from(c.slots.max(1));
         let avoided = if c.avoided { AVOIDED_MS } else { 0.0 };
-        (share + avoided + rng.random_range(0.0..0.01), c)
+        (
+            share + avoided + c.failure_rate * FAILED_CALLS + rng.random_range(0.0..0.01),
+            c,
+        )
     });
     let (_, best) = ranked.min_by(|a, b| a.0.total_cmp(&b.0))?;
     Some(Plan {
--- a/crates/oleanderpass_gateway_io/src/body.rs
+++ b/crates/oleanderpass_gateway_io/src/body.rs
@@ -45,7 +45,7 @@
         /// The pieces.
         pieces: mpsc::Receiver<Piece>,
         /// Dropped when the caller is gone.
-        _presence: oneshot::Sender<()>,
+        presence: Option<oneshot::Sender<()>>,
     },
 }
 
@@ -56,10 +56,19 @@
     }
 
     /// Create a stream and its sender.
-    pub(crate) fn stream(presence: oneshot::Sender<()>) -> (mpsc::Sender<Piece>, Self) {
+    pub(crate) fn stream() -> (mpsc::Sender<Piece>, Self) {
         let (tx, pieces) = mpsc::channel(MAX_WAITING_PIECES);
-        let _presence = presence;
-        (tx, Self::Stream { pieces, _presence })
+        let presence = None;
+        (tx, Self::Stream { pieces, presence })
+    }
+}
+
+impl CallerBody {
+    /// Tell by the drop of `caller` that the caller left in the middle of a stream.
+    pub(crate) fn watch_caller(&mut self, caller: oneshot::Sender<()>) {
+        if let Self::Stream { presence, .. } = self {
+            *presence = Some(caller);
+        }
     }
 }
 
--- a/crates/oleanderpass_gateway_io/src/daemon.rs
+++ b/crates/oleanderpass_gateway_io/src/daemon.rs
@@ -7,6 +7,7 @@
 
 use eyre::Result;
 use eyre::WrapErr;
+use oleanderpass_gateway::drain::TAKES_ALL;
 use oleanderpass_gateway::gateway::Gateway;
 use oleanderpass_membership::membership::Identity;
 use oleanderpass_types::clock::Millis;
@@ -32,10 +33,6 @@
 use crate::store;
 use crate::store::Copy;
 
-/// The time for which an instance that stops keeps idle connections: the balancer needs two checks of
-/// one second to send callers elsewhere.
-const LEAVING_TIME: Millis = Millis::new(3_500);
-
 /// The time before the process is killed at which it ends by itself.
 const STOP_MARGIN: Millis = Millis::new(400);
 
@@ -150,7 +147,7 @@
     let began = node.now();
     let end = began + node.settings.stop_time.saturating_sub(STOP_MARGIN);
     let mut out = Vec::new();
-    node.gateway.borrow_mut().begin_drain(began, &mut out);
+    node.gateway.borrow_mut().begin_drain(began, end, &mut out);
     node.send_packets(out);
     node.stop.send_replace(Stop::Announced);
     tracing::info!(
@@ -158,7 +155,7 @@
         connections = open.get(),
         "stopping"
     );
-    sleep_until((began + LEAVING_TIME).min(end)).await;
+    sleep_until((began + TAKES_ALL).min(end)).await;
     node.stop.send_replace(Stop::Closing);
     while open.get() > 0 && node.now() < end {
         sleep_until(node.now() + STOP_POLL).await;
--- a/crates/oleanderpass_gateway_io/src/exchange.rs
+++ b/crates/oleanderpass_gateway_io/src/exchange.rs
@@ -52,8 +52,6 @@
     Waiting {
         /// Takes the answer.
         head: oneshot::Sender<Response<CallerBody>>,
-        /// Dropped when the caller is gone.
-        presence: oneshot::Sender<()>,
     },
     /// A stream has begun.
     Streaming(mpsc::Sender<Piece>),
@@ -64,7 +62,7 @@
 impl Reply {
     /// Send a whole answer, if nothing was sent yet. A stream that has begun is broken off.
     pub(crate) fn finish(&mut self, answer: Response<CallerBody>) {
-        if let Self::Waiting { head, .. } = std::mem::replace(self, Self::Done)
+        if let Self::Waiting { head } = std::mem::replace(self, Self::Done)
             && head.send(answer).is_err()
         {
             tracing::debug!("the caller left before its answer");
@@ -74,8 +72,8 @@
     /// Send the head of a stream, if nothing was sent yet.
     pub(crate) fn begin_stream(&mut self, status: StatusCode, headers: HeaderMap) {
         match std::mem::replace(self, Self::Done) {
-            Self::Waiting { head, presence } => {
-                let (tx, body) = CallerBody::stream(presence);
+            Self::Waiting { head } => {
+                let (tx, body) = CallerBody::stream();
                 if head.send(with_head(status, headers, body)).is_err() {
                     tracing::debug!("the caller left before its stream");
                 }
@@ -124,6 +122,7 @@
     let (status, wait) = match rejection {
         Rejection::NotReady => (UNAVAILABLE, Some(STARTUP_WAIT)),
         Rejection::NoRoute => (StatusCode::NOT_FOUND.as_u16(), None),
+        Rejection::Stopping => (UNAVAILABLE, Some(Millis::ZERO)),
         Rejection::UnknownKey => (StatusCode::UNAUTHORIZED.as_u16(), None),
     };
     own_answer(status, request, wait, &rejection.to_string())
--- a/crates/oleanderpass_gateway_io/src/frontend.rs
+++ b/crates/oleanderpass_gateway_io/src/frontend.rs
@@ -177,7 +177,7 @@
     let admitted = {
         let mut gateway = node.gateway.borrow_mut();
         let draw = gateway.draw();
-        let admission = gateway.admit(&head.host, path, head.key.as_deref(), draw);
+        let admission = gateway.admit(received, &head.host, path, head.key.as_deref(), draw);
         admission.map(|admission| (admission, draw))
     };
     let (admission, draw) = match admitted {
@@ -242,24 +242,21 @@
 /// caller leaves.
 async fn start(exchange: Exchange) -> Response<CallerBody> {
     let (head, answer) = oneshot::channel();
+    // Dropped with this future or with the body of the answer, when the caller leaves.
     let (presence, caller_left) = oneshot::channel::<()>();
-    // Dropped with this future, that is when the caller leaves before the answer.
-    let (_waiting, waiting_ended) = oneshot::channel::<()>();
     tokio::task::spawn_local(async move {
-        let reply = Reply::Waiting { head, presence };
-        let left = async {
-            // Both end by the drop of their sender.
-            let _: Result<(), _> = waiting_ended.await;
-            let _: Result<(), _> = caller_left.await;
-        };
+        let reply = Reply::Waiting { head };
         tokio::select! {
             biased;
             () = exchange.run(reply) => {}
-            () = left => exchange.log(0, "caller_left", None),
+            _ = caller_left => exchange.log(0, "caller_left", None),
         }
     });
     match answer.await {
-        Ok(answer) => answer,
+        Ok(mut answer) => {
+            answer.body_mut().watch_caller(presence);
+            answer
+        }
         Err(_) => own_answer(
             StatusCode::INTERNAL_SERVER_ERROR.as_u16(),
             "",
