Judge engines by their passes, share unreachable servers, read the store for a zone

Two instances of a zone read the store for the others, which is most of the price of calls on the grown sites.

--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -30,6 +30,7 @@
 use crate::config::Configuration;
 use crate::config::Organisation;
 use crate::drain::Drain;
+use crate::engine::EngineModel;
 use crate::health::Health;
 use crate::health::Sign;
 use crate::load::AttemptId;
@@ -59,6 +60,9 @@
 /// Attempts that reached no server, after which a request is refused.
 const MAX_UNSENT: u32 = 5;
 
+/// Attempts that a server refused because of a helper, after which a request is refused.
+const MAX_HELPER_FAILURES: u32 = 3;
+
 /// The part of the published retry budget that is used, so that instances that count apart stay
 /// below it together.
 const BUDGET_SHARE: f64 = 0.85;
@@ -164,6 +168,9 @@
     /// A part of the answer is with the caller.
     pub delivering: bool,
     tried: Vec<BackendKey>,
+    /// The server that refused the request because of a helper. It may get it again.
+    again: Option<BackendKey>,
+    helper_failures: u32,
     draw: u32,
 }
 
@@ -239,6 +246,7 @@
     budget: RetryBudget,
     attempts: u64,
     store_revision: u64,
+    reads_store: bool,
     leaving_news: Vec<(Timestamp, BackendKey)>,
     health_ticked: Timestamp,
     drain: Option<Drain>,
@@ -267,6 +275,7 @@
             budget: RetryBudget::default(),
             attempts: 0,
             store_revision: 0,
+            reads_store: false,
             leaving_news: Vec::new(),
             health_ticked: now,
             drain: None,
@@ -355,6 +364,17 @@
         live.map(|(_, peer)| peer.store_revision).max().unwrap_or(0)
     }
 
+    /// Note whether this instance reads the store.
+    pub fn set_reads_store(&mut self, reads: bool) {
+        self.urgent |= reads != self.reads_store;
+        self.reads_store = reads;
+    }
+
+    /// Return whether this instance is one of those that read the store for their zone.
+    pub fn is_reader(&self, now: Timestamp) -> bool {
+        self.fleet.is_reader(now)
+    }
+
     /// Note that the store answers again after an interruption.
     pub fn on_store_returned(&mut self, now: Timestamp) {
         self.registry.on_store_returned(now);
@@ -436,6 +456,11 @@
             for key in news.leaving {
                 self.registry.on_leaving(now, key, &mut changes);
             }
+            for key in news.unreachable {
+                if self.registry.get(key).is_some() {
+                    self.health.entry(key).or_default().on_peer_word(now);
+                }
+            }
             self.note_changes(now, &changes);
         }
     }
@@ -471,6 +496,14 @@
             store_revision: self.store_revision,
             config_version: self.config.as_ref().map_or(0, |c| c.version.get()),
             leaving: leaving.map(|(_, key)| key.0).collect(),
+            unreachable: self
+                .health
+                .iter()
+                .filter(|(_, health)| health.is_paused_by_own_word(now))
+                .take(MAX_LEAVING)
+                .map(|(key, _)| key.0)
+                .collect(),
+            reads_store: self.reads_store,
             ..Bulletin::default()
         };
         let from = out.len();
@@ -533,6 +566,8 @@
             worst: Execution::NotRun,
             delivering: false,
             tried: Vec::new(),
+            again: None,
+            helper_failures: 0,
             draw,
         }
     }
@@ -555,7 +590,12 @@
             return self.end(now, req, Cause::Quarantined);
         }
         let again = req.sent > 0;
-        let allowed = req.sent < req.admission.route.max_attempts
+        if req.sent < req.admission.route.max_attempts {
+            req.again = None;
+        }
+        let may_send = req.sent < req.admission.route.max_attempts || req.again.is_some();
+        let allowed = may_send
+            && req.helper_failures < MAX_HELPER_FAILURES
             && req.unsent < MAX_UNSENT
             && may_retry(req.admission.route.kind, req.worst);
         if !allowed || (again && !self.budget.take()) {
@@ -609,7 +649,7 @@
     fn place(&mut self, now: Timestamp, req: &Request) -> Option<Plan> {
         let service = &req.admission.service;
         let mut candidates = self.candidates(now, service);
-        let untried = |c: &Candidate| !req.tried.contains(&c.key);
+        let untried = |c: &Candidate| req.again.is_some() || !req.tried.contains(&c.key);
         if candidates.iter().any(untried) {
             candidates.retain(untried);
         }
@@ -620,6 +660,7 @@
                     prompt: req.ask.prompt,
                     output: req.ask.output,
                     gap: req.admission.route.gap,
+                    first: req.again,
                 };
                 place_generation(engine, &candidates, &generation, &mut self.rng)
             }
@@ -629,6 +670,8 @@
 
     fn candidates(&self, now: Timestamp, service: &ServiceId) -> Vec<Candidate> {
         let usable = self.registry.usable(now, service);
+        let engine = self.config.as_ref().and_then(|c| c.engine(service));
+        let idle_pass_ms = engine.map_or(f64::MAX, EngineModel::idle_pass_ms);
         usable
             .map(|(key, backend)| {
                 let zone = &backend.announcement.zone;
@@ -641,6 +684,7 @@
                         || health.is_some_and(|health| health.is_paused(now))
                         || self.fleet.reaches(now, zone) == Some(false),
                     failure_rate: health.map_or(0.0, Health::failure_rate),
+                    pace: health.map_or(1.0, |health| health.pace(now, idle_pass_ms)),
                     own_zone: *zone == self.identity.zone,
                 }
             })
@@ -694,8 +738,15 @@
     }
 
     /// Note that an attempt is being sent.
-    pub fn on_sent(&mut self, req: &mut Request) {
-        req.sent += 1;
+    pub fn on_sent(&mut self, req: &mut Request, attempt: &Attempt) {
+        if req.again.take() != Some(attempt.plan.first) {
+            req.sent += 1;
+        }
+    }
+
+    /// Take the time between two events of one stream of an engine, in milliseconds.
+    pub fn on_pass(&mut self, now: Timestamp, key: BackendKey, pass_ms: f64) {
+        self.health.entry(key).or_default().on_pass(now, pass_ms);
     }
 
     /// Note that an attempt that was being sent found its connection closed before the first byte.
@@ -762,6 +813,10 @@
             let health = self.health.entry(attempt.plan.first).or_default();
             health.record(now, sign);
         }
+        if end == AttemptEnd::HelperFailed {
+            req.helper_failures += 1;
+            req.again = Some(attempt.plan.first);
+        }
         match end {
             AttemptEnd::NotSent | AttemptEnd::StaleConnection => req.unsent += 1,
             AttemptEnd::Completed => self.quarantine.on_finished(req.ask.signature),
--- a/crates/oleanderpass_gateway/src/peers.rs
+++ b/crates/oleanderpass_gateway/src/peers.rs
@@ -11,6 +11,7 @@
 use oleanderpass_proto::peer::Bulletin;
 use oleanderpass_proto::peer::Packet;
 use oleanderpass_proto::peer::Placed;
+use oleanderpass_routing::rendezvous::node_key;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::clock::Timestamp;
 use oleanderpass_types::id::Incarnation;
@@ -36,6 +37,10 @@
 /// simply have no instances any more.
 const ZONE_MEMORY: Millis = Millis::from_secs(20);
 
+/// The instances of an availability zone that read the store for the others. The second one keeps the
+/// zone informed while the first is replaced.
+const READERS: usize = 2;
+
 /// The size of one [`Placed`] in a datagram, at most.
 const PLACED_BYTES: usize = 36;
 
@@ -55,6 +60,8 @@
     pub store_revision: u64,
     /// The version of its configuration.
     pub config_version: u64,
+    /// Its watch of the store works.
+    pub reads_store: bool,
 }
 
 /// A bulletin of a peer, checked.
@@ -68,6 +75,8 @@
     pub placed: IndexMap<BackendKey, Summary>,
     /// Incarnations of backend servers that it knows to be leaving.
     pub leaving: Vec<BackendKey>,
+    /// Incarnations of backend servers that it could not reach lately.
+    pub unreachable: Vec<BackendKey>,
 }
 
 /// The other entry instances.
@@ -123,6 +132,18 @@
             .then_some(false)
     }
 
+    /// Return whether this instance reads the store: fewer than [`READERS`] peers of its zone that
+    /// come before it do. All may read at once until they know each other, which is harmless.
+    pub fn is_reader(&self, now: Timestamp) -> bool {
+        let own = node_key(self.identity.id.as_str());
+        let before = self.live(now).filter(|(id, peer)| {
+            peer.zone == self.identity.zone
+                && peer.reads_store
+                && (node_key(id.as_str()), *id) < (own, &self.identity.id)
+        });
+        before.count() < READERS
+    }
+
     /// Take a datagram. Return the news of a bulletin.
     pub fn on_packet(
         &mut self,
@@ -145,20 +166,29 @@
             heard: now,
             store_revision: 0,
             config_version: 0,
+            reads_store: false,
         });
         peer.addr = source;
         peer.zone = zone;
         peer.heard = now;
+        peer.reads_store = bulletin.reads_store;
         peer.store_revision = peer.store_revision.max(bulletin.store_revision);
         peer.config_version = peer.config_version.max(bulletin.config_version);
         self.largest = self.largest.max(self.live(now).count());
         let placed = bulletin.placed.iter().map(summary_of).collect();
         let leaving = bulletin.leaving.iter().copied().map(BackendKey).collect();
+        let unreachable = bulletin
+            .unreachable
+            .iter()
+            .copied()
+            .map(BackendKey)
+            .collect();
         Some(PeerNews {
             from,
             sequence: bulletin.sequence,
             placed,
             leaving,
+            unreachable,
         })
     }
 
--- a/crates/oleanderpass_gateway/src/placement.rs
+++ b/crates/oleanderpass_gateway/src/placement.rs
@@ -37,6 +37,10 @@
 /// The cost of a failed attempt, in milliseconds: about the silence after which it is given up.
 const FAILURE_MS: f64 = 1_500.0;
 
+/// The cost of an engine that is twice as slow as usual, in milliseconds: its streams are late all
+/// along.
+const SLOW_MS: f64 = 400.0;
+
 /// The cost of reading on an engine with streams of short pauses, per stream, in milliseconds.
 const TIGHT_WRITER_MS: f64 = 25.0;
 
@@ -67,6 +71,8 @@
     pub avoided: bool,
     /// The part of its recent requests that failed, from 0 to 1.
     pub failure_rate: f64,
+    /// How many times longer than usual it takes.
+    pub pace: f64,
     /// It is in this instance's availability zone.
     pub own_zone: bool,
 }
@@ -80,6 +86,8 @@
     pub output: Tokens,
     /// The longest pause between events that is on time.
     pub gap: Option<Millis>,
+    /// The engine that must get the request, if it was sent to as many as it may be.
+    pub first: Option<BackendKey>,
 }
 
 /// An engine that reads a part of the prompt for the first one.
@@ -116,7 +124,8 @@
 /// Return the estimated cost in milliseconds of reading for `part_ms` on a server.
 fn cost(engine: &EngineModel, candidate: &Candidate, part_ms: f64, tight: bool) -> f64 {
     let load = &candidate.load;
-    let mut cost = load.unread_ms + part_ms + candidate.failure_rate * FAILURE_MS;
+    let mut cost = (load.unread_ms + part_ms) * candidate.pace + SLOW_MS * (candidate.pace - 1.0);
+    cost += candidate.failure_rate * FAILURE_MS;
     if !tight {
         cost += TIGHT_WRITER_MS * f64::from(load.tight_writers);
     }
@@ -124,7 +133,7 @@
         && let Some(gap) = load.gap
     {
         let allowed = (gap.get() * GAP_PERCENT / 100) as f64;
-        let over = load.unread_ms + part_ms - allowed;
+        let over = (load.unread_ms + part_ms) * candidate.pace - allowed;
         cost += over.max(0.0) * LATE_MS_PER_WRITER * f64::from(load.tight_writers);
     }
     if load.in_flight >= candidate.slots {
@@ -191,14 +200,18 @@
         .collect();
     ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
     let chosen: Vec<&Candidate> = ranked.iter().take(parts).map(|(_, c)| *c).collect();
-    let reads = chosen.iter().map(|c| c.load.unread_ms + part_ms);
+    let reads = chosen.iter().map(|c| (c.load.unread_ms + part_ms) * c.pace);
     let expected_ms = reads.fold(0.0, f64::max) + engine.idle_pass_ms();
-    let first = pick_first(&chosen, need, usable);
+    let first = match generation.first {
+        Some(key) => candidates.iter().find(|c| c.key == key)?,
+        None => pick_first(&chosen, need, usable),
+    };
     let mut left = need;
     let own_room = usable.saturating_sub(first.load.memory);
     let mut helpers: Vec<Helper> = chosen
         .iter()
         .filter(|c| c.key != first.key)
+        .take(parts - 1)
         .map(|c| Helper {
             key: c.key,
             reserve: None,
@@ -209,6 +222,7 @@
         let mut by_room: Vec<(Tokens, BackendKey)> = chosen
             .iter()
             .filter(|c| c.key != first.key)
+            .take(parts - 1)
             .map(|c| (usable.saturating_sub(c.load.memory), c.key))
             .collect();
         by_room.sort_by(|a, b| b.0.cmp(&a.0));
--- a/crates/oleanderpass_gateway_io/src/attempt.rs
+++ b/crates/oleanderpass_gateway_io/src/attempt.rs
@@ -235,7 +235,7 @@
         if !gateway.may_send(node.now(), &state, attempt) {
             return Err(AttemptEnd::StaleConnection);
         }
-        gateway.on_sent(&mut state);
+        gateway.on_sent(&mut state, attempt);
     }
     let sending = connection.sender.try_send_request(req);
     let answer = match running.wait(sending).await {
@@ -351,6 +351,7 @@
     let (parts, mut body) = answer.into_parts();
     let last = exchange.last_delivered.get().or(exchange.last_event);
     let mut events = EventSplitter::after(last);
+    let mut last_arrival: Option<Timestamp> = None;
     loop {
         let frame = match running.wait(body.frame()).await {
             Some(Some(Ok(frame))) => frame,
@@ -380,6 +381,12 @@
             AttemptEnd::Broken
         })?;
         if count > 0 {
+            let now = exchange.node.now();
+            if let Some(last) = last_arrival.replace(now) {
+                let pass_ms = now.since(last).get() as f64 / count as f64;
+                let mut gateway = exchange.node.gateway.borrow_mut();
+                gateway.on_pass(now, running.attempt.plan.first, pass_ms);
+            }
             running.on_event();
             reply.begin_stream(parts.status, answer::for_caller(&parts.headers));
             exchange.last_delivered.set(events.last());
--- a/crates/oleanderpass_gateway_io/src/operator.rs
+++ b/crates/oleanderpass_gateway_io/src/operator.rs
@@ -24,7 +24,8 @@
 /// The path of the status.
 const STATUS_PATH: &str = "/status";
 
-/// The path on which peers read the copy of the platform's store.
+/// The path on which peers read the copy of the platform's store. The query is the revision after
+/// which they want changes.
 pub(crate) const COPY_PATH: &str = "/store";
 
 /// The pause after a connection that could not be accepted.
@@ -67,7 +68,14 @@
             }
         },
         STATUS_PATH => (StatusCode::OK, status(node).into()),
-        COPY_PATH => (StatusCode::OK, node.copy.borrow().encode()),
+        COPY_PATH => {
+            // Without a revision the peer gets everything.
+            let after = req.uri().query().and_then(|query| query.parse().ok());
+            (
+                StatusCode::OK,
+                node.copy.borrow().encode(after.unwrap_or(0)),
+            )
+        }
         _ => (StatusCode::NOT_FOUND, Bytes::new()),
     };
     let mut answer = Response::new(Full::new(body));
--- a/crates/oleanderpass_gateway_io/src/peer.rs
+++ b/crates/oleanderpass_gateway_io/src/peer.rs
@@ -96,15 +96,15 @@
     }
 }
 
-/// Read the copy of the store from a peer.
+/// Read what changed in the store after a revision from a peer's copy.
 ///
 /// # Errors
 ///
 /// Return why the peer gave none.
-pub(crate) async fn read_copy(addr: SocketAddr) -> Result<StoreCopy> {
+pub(crate) async fn read_copy(addr: SocketAddr, after: u64) -> Result<StoreCopy> {
     let read = async {
         let mut connection = connection::open(addr).await?;
-        let req = Request::get(COPY_PATH)
+        let req = Request::get(format!("{COPY_PATH}?{after}"))
             .header(http::header::HOST, addr.to_string())
             .body(Full::new(Bytes::new()))?;
         let answer = connection.sender.send_request(req).await?;
--- a/crates/oleanderpass_gateway_io/src/store.rs
+++ b/crates/oleanderpass_gateway_io/src/store.rs
@@ -1,5 +1,6 @@
 //! Read and watch the platform's store.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -51,6 +52,9 @@
 /// watches at about the same time.
 const BEHIND: Duration = Duration::from_millis(250);
 
+/// The interval at which an instance checks whether it is to read the store itself.
+const READER_CHECK: Duration = Duration::from_millis(300);
+
 /// The first pause after a failed call; doubled with each failure.
 const FIRST_PAUSE: Millis = Millis::new(100);
 
@@ -62,19 +66,38 @@
 pub(crate) struct Copy {
     revision: u64,
     items: IndexMap<SmolStr, (u64, Bytes)>,
+    /// Removed items, the latest last.
+    removed: VecDeque<(u64, SmolStr)>,
+    /// Removals up to this revision are no longer kept.
+    removed_from: u64,
 }
 
+/// The removals that are kept for peers. More in the time that a peer needs to ask mean that it reads
+/// everything.
+const MAX_REMOVED: usize = 256;
+
 impl Copy {
-    /// Encode the copy for a peer.
-    pub(crate) fn encode(&self) -> Bytes {
-        let items = self.items.iter().map(|(key, (revision, value))| StoreItem {
+    /// Encode what changed after a revision for a peer.
+    pub(crate) fn encode(&self, after: u64) -> Bytes {
+        let partial = after > 0 && after >= self.removed_from;
+        let wanted = |revision: u64| !partial || revision > after;
+        let held = self.items.iter().map(|(key, (revision, value))| StoreItem {
             key: key.to_string(),
             revision: *revision,
             value: value.to_vec(),
+            removed: false,
+        });
+        let removed = self.removed.iter().map(|(revision, key)| StoreItem {
+            key: key.to_string(),
+            revision: *revision,
+            value: Vec::new(),
+            removed: true,
         });
+        let items = held.chain(removed).filter(|item| wanted(item.revision));
         let copy = StoreCopy {
             revision: self.revision,
             items: items.collect(),
+            partial,
         };
         copy.encode_to_vec().into()
     }
@@ -91,6 +114,12 @@
             }
             None if newer => {
                 self.items.swap_remove(&item.key);
+                self.removed.push_back((item.revision, item.key.clone()));
+                if self.removed.len() > MAX_REMOVED
+                    && let Some((revision, _)) = self.removed.pop_front()
+                {
+                    self.removed_from = revision;
+                }
             }
             _ => {}
         }
@@ -103,8 +132,17 @@
     let mut lost = false;
     let mut revision = None;
     loop {
+        if !lost && revision.is_some() && !node.gateway.borrow().is_reader(node.now()) {
+            follow_peers(&node).await;
+            // Peers were ahead of the last watch, or none reads the store any more.
+            revision = Some(node.gateway.borrow().store_revision());
+            continue;
+        }
         let result = follow(&node, &mut revision, &mut lost, &mut pause).await;
-        let Err(error) = result;
+        let Err(error) = result else {
+            continue;
+        };
+        node.gateway.borrow_mut().set_reads_store(false);
         if !lost {
             lost = true;
             tracing::warn!(
@@ -124,13 +162,34 @@
     }
 }
 
-/// Follow the store on one connection until a call fails.
+/// Learn changes from peers that read the store, as long as this instance isn't to read it itself.
+async fn follow_peers(node: &Shared) {
+    tracing::info!("peers read the store for this instance");
+    node.gateway.borrow_mut().set_reads_store(false);
+    while !node.gateway.borrow().is_reader(node.now()) {
+        tokio::select! {
+            () = node.store_behind.notified() => {}
+            () = tokio::time::sleep(READER_CHECK) => {}
+        }
+        let behind = {
+            let gateway = node.gateway.borrow();
+            gateway.newest_peer_revision(node.now()) > gateway.store_revision()
+        };
+        if behind && let Err(error) = copy_from_peer(node).await {
+            tracing::info!(error = format!("{error:#}"), "a peer gave no copy");
+            tokio::time::sleep(Duration::from(FIRST_PAUSE)).await;
+        }
+    }
+    tracing::info!("this instance reads the store");
+}
+
+/// Follow the store on one connection until a call fails or peers read it for this instance.
 async fn follow(
     node: &Shared,
     revision: &mut Option<u64>,
     lost: &mut bool,
     pause: &mut Millis,
-) -> Result<std::convert::Infallible> {
+) -> Result<()> {
     let addr = node.settings.store_addr;
     let mut connection = connection::open(addr).await?;
     loop {
@@ -149,6 +208,10 @@
         }
         *pause = FIRST_PAUSE;
         *revision = Some(after);
+        node.gateway.borrow_mut().set_reads_store(true);
+        if !node.gateway.borrow().is_reader(node.now()) {
+            return Ok(());
+        }
         match watch(node, &mut connection, after).await? {
             Some(page) => {
                 let news = !page.items.is_empty();
@@ -210,9 +273,23 @@
     let items = list.iter().filter_map(|(_, _, item)| item.as_ref());
     {
         let mut copy = node.copy.borrow_mut();
-        copy.items.retain(|key, (held, _)| {
-            *held > revision || !matches!(Subject::of(key), Subject::Server(_))
-        });
+        let missing: Vec<SmolStr> = copy
+            .items
+            .iter()
+            .filter(|(key, (held, _))| {
+                *held <= revision && matches!(Subject::of(key), Subject::Server(_))
+            })
+            .filter(|(key, _)| items.clone().all(|item| item.key != **key))
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in missing {
+            let value = None;
+            copy.apply(&Item {
+                key,
+                revision,
+                value,
+            });
+        }
         items.for_each(|item| copy.apply(item));
     }
     let decoded = list
@@ -330,21 +407,31 @@
     let Some(addr) = source else {
         return Ok(());
     };
-    let copy = peer::read_copy(addr).await?;
+    let after = if node.gateway.borrow().configuration().is_some() {
+        node.gateway.borrow().store_revision()
+    } else {
+        0
+    };
+    let copy = peer::read_copy(addr, after).await?;
     let mut list = Vec::new();
     for raw in copy.items {
         let item = Item {
             key: raw.key.into(),
             revision: raw.revision,
-            value: Some(raw.value.into()),
+            value: (!raw.removed).then(|| raw.value.into()),
         };
         match Subject::of(&item.key) {
-            Subject::Server(id) => list.push((id, item.revision, Some(item))),
-            Subject::Configuration | Subject::Other => apply(node, &item),
+            Subject::Server(id) if !copy.partial && item.value.is_some() => {
+                list.push((id, item.revision, Some(item)));
+            }
+            Subject::Server(_) if !copy.partial => {}
+            Subject::Server(_) | Subject::Configuration | Subject::Other => apply(node, &item),
         }
     }
     if copy.revision > 0 {
-        replace_list(node, copy.revision, &list);
+        if !copy.partial {
+            replace_list(node, copy.revision, &list);
+        }
         note_revision(node, copy.revision);
         tracing::info!(peer = %addr, store_revision = copy.revision, "took a peer's copy of the store");
     }
