--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -509,13 +509,18 @@
         let from = out.len();
         self.fleet
             .send_bulletin(now, bulletin, self.load.placed(), out);
-        let evidence = self.quarantine.take_evidence(now, EVIDENCE_REPEATS);
-        let crashes: Vec<CrashEvidence> = evidence.into_iter().map(Into::into).collect();
+        let crashes = self.take_evidence(now);
         for (_, packet) in &mut out[from..] {
             packet.crashes.clone_from(&crashes);
         }
     }
 
+    /// Return evidence of crashes for the next bulletin.
+    pub fn take_evidence(&mut self, now: Timestamp) -> Vec<CrashEvidence> {
+        let evidence = self.quarantine.take_evidence(now, EVIDENCE_REPEATS);
+        evidence.into_iter().map(Into::into).collect()
+    }
+
     /// Return how many retries this instance may save up: its share of the fleet's.
     fn saved_retries(&self) -> u32 {
         let instances = self.fleet.largest().max(ASSUMED_INSTANCES);
--- a/crates/oleanderpass_gateway/src/placement.rs
+++ b/crates/oleanderpass_gateway/src/placement.rs
@@ -21,6 +21,10 @@
 /// The prompts that are never split: two parts cost a stream more per token than they save.
 pub const SPLIT_FROM: Tokens = Tokens::new(12_000);
 
+/// The prompts that never share engines with short streams, whatever their own pause is. Reading one
+/// takes as long as half of the shortest pause of the standard routes.
+const LONG_PROMPT: Tokens = Tokens::new(30_000);
+
 /// The most engines that help the first one. Source: the platform's protocol.
 pub const MAX_HELPERS: usize = 16;
 
@@ -90,6 +94,14 @@
     pub first: Option<BackendKey>,
 }
 
+impl Generation {
+    /// Return whether it belongs to the short streams: a short pause and a prompt whose reading
+    /// doesn't disturb others of its kind.
+    fn is_short(&self) -> bool {
+        self.prompt < LONG_PROMPT && self.gap.is_some_and(|gap| gap <= TIGHT_GAP)
+    }
+}
+
 /// An engine that reads a part of the prompt for the first one.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Helper {
@@ -159,7 +171,7 @@
     generation: &Generation,
     rng: &mut impl Rng,
 ) -> Option<Plan> {
-    let tight = generation.gap.is_some_and(|gap| gap <= TIGHT_GAP);
+    let tight = generation.is_short();
     let pool = pools::choose(candidates, tight);
     place_in(engine, &pool.engines, generation, rng)
         .or_else(|| place_in(engine, candidates, generation, rng))
@@ -174,7 +186,7 @@
     if candidates.is_empty() {
         return None;
     }
-    let tight = generation.gap.is_some_and(|gap| gap <= TIGHT_GAP);
+    let tight = generation.is_short();
     let need = generation.prompt + generation.output;
     let usable = usable_memory(engine);
     let wanted = if generation.prompt < SPLIT_FROM {
--- /dev/null
+++ b/crates/oleanderpass_gateway/tests/common/mod.rs
@@ -0,0 +1,185 @@
+//! Build configurations, servers and gateways for tests.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use indexmap::IndexMap;
+use oleanderpass_gateway::backend::Announced;
+use oleanderpass_gateway::backend::Announcement;
+use oleanderpass_gateway::config::CallerLimits;
+use oleanderpass_gateway::config::Configuration;
+use oleanderpass_gateway::config::Organisation;
+use oleanderpass_gateway::config::Service;
+use oleanderpass_gateway::engine::EngineModel;
+use oleanderpass_gateway::gateway::Ask;
+use oleanderpass_gateway::gateway::Attempt;
+use oleanderpass_gateway::gateway::Bounds;
+use oleanderpass_gateway::gateway::Gateway;
+use oleanderpass_gateway::gateway::Next;
+use oleanderpass_gateway::gateway::Request;
+use oleanderpass_gateway::route::Route;
+use oleanderpass_gateway::route::RouteKind;
+use oleanderpass_gateway::route::WeightedService;
+use oleanderpass_membership::membership::Identity;
+use oleanderpass_quarantine::evidence::Signature;
+use oleanderpass_types::clock::Millis;
+use oleanderpass_types::clock::Timestamp;
+use oleanderpass_types::id::Generation;
+use oleanderpass_types::id::Incarnation;
+use oleanderpass_types::size::Bytes;
+use oleanderpass_types::size::Tokens;
+use smol_str::SmolStr;
+
+pub(crate) const HOST: &str = "shop.example";
+pub(crate) const KEY: &str = "key-1";
+
+pub(crate) fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(1_000_000 + ms)
+}
+
+pub(crate) fn engine() -> EngineModel {
+    EngineModel {
+        slots: 16,
+        memory: Tokens::new(232_000),
+        read_per_ms: 206.0,
+        pairs_ms_per_million: 0.138,
+        step_ms: 1.02,
+        steps_per_pass: 43,
+    }
+}
+
+pub(crate) fn route(name: &str, kind: RouteKind, service: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: HOST.into(),
+        prefix: format!("/{name}/").into(),
+        kind,
+        services: vec![WeightedService {
+            service: service.parse().unwrap(),
+            weight: 1,
+        }],
+        timeout: Millis::new(10_000),
+        objective: Millis::new(300),
+        gap: kind.is_stream().then_some(Millis::new(250)),
+        max_attempts: if kind == RouteKind::NonIdempotent {
+            1
+        } else {
+            2
+        },
+        priority: 1,
+        anonymous: false,
+    }
+}
+
+pub(crate) fn configuration(version: u64, keys: &[&str]) -> Configuration {
+    let holder = Rc::new(Organisation {
+        id: "opticians".parse().unwrap(),
+        priority: None,
+    });
+    let mut services = IndexMap::new();
+    let model = Some(engine());
+    services.insert("engines".parse().unwrap(), Service { engine: model });
+    services.insert("plain".parse().unwrap(), Service { engine: None });
+    Configuration::new(
+        Generation::new(version),
+        CallerLimits {
+            head: Bytes::new(16_384),
+            body: Bytes::new(4_194_304),
+            head_time: Millis::new(3_000),
+            idle_time: Millis::new(15_000),
+        },
+        services,
+        [
+            route("chat", RouteKind::ResumableStream, "engines"),
+            route("look", RouteKind::Idempotent, "plain"),
+            route("order", RouteKind::NonIdempotent, "plain"),
+        ],
+        Some(
+            keys.iter()
+                .map(|key| (SmolStr::new(key), holder.clone()))
+                .collect(),
+        ),
+    )
+}
+
+pub(crate) fn server(id: &str, service: &str, incarnation: u64, number: u8) -> Announcement {
+    Announcement {
+        id: id.parse().unwrap(),
+        incarnation: Incarnation::new(incarnation),
+        service: service.parse().unwrap(),
+        addr: SocketAddr::from(([10, 0, 0, number], 8_080)),
+        zone: "hafnir".parse().unwrap(),
+        slots: 16,
+        state: Announced::Ready,
+    }
+}
+
+/// A gateway that knows `engines` engines and three plain servers.
+pub(crate) fn gateway(engines: u8) -> Gateway {
+    gateway_named("edge-1", engines)
+}
+
+pub(crate) fn gateway_named(name: &str, engines: u8) -> Gateway {
+    let identity = Identity {
+        id: name.parse().unwrap(),
+        incarnation: Incarnation::new(1),
+        zone: "hafnir".parse().unwrap(),
+        addr: "10.0.1.1:7340".parse().unwrap(),
+    };
+    let bounds = Bounds {
+        retry_ratio: 0.2,
+        retry_slack: 102,
+    };
+    let mut gateway = Gateway::new(at(0), identity, Vec::new(), bounds, 7);
+    gateway.on_configuration(configuration(1, &[KEY]));
+    let mut list = Vec::new();
+    for number in 0..engines {
+        let id = format!("e{number}");
+        list.push((
+            id.parse().unwrap(),
+            5,
+            Some(server(&id, "engines", 1, number)),
+        ));
+    }
+    for number in 0..3 {
+        let id = format!("p{number}");
+        list.push((
+            id.parse().unwrap(),
+            5,
+            Some(server(&id, "plain", 1, 200 + number)),
+        ));
+    }
+    gateway.on_list(at(0), 10, list);
+    gateway
+}
+
+pub(crate) fn begin(gateway: &mut Gateway, now: Timestamp, path: &str, prompt: u64) -> Request {
+    let admission = gateway.admit(now, HOST, path, Some(KEY), 0).unwrap();
+    let ask = Ask {
+        id: "a1".into(),
+        host: HOST.into(),
+        path: path.into(),
+        key: Some(KEY.into()),
+        prompt: Tokens::new(prompt),
+        output: Tokens::new(1_000),
+        deadline: now + Millis::new(10_000),
+        signature: Signature(1),
+    };
+    gateway.begin(ask, admission, 0)
+}
+
+pub(crate) fn attempt(next: Next) -> Attempt {
+    match next {
+        Next::Send(attempt) => *attempt,
+        other => panic!("not sent: {other:?}"),
+    }
+}
+
+pub(crate) fn status(next: Next) -> u16 {
+    match next {
+        Next::End { status, .. } => status,
+        other => panic!("not ended: {other:?}"),
+    }
+}
--- /dev/null
+++ b/crates/oleanderpass_gateway/tests/gateway.rs
@@ -0,0 +1,261 @@
+//! Check the decisions on requests over their attempts.
+
+mod common;
+
+use oleanderpass_gateway::backend::Announced;
+use oleanderpass_gateway::gateway::Attempt;
+use oleanderpass_gateway::gateway::AttemptEnd;
+use oleanderpass_gateway::gateway::Gateway;
+use oleanderpass_gateway::gateway::Next;
+use oleanderpass_gateway::gateway::Rejection;
+use oleanderpass_types::clock::Millis;
+use oleanderpass_types::clock::Timestamp;
+use oleanderpass_types::id::Incarnation;
+use test_case::test_case;
+
+use crate::common::HOST;
+use crate::common::KEY;
+use crate::common::at;
+use crate::common::attempt;
+use crate::common::begin;
+use crate::common::configuration;
+use crate::common::gateway;
+use crate::common::gateway_named;
+use crate::common::server;
+use crate::common::status;
+
+/// Guards against a second run of a request that must run at most once.
+#[test_case(AttemptEnd::Broken, 502)]
+#[test_case(AttemptEnd::Silent, 502)]
+#[test_case(AttemptEnd::Refused, 503)]
+fn request_that_must_not_repeat(end: AttemptEnd, expected: u16) {
+    let mut gateway = gateway(2);
+    let mut req = begin(&mut gateway, at(0), "/order/1", 0);
+    let first = attempt(gateway.next(at(0), &mut req));
+    gateway.on_sent(&mut req, &first);
+    gateway.on_attempt_end(at(10), &mut req, &first, end, false);
+    assert_eq!(status(gateway.next(at(10), &mut req)), expected);
+}
+
+/// Guards against a refusal although nothing was sent.
+#[test]
+fn request_that_was_not_sent_goes_elsewhere() {
+    let mut gateway = gateway(2);
+    let mut req = begin(&mut gateway, at(0), "/order/1", 0);
+    let first = attempt(gateway.next(at(0), &mut req));
+    gateway.on_attempt_end(at(10), &mut req, &first, AttemptEnd::NotSent, false);
+    let second = attempt(gateway.next(at(10), &mut req));
+    assert_ne!(first.first.id, second.first.id);
+}
+
+/// Guards against a retry at the server that has just failed, and against more servers than the
+/// route allows.
+#[test]
+fn retry_goes_to_another_server_within_the_route_limit() {
+    let mut gateway = gateway(4);
+    let mut req = begin(&mut gateway, at(0), "/chat/1", 5_000);
+    let first = attempt(gateway.next(at(0), &mut req));
+    gateway.on_sent(&mut req, &first);
+    gateway.on_attempt_end(at(10), &mut req, &first, AttemptEnd::Broken, true);
+    let second = attempt(gateway.next(at(10), &mut req));
+    assert_ne!(first.first.id, second.first.id);
+    gateway.on_sent(&mut req, &second);
+    gateway.on_attempt_end(at(20), &mut req, &second, AttemptEnd::Broken, true);
+    assert_eq!(status(gateway.next(at(20), &mut req)), 502);
+}
+
+/// Guards against a long prompt that is refused because one helper is gone (muscat-prism, day with
+/// slow and cut servers).
+#[test]
+fn fault_of_a_helper_does_not_use_up_the_servers() {
+    let mut gateway = gateway(14);
+    let mut req = begin(&mut gateway, at(0), "/chat/1", 100_000);
+    let first = attempt(gateway.next(at(0), &mut req));
+    gateway.on_sent(&mut req, &first);
+    gateway.on_fault(at(10), first.helpers[0]);
+    gateway.on_attempt_end(at(10), &mut req, &first, AttemptEnd::HelperFailed, false);
+    let second = attempt(gateway.next(at(10), &mut req));
+    gateway.on_sent(&mut req, &second);
+    gateway.on_fault(at(20), second.helpers[0]);
+    gateway.on_attempt_end(at(20), &mut req, &second, AttemptEnd::HelperFailed, false);
+    let third = attempt(gateway.next(at(20), &mut req));
+    assert_eq!(
+        third.first.id, second.first.id,
+        "a third server gets the request"
+    );
+    for helper in [first.helpers[0], second.helpers[0]] {
+        assert!(
+            !third.helpers.contains(&helper),
+            "a helper at fault helps again"
+        );
+    }
+}
+
+/// Let the server of an attempt come back after a crash.
+fn restart(gateway: &mut Gateway, now: Timestamp, crashed: &Attempt, incarnation: u64) {
+    let mut entry = crashed.first.clone();
+    entry.incarnation = Incarnation::new(incarnation);
+    let revision = 100 + incarnation;
+    gateway.on_entry(now, entry.id.clone(), revision, Some(entry));
+}
+
+/// Guards against a request that crashes one server after the other.
+#[test]
+fn request_that_crashed_three_servers_is_stopped() {
+    let mut gateway = gateway(6);
+    for number in 0..3 {
+        let now = at(number * 100);
+        let mut req = begin(&mut gateway, now, "/chat/1", 5_000);
+        let tried = attempt(gateway.next(now, &mut req));
+        gateway.on_sent(&mut req, &tried);
+        gateway.on_attempt_end(now, &mut req, &tried, AttemptEnd::Broken, false);
+        restart(&mut gateway, now, &tried, number + 2);
+    }
+    let mut req = begin(&mut gateway, at(400), "/chat/1", 5_000);
+    assert_eq!(status(gateway.next(at(400), &mut req)), 502);
+}
+
+/// Guards against a crash that other instances don't hear of.
+#[test]
+fn crashes_are_told_to_peers() {
+    let mut one = gateway_named("edge-1", 6);
+    let mut two = gateway_named("edge-2", 6);
+    let mut packets = Vec::new();
+    two.on_tick(at(0), &mut packets);
+    packets.clear();
+    for number in 0..3 {
+        let now = at(1_000 + number * 100);
+        let mut req = begin(&mut one, now, "/chat/1", 5_000);
+        let tried = attempt(one.next(now, &mut req));
+        one.on_sent(&mut req, &tried);
+        one.on_attempt_end(now, &mut req, &tried, AttemptEnd::Broken, false);
+        restart(&mut one, now, &tried, number + 2);
+    }
+    let evidence = oleanderpass_proto::peer::Packet {
+        from: "edge-1".to_owned(),
+        crashes: one.take_evidence(at(1_300)),
+        ..Default::default()
+    };
+    assert!(!evidence.crashes.is_empty());
+    let source = "10.0.1.1:7340".parse().unwrap();
+    two.on_packet(at(1_310), source, &evidence, &mut packets);
+    let mut evidence = evidence;
+    evidence.crashes = one.take_evidence(at(1_400));
+    two.on_packet(at(1_410), source, &evidence, &mut packets);
+    let mut req = begin(&mut two, at(1_500), "/chat/1", 5_000);
+    assert_eq!(status(two.next(at(1_500), &mut req)), 502);
+}
+
+/// Guards against a retry of a request whose key was revoked after its first attempt.
+#[test]
+fn retry_obeys_the_newest_configuration() {
+    let mut gateway = gateway(4);
+    let mut req = begin(&mut gateway, at(0), "/look/1", 0);
+    let first = attempt(gateway.next(at(0), &mut req));
+    gateway.on_configuration(configuration(2, &["other"]));
+    assert!(
+        !gateway.may_send(at(5), &req, &first),
+        "sent under an older version"
+    );
+    gateway.on_attempt_end(at(5), &mut req, &first, AttemptEnd::StaleConnection, false);
+    let next = gateway.next(at(5), &mut req);
+    assert!(
+        matches!(next, Next::Rejected(Rejection::UnknownKey)),
+        "{next:?}"
+    );
+}
+
+/// Guards against a configuration that goes back to an older version.
+#[test]
+fn older_configuration_is_not_taken() {
+    let mut gateway = gateway(1);
+    assert!(gateway.on_configuration(configuration(5, &["new"])));
+    assert!(!gateway.on_configuration(configuration(4, &[KEY])));
+    let admission = gateway.admit(at(0), HOST, "/look/1", Some(KEY), 0);
+    assert_eq!(admission.unwrap_err(), Rejection::UnknownKey);
+}
+
+/// Guards against a send to a server that began to leave while the request waited for a connection.
+#[test]
+fn server_that_leaves_before_the_send_gets_nothing() {
+    let mut gateway = gateway(2);
+    let mut req = begin(&mut gateway, at(0), "/look/1", 0);
+    let first = attempt(gateway.next(at(0), &mut req));
+    let mut leaving = server(first.first.id.as_str(), "plain", 1, 200);
+    leaving.addr = first.first.addr;
+    leaving.state = Announced::Draining;
+    gateway.on_entry(at(5), leaving.id.clone(), 50, Some(leaving));
+    assert!(!gateway.may_send(at(6), &req, &first));
+}
+
+/// Guards against a send after the deadline by a process that was paused.
+#[test]
+fn nothing_is_sent_after_the_deadline() {
+    let mut gateway = gateway(2);
+    let mut req = begin(&mut gateway, at(0), "/look/1", 0);
+    let first = attempt(gateway.next(at(0), &mut req));
+    assert!(!gateway.may_send(at(10_000), &req, &first));
+    gateway.on_attempt_end(
+        at(10_000),
+        &mut req,
+        &first,
+        AttemptEnd::StaleConnection,
+        false,
+    );
+    assert_eq!(status(gateway.next(at(10_000), &mut req)), 503);
+}
+
+/// Guards against retries that multiply an outage: beyond the saved ones, one for five requests.
+#[test]
+fn retries_stay_within_the_budget() {
+    let mut gateway = gateway(14);
+    let mut retries = 0;
+    for number in 0..400 {
+        let mut req = begin(&mut gateway, at(number), "/look/1", 0);
+        req.ask.signature = oleanderpass_quarantine::evidence::Signature(number);
+        let first = attempt(gateway.next(at(number), &mut req));
+        gateway.on_sent(&mut req, &first);
+        gateway.on_attempt_end(at(number), &mut req, &first, AttemptEnd::Refused, false);
+        if let Next::Send(again) = gateway.next(at(number), &mut req) {
+            retries += 1;
+            gateway.on_attempt_end(at(number), &mut req, &again, AttemptEnd::Refused, false);
+        }
+    }
+    // A seventh of the published slack and a fifth of the requests.
+    assert!(retries <= 102 / 7 + 400 / 5, "{retries} retries");
+    assert!(retries >= 40, "the budget is hardly used: {retries}");
+}
+
+/// Guards against requests that a stopping instance takes and cuts (mispill mix 399523074786).
+#[test]
+fn stopping_instance_refuses_what_it_cannot_finish() {
+    let mut gateway = gateway(2);
+    gateway.begin_drain(at(0), at(7_600), &mut Vec::new());
+    assert!(!gateway.is_ready());
+    let admit = |now| gateway.admit(now, HOST, "/chat/1", Some(KEY), 0);
+    assert!(admit(at(2_000)).is_ok(), "the balancer still sends callers");
+    assert_eq!(admit(at(3_000)).unwrap_err(), Rejection::Stopping);
+}
+
+/// Guards against a wait for the deadline when no server is left.
+#[test]
+fn request_without_any_server_is_refused_at_once() {
+    let mut gateway = gateway(1);
+    gateway.on_list(at(100), 20, Vec::new());
+    let mut req = begin(&mut gateway, at(3_000), "/chat/1", 5_000);
+    let next = gateway.next(at(3_000), &mut req);
+    let Next::End {
+        status,
+        retry_after,
+        ..
+    } = next
+    else {
+        panic!("not ended: {next:?}");
+    };
+    assert_eq!(status, 503);
+    let wait = retry_after.unwrap();
+    assert!(
+        wait <= Millis::new(10_000 / 3),
+        "callers don't honour {wait}"
+    );
+}
--- /dev/null
+++ b/crates/oleanderpass_gateway/tests/load.rs
@@ -0,0 +1,68 @@
+//! Check the account of work at backend servers.
+
+mod common;
+
+use indexmap::IndexMap;
+use oleanderpass_gateway::backend::BackendKey;
+use oleanderpass_gateway::load::AttemptId;
+use oleanderpass_gateway::load::BULLETIN_LIFETIME;
+use oleanderpass_gateway::load::LoadBook;
+use oleanderpass_gateway::load::Summary;
+use oleanderpass_gateway::load::Work;
+use oleanderpass_types::clock::Millis;
+use oleanderpass_types::size::Tokens;
+
+use crate::common::at;
+
+const KEY: BackendKey = BackendKey(7);
+
+fn work() -> Work {
+    Work {
+        unread_ms: 26.0,
+        gap: Some(Millis::new(250)),
+        memory: Tokens::new(6_000),
+        slot: true,
+    }
+}
+
+/// Guards against work that stays in the account after its attempt ended.
+#[test]
+fn account_is_empty_after_the_end() {
+    let mut book = LoadBook::default();
+    book.place(KEY, AttemptId(1), work());
+    book.place(KEY, AttemptId(2), work());
+    assert!(book.take_changed());
+    let sum = book.summary(at(0), KEY);
+    assert_eq!(
+        (sum.in_flight, sum.tight_writers, sum.memory.get()),
+        (2, 2, 12_000)
+    );
+    book.on_first_event([KEY], AttemptId(1));
+    assert!((book.summary(at(0), KEY).unread_ms - 26.0).abs() < f64::EPSILON);
+    book.end([KEY], AttemptId(1));
+    book.end([KEY], AttemptId(2));
+    assert_eq!(book.summary(at(0), KEY), Summary::default());
+    assert_eq!(book.placed().count(), 0);
+}
+
+/// Guards against a late datagram that brings old work back, and against a dead peer whose work
+/// counts for ever.
+#[test]
+fn latest_bulletin_counts_until_its_sender_is_silent() {
+    let mut book = LoadBook::default();
+    let placed = |in_flight| {
+        let sum = Summary {
+            in_flight,
+            ..Summary::default()
+        };
+        IndexMap::from_iter([(KEY, sum)])
+    };
+    let peer = || "edge-2".parse().unwrap();
+    assert!(book.on_bulletin(at(0), peer(), 5, placed(3)));
+    assert!(!book.on_bulletin(at(1), peer(), 4, placed(9)));
+    assert_eq!(book.summary(at(2), KEY).in_flight, 3);
+    let silent = at(0) + BULLETIN_LIFETIME;
+    assert_eq!(book.summary(silent, KEY).in_flight, 0);
+    // A restarted peer whose numbers begin lower is heard after its silence.
+    assert!(book.on_bulletin(silent, peer(), 1, placed(2)));
+}
--- /dev/null
+++ b/crates/oleanderpass_gateway/tests/peers.rs
@@ -0,0 +1,103 @@
+//! Check what instances tell each other.
+
+mod common;
+
+use oleanderpass_gateway::gateway::Gateway;
+use oleanderpass_proto::peer::MemberState;
+use oleanderpass_proto::peer::MemberUpdate;
+use oleanderpass_proto::peer::Packet;
+use oleanderpass_types::clock::Timestamp;
+
+use crate::common::at;
+use crate::common::attempt;
+use crate::common::begin;
+use crate::common::gateway_named;
+
+/// Deliver the datagrams of `from` to `to`, and the answers.
+fn deliver(now: Timestamp, from: &mut Gateway, to: &mut Gateway) {
+    let source = "10.0.1.1:7340".parse().unwrap();
+    let mut out: Vec<(std::net::SocketAddr, Packet)> = Vec::new();
+    from.on_tick(now, &mut out);
+    for (_, packet) in out {
+        let mut answers = Vec::new();
+        to.on_packet(now, source, &packet, &mut answers);
+    }
+}
+
+/// Tell `one` that the instance `name` is alive, so that it sends bulletins.
+fn introduce(one: &mut Gateway, name: &str) {
+    let update = MemberUpdate {
+        instance: name.to_owned(),
+        incarnation: 1,
+        sequence: 0,
+        state: MemberState::Alive.into(),
+        zone: "hafnir".to_owned(),
+        addr: "10.0.1.1:7340".to_owned(),
+    };
+    let hello = Packet {
+        from: name.to_owned(),
+        incarnation: 1,
+        members: vec![update],
+        ..Packet::default()
+    };
+    let source = "10.0.1.1:7340".parse().unwrap();
+    one.on_packet(at(0), source, &hello, &mut Vec::new());
+}
+
+/// Guards against a herd: two instances that send their prompts to the same free engine.
+#[test]
+fn peers_work_counts() {
+    let mut one = gateway_named("edge-1", 2);
+    let mut two = gateway_named("edge-2", 2);
+    introduce(&mut one, "edge-2");
+    let mut req = begin(&mut one, at(100), "/look/1", 0);
+    let placed = attempt(one.next(at(100), &mut req));
+    deliver(at(600), &mut one, &mut two);
+    let mut seen = Vec::new();
+    for _ in 0..2 {
+        let mut req = begin(&mut two, at(610), "/look/1", 0);
+        seen.push(attempt(two.next(at(610), &mut req)).first.id);
+    }
+    assert!(
+        !seen.contains(&placed.first.id),
+        "a busy server was preferred to free ones"
+    );
+}
+
+/// Guards against both: all instances of a zone that read the store, and none that does.
+#[test]
+fn two_instances_of_a_zone_read_the_store() {
+    const NAMES: [&str; 4] = ["edge-1", "edge-2", "edge-3", "edge-4"];
+    let mut readers = 0;
+    for own in NAMES {
+        let mut instance = gateway_named(own, 1);
+        assert!(instance.is_reader(at(0)), "alone, it reads");
+        for peer in NAMES.into_iter().filter(|name| *name != own) {
+            let mut peer = gateway_named(peer, 1);
+            introduce(&mut peer, own);
+            peer.set_reads_store(true);
+            deliver(at(600), &mut peer, &mut instance);
+        }
+        readers += usize::from(instance.is_reader(at(610)));
+        assert!(
+            instance.is_reader(at(3_000)),
+            "silent readers were not replaced"
+        );
+    }
+    assert_eq!(readers, 2);
+}
+
+/// Guards against an instance that waits for a reader that has lost the store.
+#[test]
+fn reader_that_lost_the_store_is_replaced() {
+    let mut instance = gateway_named("edge-1", 1);
+    for name in ["edge-2", "edge-3", "edge-4"] {
+        let mut peer = gateway_named(name, 1);
+        introduce(&mut peer, "edge-1");
+        peer.set_reads_store(true);
+        deliver(at(600), &mut peer, &mut instance);
+        peer.set_reads_store(false);
+        deliver(at(1_100), &mut peer, &mut instance);
+    }
+    assert!(instance.is_reader(at(1_110)));
+}
--- /dev/null
+++ b/crates/oleanderpass_gateway/tests/placement.rs
@@ -0,0 +1,192 @@
+//! Check where work goes. The loads are those of the standard days' heavy phases: long prompts beside
+//! many short streams.
+
+mod common;
+
+use oleanderpass_gateway::backend::BackendKey;
+use oleanderpass_gateway::load::Summary;
+use oleanderpass_gateway::placement::Candidate;
+use oleanderpass_gateway::placement::Generation;
+use oleanderpass_gateway::placement::MAX_HELPERS;
+use oleanderpass_gateway::placement::Plan;
+use oleanderpass_gateway::placement::place_call;
+use oleanderpass_gateway::placement::place_generation;
+use oleanderpass_gateway::pools;
+use oleanderpass_types::clock::Millis;
+use oleanderpass_types::size::Tokens;
+use rand_pcg::Pcg64Mcg;
+use test_case::test_case;
+
+use crate::common::engine;
+
+fn idle(count: u64) -> Vec<Candidate> {
+    (0..count)
+        .map(|key| Candidate {
+            key: BackendKey(key),
+            slots: 16,
+            load: Summary::default(),
+            avoided: false,
+            failure_rate: 0.0,
+            pace: 1.0,
+            own_zone: true,
+        })
+        .collect()
+}
+
+fn short() -> Generation {
+    Generation {
+        prompt: Tokens::new(4_960),
+        output: Tokens::new(1_400),
+        gap: Some(Millis::new(250)),
+        first: None,
+    }
+}
+
+fn long(prompt: u64) -> Generation {
+    Generation {
+        prompt: Tokens::new(prompt),
+        output: Tokens::new(700),
+        gap: Some(Millis::new(1_000)),
+        first: None,
+    }
+}
+
+fn place(candidates: &[Candidate], generation: &Generation) -> Option<Plan> {
+    place_generation(&engine(), candidates, generation, &mut Pcg64Mcg::new(1))
+}
+
+fn write_short(candidate: &mut Candidate, streams: u32) {
+    candidate.load.in_flight = streams;
+    candidate.load.tight_writers = streams;
+    candidate.load.gap = Some(Millis::new(250));
+}
+
+#[test_case(4_960, 14, 1; "a short prompt is read whole")]
+#[test_case(45_000, 14, 6; "a prompt is read in parts of 8,000")]
+#[test_case(133_000, 30, 17; "no more helpers than the protocol has")]
+#[test_case(133_000, 4, 3; "no more parts than engines of the pool")]
+fn parts(prompt: u64, engines: u64, expected: usize) {
+    let plan = place(&idle(engines), &long(prompt)).unwrap();
+    assert_eq!(plan.keys().count(), expected);
+    assert!(plan.helpers.len() <= MAX_HELPERS);
+}
+
+/// Guards against short streams that are late because long prompts are read beside them
+/// (muscat-prism trouble-2: half of the short streams).
+#[test]
+fn long_prompts_keep_away_from_short_streams() {
+    let mut candidates = idle(14);
+    candidates[0..3].iter_mut().for_each(|c| write_short(c, 10));
+    let plan = place(&candidates, &long(133_000)).unwrap();
+    assert!(plan.keys().all(|key| key.0 >= 3), "{plan:?}");
+    let plan = place(&candidates, &short()).unwrap();
+    assert!(
+        plan.first.0 < 3,
+        "a short stream opens an engine of the long prompts"
+    );
+}
+
+/// Guards against short streams that wait behind full engines while others are free.
+#[test]
+fn short_streams_take_more_engines_when_theirs_are_full() {
+    let mut candidates = idle(4);
+    candidates[0..2].iter_mut().for_each(|c| write_short(c, 16));
+    let plan = place(&candidates, &short()).unwrap();
+    assert!(plan.first.0 >= 2);
+}
+
+/// Guards against two instances that draw the border between the pools in different places.
+#[test]
+fn border_does_not_depend_on_the_order_of_the_list() {
+    let mut candidates = idle(9);
+    candidates[0..2].iter_mut().for_each(|c| write_short(c, 11));
+    let keys = |candidates: &[Candidate], tight| -> Vec<BackendKey> {
+        let pool = pools::choose(candidates, tight);
+        pool.engines.iter().map(|c| c.key).collect()
+    };
+    let mut other = candidates.clone();
+    other.reverse();
+    for tight in [true, false] {
+        assert_eq!(keys(&candidates, tight), keys(&other, tight));
+    }
+}
+
+#[test_case(0, 1)]
+#[test_case(11, 1)]
+#[test_case(12, 2)]
+#[test_case(190, 13; "long prompts keep one engine")]
+fn engines_for_short_streams(writers: u32, expected: usize) {
+    assert_eq!(pools::engines_for_short(writers, 16, 14), expected);
+}
+
+/// Guards against prompts beyond one engine that are refused (grown sites: the fifth below the
+/// largest tenth of the long kind was never served).
+#[test]
+fn prompt_beyond_one_engine_reserves_the_rest() {
+    let plan = place(&idle(8), &long(600_000)).unwrap();
+    let reserved: u64 = plan
+        .helpers
+        .iter()
+        .filter_map(|h| h.reserve)
+        .map(Tokens::get)
+        .sum();
+    assert!(reserved + plan.memory.get() >= 600_700);
+    assert!(plan.memory <= engine().memory);
+    let first_plain = plan.helpers.iter().position(|h| h.reserve.is_none());
+    let last_reserved = plan.helpers.iter().rposition(|h| h.reserve.is_some());
+    assert!(
+        first_plain.is_none() || last_reserved < first_plain,
+        "tickets are filled in turn"
+    );
+}
+
+#[test]
+fn prompt_beyond_all_engines_has_no_place() {
+    assert!(place(&idle(2), &long(600_000)).is_none());
+    assert!(place(&[], &short()).is_none());
+}
+
+/// Guards against long prompts whose first token waits for one slow engine.
+#[test]
+fn slow_engine_helps_last() {
+    let mut candidates = idle(12);
+    candidates[7].pace = 4.0;
+    let plan = place(&candidates, &long(45_000)).unwrap();
+    assert!(plan.keys().all(|key| key.0 != 7));
+}
+
+/// Guards against an overload of the sound engines when half of all fail some requests
+/// (muscat-prism trouble-2: 13 of 23 engines lost answers).
+#[test]
+fn engine_that_fails_sometimes_still_serves() {
+    let mut candidates = idle(4);
+    candidates[0].failure_rate = 0.3;
+    candidates[1..].iter_mut().for_each(|c| write_short(c, 16));
+    assert_eq!(place(&candidates, &short()).unwrap().first, BackendKey(0));
+}
+
+/// Guards against a second first engine for a request that may go to no other.
+#[test]
+fn first_engine_is_kept_when_it_must_be() {
+    let mut generation = long(45_000);
+    generation.first = Some(BackendKey(5));
+    let plan = place(&idle(14), &generation).unwrap();
+    assert_eq!(plan.first, BackendKey(5));
+    assert_eq!(plan.keys().count(), 6);
+    let mut keys: Vec<BackendKey> = plan.keys().collect();
+    keys.dedup();
+    assert_eq!(keys.len(), 6, "an engine helps itself");
+}
+
+#[test]
+fn call_goes_to_the_server_with_the_fewest() {
+    let mut candidates = idle(3);
+    candidates[0].load.in_flight = 3;
+    candidates[1].load.in_flight = 1;
+    candidates[2].load.in_flight = 2;
+    let plan = place_call(&candidates, &mut Pcg64Mcg::new(1)).unwrap();
+    assert_eq!(plan.first, BackendKey(1));
+    candidates[1].avoided = true;
+    let plan = place_call(&candidates, &mut Pcg64Mcg::new(1)).unwrap();
+    assert_eq!(plan.first, BackendKey(2));
+}
--- /dev/null
+++ b/crates/oleanderpass_gateway/tests/registry.rs
@@ -0,0 +1,145 @@
+//! Check what is believed of listed backend servers.
+
+mod common;
+
+use oleanderpass_gateway::backend::Announced;
+use oleanderpass_gateway::backend::Announcement;
+use oleanderpass_gateway::registry::RETURN_GRACE;
+use oleanderpass_gateway::registry::Registry;
+use oleanderpass_gateway::registry::Standing;
+use oleanderpass_gateway::registry::VANISHED_GRACE;
+use oleanderpass_types::clock::Millis;
+use oleanderpass_types::clock::Timestamp;
+use oleanderpass_types::id::BackendServerId;
+
+use crate::common::at;
+use crate::common::server;
+
+fn id(text: &str) -> BackendServerId {
+    text.parse().unwrap()
+}
+
+fn listed(servers: &[&str]) -> Registry {
+    let mut registry = Registry::default();
+    let list = servers
+        .iter()
+        .zip(1..)
+        .map(|(name, number)| (id(name), 5, Some(server(name, "engines", 1, number))))
+        .collect();
+    registry.replace(at(0), 10, list);
+    registry
+}
+
+fn update(registry: &mut Registry, now: Timestamp, revision: u64, entry: Announcement) {
+    let mut changes = Vec::new();
+    registry.update(now, entry.id.clone(), revision, Some(entry), &mut changes);
+}
+
+fn usable(registry: &Registry, now: Timestamp) -> Vec<String> {
+    let service = "engines".parse().unwrap();
+    registry
+        .usable(now, &service)
+        .map(|(_, backend)| backend.announcement.id.to_string())
+        .collect()
+}
+
+/// Guards against new work for a server that is leaving, also when older news arrives later.
+#[test]
+fn draining_server_stays_out() {
+    let mut registry = listed(&["a", "b"]);
+    let mut draining = server("a", "engines", 1, 1);
+    draining.state = Announced::Draining;
+    update(&mut registry, at(0), 20, draining);
+    assert_eq!(usable(&registry, at(0)), ["b"]);
+    update(&mut registry, at(10), 15, server("a", "engines", 1, 1));
+    assert_eq!(usable(&registry, at(10)), ["b"]);
+    update(&mut registry, at(20), 25, server("a", "engines", 1, 1));
+    assert_eq!(
+        usable(&registry, at(20)),
+        ["b"],
+        "the same incarnation came back"
+    );
+    update(&mut registry, at(30), 30, server("a", "engines", 2, 1));
+    assert_eq!(
+        usable(&registry, at(30)).len(),
+        2,
+        "a new incarnation serves"
+    );
+}
+
+/// Guards against both: no server at all when entries lapse together, and work for a server that has
+/// been gone for longer than leaving servers serve.
+#[test]
+fn vanished_server_is_a_last_resort_for_a_second() {
+    let mut registry = listed(&["a", "b"]);
+    let mut changes = Vec::new();
+    registry.vanish(at(0), id("a"), 20, &mut changes);
+    let standing = registry
+        .iter()
+        .find(|(_, b)| b.announcement.id == id("a"))
+        .unwrap()
+        .1
+        .standing;
+    assert_eq!(standing, Standing::LastResort(at(0) + VANISHED_GRACE));
+    assert_eq!(usable(&registry, at(900)).len(), 2);
+    assert_eq!(usable(&registry, at(1_000)), ["b"]);
+    registry.tick(at(1_000), &mut changes);
+    assert_eq!(registry.iter().count(), 1);
+}
+
+/// Guards against an empty list after an outage in which all entries lapsed.
+#[test]
+fn lapsed_entries_serve_until_they_can_be_back() {
+    let mut registry = listed(&["a", "b"]);
+    registry.on_store_returned(at(5_000));
+    registry.replace(at(5_000), 40, Vec::new());
+    assert_eq!(usable(&registry, at(5_000)).len(), 2);
+    update(&mut registry, at(6_500), 45, server("a", "engines", 1, 1));
+    let end = at(5_000) + RETURN_GRACE;
+    assert_eq!(usable(&registry, end + Millis::new(1)), ["a"]);
+}
+
+/// Guards against a request to a server whose address now belongs to another one.
+#[test]
+fn address_belongs_to_the_latest_holder() {
+    let mut registry = listed(&["a", "b"]);
+    update(&mut registry, at(0), 20, server("c", "plain", 1, 1));
+    assert_eq!(usable(&registry, at(0)), ["b"]);
+}
+
+/// Guards against an old page that removes or revives a server.
+#[test]
+fn older_list_changes_nothing() {
+    let mut registry = listed(&["a"]);
+    update(&mut registry, at(0), 20, server("b", "engines", 1, 2));
+    registry.replace(
+        at(0),
+        12,
+        vec![(id("a"), 5, Some(server("a", "engines", 1, 1)))],
+    );
+    assert_eq!(usable(&registry, at(0)).len(), 2);
+    let mut changes = Vec::new();
+    registry.vanish(at(0), id("b"), 15, &mut changes);
+    assert_eq!(usable(&registry, at(0)).len(), 2);
+}
+
+/// Guards against a malformed entry that keeps naming the server it named before.
+#[test]
+fn malformed_entry_names_no_server() {
+    let mut registry = listed(&["a", "b"]);
+    let mut changes = Vec::new();
+    registry.update(at(0), id("a"), 20, None, &mut changes);
+    assert_eq!(usable(&registry, at(0)), ["b"]);
+}
+
+/// Guards against a peer's word that is undone by a list that lags.
+#[test]
+fn peers_word_on_a_leaving_server_holds() {
+    let mut registry = listed(&["a", "b"]);
+    let mut changes = Vec::new();
+    let key = server("a", "engines", 1, 1).key();
+    registry.on_leaving(at(0), key, &mut changes);
+    assert_eq!(changes.len(), 1);
+    update(&mut registry, at(10), 20, server("a", "engines", 1, 1));
+    assert_eq!(usable(&registry, at(10)), ["b"]);
+}
--- a/crates/oleanderpass_gateway_io/src/logging.rs
+++ b/crates/oleanderpass_gateway_io/src/logging.rs
@@ -18,7 +18,7 @@
 
 /// The most lines a second. It is four times what an instance writes in the heaviest bursts of the
 /// standard days.
-const MAX_LINES_PER_S: u32 = 400;
+pub const MAX_LINES_PER_S: u32 = 400;
 
 /// The time in which [`MAX_LINES_PER_S`] counts.
 const WINDOW: Duration = Duration::from_secs(1);
--- /dev/null
+++ b/crates/oleanderpass_gateway_io/tests/settings.rs
@@ -0,0 +1,45 @@
+//! Check the settings of an instance.
+
+use oleanderpass_gateway_io::settings::Settings;
+use test_case::test_case;
+
+const VALID: &str = "instance: edge-hafnir-1
+zone: hafnir
+ip: 10.1.0.40
+caller_addr: 10.1.0.40:8227
+readiness_addr: 10.1.0.40:8220
+metrics_port: 9464
+peer_port: 7340
+seeds: 10.1.0.40:8229,10.2.0.29:8229
+store_addr: 10.200.1.7:8223
+stop_time_s: 8
+retry_ratio: 0.2
+retry_slack: 102
+reservation_max_ms: 20000
+";
+
+#[test]
+fn seeds_are_reached_on_the_peer_port() {
+    let settings = Settings::parse(VALID).unwrap();
+    assert_eq!(settings.seeds, ["10.2.0.29:7340".parse().unwrap()]);
+    assert_eq!(settings.metrics_addr, "10.1.0.40:9464".parse().unwrap());
+}
+
+#[test]
+fn seeds_may_be_empty() {
+    let text = VALID.replace("seeds: 10.1.0.40:8229,10.2.0.29:8229", "seeds: \"\"");
+    assert!(Settings::parse(&text).unwrap().seeds.is_empty());
+}
+
+/// Guards against an error that doesn't say which setting is wrong.
+#[test_case("zone: hafnir", "zone: \"a b\"", "zone")]
+#[test_case("10.2.0.29:8229", "10.2.0.29", "10.2.0.29")]
+#[test_case("retry_ratio: 0.2", "retry_ratio: 7", "retry_ratio")]
+#[test_case("stop_time_s: 8", "stop_time_s: 0", "stop_time_s")]
+#[test_case("stop_time_s: 8", "stop_time: 8", "stop_time")]
+#[test_case("peer_port: 7340\n", "", "peer_port")]
+fn wrong_settings_name_the_key(from: &str, to: &str, named: &str) {
+    let error = Settings::parse(&VALID.replace(from, to)).unwrap_err();
+    let text = format!("{error:#}");
+    assert!(text.contains(named), "{text}");
+}
