Let the border between the pools follow the load of both sides

Cause: the border followed the short streams alone. Instances now tell each other how much engines read of their long prompts. A queue is no longer taken for silence. Each attempt logs its inputs, and its first event and longest pause at the end.

--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -37,6 +37,7 @@
 use crate::load::LoadBook;
 use crate::load::Work;
 use crate::peers::Fleet;
+use crate::peers::MS_PER_S;
 use crate::placement::Candidate;
 use crate::placement::Generation;
 use crate::placement::Plan;
@@ -448,9 +449,9 @@
         };
         let saved = self.saved_retries();
         self.budget.set_max_saved(saved);
-        let later = self
-            .load
-            .on_bulletin(now, news.from, news.sequence, news.placed);
+        let later =
+            self.load
+                .on_bulletin(now, news.from, news.sequence, news.placed, news.long_load);
         if later {
             let mut changes = Vec::new();
             for key in news.leaving {
@@ -504,6 +505,7 @@
                 .map(|(key, _)| key.0)
                 .collect(),
             reads_store: self.reads_store,
+            long_read_ms_per_s: (self.load.own_long_load(now) * MS_PER_S) as u32,
             ..Bulletin::default()
         };
         let from = out.len();
@@ -613,7 +615,7 @@
         if !req.delivering && plan.expected_ms > left as f64 {
             return self.end(now, req, Cause::NoCapacity);
         }
-        match self.attempt(req, plan) {
+        match self.attempt(now, req, plan) {
             Some(attempt) => Next::Send(Box::new(attempt)),
             None => self.end(now, req, Cause::NoCapacity),
         }
@@ -667,7 +669,14 @@
                     gap: req.admission.route.gap,
                     first: req.again,
                 };
-                place_generation(engine, &candidates, &generation, &mut self.rng)
+                let long_load = self.load.long_load(now);
+                let plan =
+                    place_generation(engine, &candidates, &generation, long_load, &mut self.rng)?;
+                if !generation.is_short() {
+                    let read_ms = plan.part_ms * plan.keys().count() as f64;
+                    self.load.count_long(now, read_ms);
+                }
+                Some(plan)
             }
             None => place_call(&candidates, &mut self.rng),
         }
@@ -696,9 +705,28 @@
             .collect()
     }
 
-    fn attempt(&mut self, req: &mut Request, plan: Plan) -> Option<Attempt> {
+    fn attempt(&mut self, now: Timestamp, req: &mut Request, plan: Plan) -> Option<Attempt> {
         let addr = |key: BackendKey| Some(self.registry.get(key)?.announcement.addr);
-        let first = self.registry.get(plan.first)?.announcement.clone();
+        let backend = self.registry.get(plan.first)?;
+        let first = backend.announcement.clone();
+        let load = self.load.summary(now, plan.first);
+        tracing::info!(
+            request = %req.ask.id,
+            config_version = %req.admission.version,
+            store_revision = self.store_revision,
+            attempt = req.sent + req.unsent + 1,
+            server = %first.id,
+            standing = %backend.standing,
+            listed_ms = now.since(backend.since).get(),
+            in_flight = load.in_flight,
+            unread_ms = load.unread_ms as u64,
+            tight_writers = load.tight_writers,
+            helpers = plan.helpers.len(),
+            part_ms = plan.part_ms as u64,
+            expected_ms = plan.expected_ms as u64,
+            peers = self.fleet.live(now).count(),
+            "an attempt begins"
+        );
         let helpers: Option<Vec<SocketAddr>> =
             plan.helpers.iter().map(|helper| addr(helper.key)).collect();
         let helpers = helpers?;
@@ -832,17 +860,6 @@
             // The server itself showed no fault.
             req.tried.pop();
         }
-        tracing::info!(
-            request = %req.ask.id,
-            route = %req.admission.route.name,
-            config_version = %req.admission.version,
-            attempt = req.sent + req.unsent,
-            server = %attempt.first.id,
-            helpers = attempt.helpers.len(),
-            %end,
-            execution = %req.worst,
-            "an attempt ended"
-        );
     }
 
     fn suspect(&mut self, now: Timestamp, req: &Request, attempt: &Attempt) {
--- a/crates/oleanderpass_gateway/src/load.rs
+++ b/crates/oleanderpass_gateway/src/load.rs
@@ -3,6 +3,8 @@
 //! Own work counts at once. Peers tell theirs in bulletins, which replace what they said before, so
 //! that a lost datagram does no lasting harm.
 
+use std::collections::VecDeque;
+
 use indexmap::IndexMap;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::clock::Timestamp;
@@ -15,6 +17,10 @@
 /// between bulletins.
 pub const BULLETIN_LIFETIME: Millis = Millis::new(1_500);
 
+/// The time over which the load of long prompts is averaged. The standard days change it every ten
+/// seconds.
+const LONG_LOAD_WINDOW: Millis = Millis::new(2_500);
+
 /// A number that names one attempt of this instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct AttemptId(pub u64);
@@ -79,6 +85,7 @@
     heard: Timestamp,
     sequence: u64,
     placed: IndexMap<BackendKey, Summary>,
+    long_load: f64,
 }
 
 /// The work at all backend servers.
@@ -87,6 +94,8 @@
     own: IndexMap<BackendKey, IndexMap<AttemptId, Work>>,
     peers: IndexMap<InstanceId, PeerLoad>,
     changed: bool,
+    /// When own long prompts were placed, and for how many milliseconds engines read them.
+    long_reads: VecDeque<(Timestamp, f64)>,
 }
 
 impl LoadBook {
@@ -96,6 +105,29 @@
         self.changed = true;
     }
 
+    /// Count a long prompt that engines read for `read_ms` together.
+    pub fn count_long(&mut self, now: Timestamp, read_ms: f64) {
+        self.long_reads.push_back((now, read_ms));
+    }
+
+    /// Return the engines' worth of reading of this instance's long prompts.
+    pub fn own_long_load(&self, now: Timestamp) -> f64 {
+        let recent = self
+            .long_reads
+            .iter()
+            .filter(|(at, _)| now.since(*at) < LONG_LOAD_WINDOW);
+        recent.map(|(_, read_ms)| read_ms).sum::<f64>() / LONG_LOAD_WINDOW.get() as f64
+    }
+
+    /// Return the engines' worth of reading of all instances' long prompts.
+    pub fn long_load(&self, now: Timestamp) -> f64 {
+        let live = self
+            .peers
+            .values()
+            .filter(|peer| now.since(peer.heard) < BULLETIN_LIFETIME);
+        self.own_long_load(now) + live.map(|peer| peer.long_load).sum::<f64>()
+    }
+
     /// Note that the servers of an attempt have read its prompt.
     pub fn on_first_event(&mut self, keys: impl IntoIterator<Item = BackendKey>, id: AttemptId) {
         for key in keys {
@@ -158,6 +190,7 @@
         from: InstanceId,
         sequence: u64,
         placed: IndexMap<BackendKey, Summary>,
+        long_load: f64,
     ) -> bool {
         if self.peers.get(&from).is_some_and(|held| {
             held.sequence >= sequence && now.since(held.heard) < BULLETIN_LIFETIME
@@ -171,6 +204,7 @@
                 heard,
                 sequence,
                 placed,
+                long_load,
             },
         );
         true
@@ -180,5 +214,9 @@
     pub fn tick(&mut self, now: Timestamp) {
         self.peers
             .retain(|_, peer| now.since(peer.heard) < BULLETIN_LIFETIME);
+        while matches!(self.long_reads.front(), Some((at, _)) if now.since(*at) >= LONG_LOAD_WINDOW)
+        {
+            self.long_reads.pop_front();
+        }
     }
 }
--- a/crates/oleanderpass_gateway/src/patience.rs
+++ b/crates/oleanderpass_gateway/src/patience.rs
@@ -22,8 +22,12 @@
 /// The wait for the next event in gaps of the route, less than the eight after which callers give up.
 const GAPS: u64 = 3;
 
-/// Return the silence after which a server is given up.
-pub fn silence(route: &Route, has_events: bool) -> Millis {
+/// The wait for a first event in expected times: a server whose queue is long is not silent.
+const EXPECTED: u64 = 3;
+
+/// Return the silence after which a server is given up, if its first event is expected after
+/// `expected`.
+pub fn silence(route: &Route, has_events: bool, expected: Millis) -> Millis {
     let gap = route.gap.unwrap_or(Millis::ZERO);
     match route.kind {
         RouteKind::Idempotent | RouteKind::NonIdempotent => route.objective.max(CALL),
@@ -31,7 +35,8 @@
             gap.saturating_mul(GAPS).max(NEXT_EVENT)
         }
         RouteKind::Stream | RouteKind::ResumableStream => {
-            route.objective.saturating_mul(OBJECTIVES).max(FIRST_EVENT)
+            let usual = route.objective.saturating_mul(OBJECTIVES).max(FIRST_EVENT);
+            usual.max(expected.saturating_mul(EXPECTED))
         }
     }
 }
--- a/crates/oleanderpass_gateway/src/peers.rs
+++ b/crates/oleanderpass_gateway/src/peers.rs
@@ -44,6 +44,9 @@
 /// The size of one [`Placed`] in a datagram, at most.
 const PLACED_BYTES: usize = 36;
 
+/// Milliseconds in a second.
+pub(crate) const MS_PER_S: f64 = 1_000.0;
+
 /// The entries in one datagram.
 const MAX_PLACED: usize = MAX_PACKET_BYTES / 2 / PLACED_BYTES;
 
@@ -77,6 +80,8 @@
     pub leaving: Vec<BackendKey>,
     /// Incarnations of backend servers that it could not reach lately.
     pub unreachable: Vec<BackendKey>,
+    /// The engines' worth of reading of its long prompts.
+    pub long_load: f64,
 }
 
 /// The other entry instances.
@@ -189,6 +194,7 @@
             placed,
             leaving,
             unreachable,
+            long_load: f64::from(bulletin.long_read_ms_per_s) / MS_PER_S,
         })
     }
 
--- a/crates/oleanderpass_gateway/src/placement.rs
+++ b/crates/oleanderpass_gateway/src/placement.rs
@@ -97,7 +97,7 @@
 impl Generation {
     /// Return whether it belongs to the short streams: a short pause and a prompt whose reading
     /// doesn't disturb others of its kind.
-    fn is_short(&self) -> bool {
+    pub fn is_short(&self) -> bool {
         self.prompt < LONG_PROMPT && self.gap.is_some_and(|gap| gap <= TIGHT_GAP)
     }
 }
@@ -169,10 +169,11 @@
     engine: &EngineModel,
     candidates: &[Candidate],
     generation: &Generation,
+    long_load: f64,
     rng: &mut impl Rng,
 ) -> Option<Plan> {
     let tight = generation.is_short();
-    let pool = pools::choose(candidates, tight);
+    let pool = pools::choose(candidates, tight, long_load);
     place_in(engine, &pool.engines, generation, rng)
         .or_else(|| place_in(engine, candidates, generation, rng))
 }
@@ -213,11 +214,13 @@
     ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
     let chosen: Vec<&Candidate> = ranked.iter().take(parts).map(|(_, c)| *c).collect();
     let reads = chosen.iter().map(|c| (c.load.unread_ms + part_ms) * c.pace);
-    let expected_ms = reads.fold(0.0, f64::max) + engine.idle_pass_ms();
     let first = match generation.first {
         Some(key) => candidates.iter().find(|c| c.key == key)?,
         None => pick_first(&chosen, need, usable),
     };
+    let waiting = (first.load.in_flight + 1).saturating_sub(first.slots);
+    let slot_ms = NO_SLOT_MS * f64::from(waiting) / f64::from(first.slots.max(1));
+    let expected_ms = reads.fold(0.0, f64::max) + engine.idle_pass_ms() + slot_ms;
     let mut left = need;
     let own_room = usable.saturating_sub(first.load.memory);
     let mut helpers: Vec<Helper> = chosen
--- a/crates/oleanderpass_gateway_io/src/attempt.rs
+++ b/crates/oleanderpass_gateway_io/src/attempt.rs
@@ -54,6 +54,17 @@
     attempt: &'a Attempt,
     events: Cell<bool>,
     ended: Cell<bool>,
+    began: Timestamp,
+    progress: Cell<Progress>,
+}
+
+/// How the events of an attempt arrived, for the log.
+#[derive(Clone, Copy, Debug, Default)]
+struct Progress {
+    events: u64,
+    first_event: Option<Millis>,
+    longest_gap: Millis,
+    last: Option<Timestamp>,
 }
 
 impl Running<'_> {
@@ -62,6 +73,18 @@
             return;
         }
         let node = &self.exchange.node;
+        let progress = self.progress.get();
+        tracing::info!(
+            request = %self.exchange.req.borrow().ask.id,
+            server = %self.attempt.first.id,
+            %end,
+            elapsed_ms = node.now().since(self.began).get(),
+            events = progress.events,
+            first_event_ms = progress.first_event.map(Millis::get),
+            longest_gap_ms = progress.longest_gap.get(),
+            last_event = self.exchange.last_delivered.get(),
+            "an attempt ended"
+        );
         node.gateway.borrow_mut().on_attempt_end(
             node.now(),
             &mut self.exchange.req.borrow_mut(),
@@ -74,8 +97,21 @@
         node.work_changed.notify_one();
     }
 
-    /// Note the first event of the stream.
-    fn on_event(&self) {
+    /// Note whole events of the stream.
+    fn on_events(&self, count: usize) {
+        let now = self.exchange.node.now();
+        let mut progress = self.progress.get();
+        if let Some(last) = progress.last.replace(now) {
+            let gap = now.since(last);
+            progress.longest_gap = progress.longest_gap.max(gap);
+            let pass_ms = gap.get() as f64 / count as f64;
+            let mut gateway = self.exchange.node.gateway.borrow_mut();
+            gateway.on_pass(now, self.attempt.plan.first, pass_ms);
+        } else {
+            progress.first_event = Some(now.since(self.began));
+        }
+        progress.events += count as u64;
+        self.progress.set(progress);
         if self.events.replace(true) {
             return;
         }
@@ -100,7 +136,8 @@
         let began = exchange.node.now();
         let (deadline, limit) = {
             let req = exchange.req.borrow();
-            let limit = patience::silence(&req.admission.route, self.events.get());
+            let expected = Millis::new(self.attempt.plan.expected_ms as u64);
+            let limit = patience::silence(&req.admission.route, self.events.get(), expected);
             (req.ask.deadline + ANSWER_MARGIN, limit)
         };
         let mut patience_end = Some(began + limit).filter(|end| *end < deadline);
@@ -135,6 +172,8 @@
         attempt,
         events: Cell::new(false),
         ended: Cell::new(false),
+        began: exchange.node.now(),
+        progress: Cell::new(Progress::default()),
     };
     let Some(reservations) = reserve(exchange, attempt).await else {
         running.end(AttemptEnd::HelperFailed);
@@ -351,7 +390,6 @@
     let (parts, mut body) = answer.into_parts();
     let last = exchange.last_delivered.get().or(exchange.last_event);
     let mut events = EventSplitter::after(last);
-    let mut last_arrival: Option<Timestamp> = None;
     loop {
         let frame = match running.wait(body.frame()).await {
             Some(Some(Ok(frame))) => frame,
@@ -381,13 +419,7 @@
             AttemptEnd::Broken
         })?;
         if count > 0 {
-            let now = exchange.node.now();
-            if let Some(last) = last_arrival.replace(now) {
-                let pass_ms = now.since(last).get() as f64 / count as f64;
-                let mut gateway = exchange.node.gateway.borrow_mut();
-                gateway.on_pass(now, running.attempt.plan.first, pass_ms);
-            }
-            running.on_event();
+            running.on_events(count);
             reply.begin_stream(parts.status, answer::for_caller(&parts.headers));
             exchange.last_delivered.set(events.last());
             reply.send(Piece::Data(whole)).await;
