Serve first what can still be on time, and refuse at once what its caller won't await

Requests expected past their objective now go behind the others by engine priority; one whose first event is expected after its caller gives up is refused at once.

--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -25,6 +25,8 @@
 use smol_str::SmolStr;
 use strum::Display;
 
+use crate::admission;
+use crate::admission::Turn;
 use crate::backend::Announcement;
 use crate::backend::BackendKey;
 use crate::config::Configuration;
@@ -71,10 +73,6 @@
 /// The instances that share the retry budget until more are known.
 const ASSUMED_INSTANCES: usize = 8;
 
-/// The part of a request's time within which its first event is expected, in hundredths. A request
-/// that is expected later is refused at once.
-const EXPECTED_PERCENT: u64 = 80;
-
 /// The incarnations of leaving servers in one bulletin.
 const MAX_LEAVING: usize = 16;
 
@@ -125,9 +123,13 @@
 
 impl Admission {
     /// Return how urgent the request is for engines; 0 is the most urgent.
-    pub fn engine_priority(&self) -> Option<u8> {
+    pub fn engine_priority(&self, turn: Turn) -> Option<u8> {
         let own = self.organisation.as_ref().and_then(|o| o.priority);
-        let priority = own.unwrap_or(self.route.priority).min(LEAST_URGENT);
+        let priority = own.unwrap_or(self.route.priority).min(LEAST_URGENT - 1);
+        let priority = match turn {
+            Turn::Deferred | Turn::Refused => LEAST_URGENT,
+            Turn::Now => priority,
+        };
         self.route.kind.is_stream().then_some(priority)
     }
 }
@@ -186,6 +188,8 @@
     pub first: Announcement,
     /// The helping engines, in the order of the plan.
     pub helpers: Vec<SocketAddr>,
+    /// How it is served.
+    pub turn: Turn,
 }
 
 /// What to do next with a request.
@@ -611,11 +615,11 @@
         let Some(plan) = self.place(now, req) else {
             return self.end(now, req, Cause::NoCapacity);
         };
-        let left = now.until(req.ask.deadline).get() * EXPECTED_PERCENT / 100;
-        if !req.delivering && plan.expected_ms > left as f64 {
+        let turn = turn(now, req, &plan);
+        if turn == Turn::Refused {
             return self.end(now, req, Cause::NoCapacity);
         }
-        match self.attempt(now, req, plan) {
+        match self.attempt(now, req, plan, turn) {
             Some(attempt) => Next::Send(Box::new(attempt)),
             None => self.end(now, req, Cause::NoCapacity),
         }
@@ -705,7 +709,13 @@
             .collect()
     }
 
-    fn attempt(&mut self, now: Timestamp, req: &mut Request, plan: Plan) -> Option<Attempt> {
+    fn attempt(
+        &mut self,
+        now: Timestamp,
+        req: &mut Request,
+        plan: Plan,
+        turn: Turn,
+    ) -> Option<Attempt> {
         let addr = |key: BackendKey| Some(self.registry.get(key)?.announcement.addr);
         let backend = self.registry.get(plan.first)?;
         let first = backend.announcement.clone();
@@ -724,6 +734,8 @@
             helpers = plan.helpers.len(),
             part_ms = plan.part_ms as u64,
             expected_ms = plan.expected_ms as u64,
+            behind_all_ms = plan.behind_all_ms as u64,
+            %turn,
             peers = self.fleet.live(now).count(),
             "an attempt begins"
         );
@@ -740,6 +752,7 @@
                 gap: req.admission.route.gap,
                 memory: plan.memory,
                 slot: true,
+                deferred: turn == Turn::Deferred,
             },
         );
         for helper in &plan.helpers {
@@ -748,6 +761,7 @@
                 gap: None,
                 memory: helper.reserve.unwrap_or_default(),
                 slot: false,
+                deferred: false,
             };
             self.load.place(helper.key, id, work);
         }
@@ -757,6 +771,7 @@
             plan,
             first,
             helpers,
+            turn,
         })
     }
 
@@ -876,3 +891,14 @@
         self.urgent = true;
     }
 }
+
+/// Decide how a planned attempt is served. A stream that has begun goes on in any case.
+fn turn(now: Timestamp, req: &Request, plan: &Plan) -> Turn {
+    let route = &req.admission.route;
+    if req.delivering || !route.kind.is_stream() {
+        return Turn::Now;
+    }
+    let expected = Millis::new(plan.expected_ms as u64);
+    let behind_all = Millis::new(plan.behind_all_ms as u64);
+    admission::turn(route, expected, behind_all, now.until(req.ask.deadline))
+}
--- a/crates/oleanderpass_gateway/src/lib.rs
+++ b/crates/oleanderpass_gateway/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here reads a clock or a socket: the edges pass events with the time, so that a test can
 //! replay a run exactly. [`gateway::Gateway`] joins the parts.
 
+pub mod admission;
 pub mod backend;
 pub mod config;
 pub mod drain;
--- a/crates/oleanderpass_gateway/src/load.rs
+++ b/crates/oleanderpass_gateway/src/load.rs
@@ -36,6 +36,8 @@
     pub memory: Tokens,
     /// It takes a slot.
     pub slot: bool,
+    /// It waits behind more urgent attempts, until its first event.
+    pub deferred: bool,
 }
 
 /// The work of several attempts at one backend server.
@@ -51,6 +53,8 @@
     pub tight_writers: u32,
     /// KV memory.
     pub memory: Tokens,
+    /// Attempts among those in flight that wait behind more urgent ones.
+    pub deferred: u32,
 }
 
 /// The longest pause at which a stream counts as tight. Longer ones allow a pass in which the engine
@@ -61,6 +65,7 @@
     fn add_work(&mut self, work: &Work) {
         self.unread_ms += work.unread_ms;
         self.in_flight += u32::from(work.slot);
+        self.deferred += u32::from(work.deferred);
         self.memory += work.memory;
         if let Some(gap) = work.gap {
             self.gap = Some(self.gap.map_or(gap, |held| held.min(gap)));
@@ -71,6 +76,7 @@
     fn add(&mut self, other: &Summary) {
         self.unread_ms += other.unread_ms;
         self.in_flight += other.in_flight;
+        self.deferred += other.deferred;
         self.memory += other.memory;
         self.tight_writers += other.tight_writers;
         self.gap = match (self.gap, other.gap) {
@@ -133,6 +139,7 @@
         for key in keys {
             if let Some(work) = self.own.get_mut(&key).and_then(|works| works.get_mut(&id)) {
                 work.unread_ms = 0.0;
+                work.deferred = false;
                 self.changed = true;
             }
         }
--- a/crates/oleanderpass_gateway/src/peers.rs
+++ b/crates/oleanderpass_gateway/src/peers.rs
@@ -294,6 +294,7 @@
         gap_ms: sum.gap.map_or(0, |gap| gap.get() as u32),
         tight_writers: sum.tight_writers,
         memory_tokens: sum.memory.get(),
+        deferred: sum.deferred,
     }
 }
 
@@ -308,6 +309,7 @@
             _ => 0,
         },
         memory: Tokens::new(raw.memory_tokens),
+        deferred: raw.deferred,
     };
     (BackendKey(raw.server), sum)
 }
--- a/crates/oleanderpass_gateway/src/placement.rs
+++ b/crates/oleanderpass_gateway/src/placement.rs
@@ -122,6 +122,8 @@
     pub part_ms: f64,
     /// The expected time to the first event, in milliseconds.
     pub expected_ms: f64,
+    /// The same behind all that waits at the first server, in milliseconds.
+    pub behind_all_ms: f64,
     /// The memory that the first server needs.
     pub memory: Tokens,
 }
@@ -218,9 +220,12 @@
         Some(key) => candidates.iter().find(|c| c.key == key)?,
         None => pick_first(&chosen, need, usable),
     };
+    let read_ms = reads.fold(0.0, f64::max) + engine.idle_pass_ms();
     let waiting = (first.load.in_flight + 1).saturating_sub(first.slots);
-    let slot_ms = NO_SLOT_MS * f64::from(waiting) / f64::from(first.slots.max(1));
-    let expected_ms = reads.fold(0.0, f64::max) + engine.idle_pass_ms() + slot_ms;
+    let urgent = waiting.saturating_sub(first.load.deferred);
+    let slot_ms = |waiting: u32| NO_SLOT_MS * f64::from(waiting) / f64::from(first.slots.max(1));
+    let expected_ms = read_ms + slot_ms(urgent);
+    let behind_all_ms = read_ms + slot_ms(waiting);
     let mut left = need;
     let own_room = usable.saturating_sub(first.load.memory);
     let mut helpers: Vec<Helper> = chosen
@@ -265,6 +270,7 @@
         helpers,
         part_ms,
         expected_ms,
+        behind_all_ms,
         memory: left,
     })
 }
@@ -295,6 +301,7 @@
         helpers: Vec::new(),
         part_ms: 0.0,
         expected_ms: 0.0,
+        behind_all_ms: 0.0,
         memory: Tokens::ZERO,
     })
 }
--- a/crates/oleanderpass_gateway/tests/load.rs
+++ b/crates/oleanderpass_gateway/tests/load.rs
@@ -22,6 +22,7 @@
         gap: Some(Millis::new(250)),
         memory: Tokens::new(6_000),
         slot: true,
+        deferred: false,
     }
 }
 
--- a/crates/oleanderpass_gateway_io/src/attempt.rs
+++ b/crates/oleanderpass_gateway_io/src/attempt.rs
@@ -136,7 +136,7 @@
         let began = exchange.node.now();
         let (deadline, limit) = {
             let req = exchange.req.borrow();
-            let expected = Millis::new(self.attempt.plan.expected_ms as u64);
+            let expected = Millis::new(self.attempt.plan.behind_all_ms as u64);
             let limit = patience::silence(&req.admission.route, self.events.get(), expected);
             (req.ask.deadline + ANSWER_MARGIN, limit)
         };
@@ -450,7 +450,7 @@
         organisation: organisation.map(|organisation| &organisation.id),
         last_event: exchange.last_delivered.get().or(exchange.last_event),
         helpers: &helpers,
-        priority: req.admission.engine_priority(),
+        priority: req.admission.engine_priority(attempt.turn),
     };
     let headers = request::encode(&exchange.headers, &dispatch)?;
     let mut out = Request::new(Full::new(exchange.body.clone()));
