Tell peers of the work at all servers that fit a bulletin

Cause: a bulletin was cut at 14 servers without a log line, less than the parts of one long prompt; on sites with 23 and more engines peers saw part of the work. It now holds what fits three quarters of a datagram, most unread work first. The soak takes the store's keys from the stand-in.

--- a/crates/oleanderpass/tests/soak/fleet.rs
+++ b/crates/oleanderpass/tests/soak/fleet.rs
@@ -210,7 +210,7 @@
     pub(crate) fn announce(&self, index: usize, state: &str) {
         let server = &self.servers[index];
         let entry = announcement(server.service, server.proxy.addr, state, server.born);
-        self.store.put(&format!("servers/{}", server.id), &entry);
+        self.store.list(&server.id, &entry);
     }
 
     /// Let a server come back as a new incarnation.
@@ -223,7 +223,6 @@
     pub(crate) fn configure(&mut self) {
         self.version += 1;
         let keys: Vec<&str> = self.keys.iter().map(String::as_str).collect();
-        self.store
-            .put("op/config", &configuration(self.version, &keys));
+        self.store.publish(&configuration(self.version, &keys));
     }
 }
--- a/crates/oleanderpass_gateway/src/peers.rs
+++ b/crates/oleanderpass_gateway/src/peers.rs
@@ -18,6 +18,7 @@
 use oleanderpass_types::id::InstanceId;
 use oleanderpass_types::id::ZoneId;
 use oleanderpass_types::size::Tokens;
+use prost::Message;
 use rand::Rng;
 
 use crate::backend::BackendKey;
@@ -48,14 +49,12 @@
 /// zone informed while the first is replaced.
 const READERS: usize = 2;
 
-/// The size of one [`Placed`] in a datagram, at most.
-const PLACED_BYTES: usize = 40;
-
 /// Milliseconds in a second.
 pub(crate) const MS_PER_S: f64 = 1_000.0;
 
-/// The entries in one datagram.
-const MAX_PLACED: usize = MAX_PACKET_BYTES / 2 / PLACED_BYTES;
+/// The part of a datagram that entries of work may fill, in bytes. The rest is for servers that leave or
+/// can't be reached and for evidence of crashes.
+const PLACED_BYTES: usize = MAX_PACKET_BYTES * 3 / 4;
 
 /// What a peer said last.
 #[derive(Clone, Debug)]
@@ -257,7 +256,7 @@
         self.sequence = self.sequence.max(self.identity.incarnation.get()) + 1;
         bulletin.sequence = self.sequence;
         bulletin.zone = self.identity.zone.to_string();
-        bulletin.placed = placed.take(MAX_PLACED).map(placed_of).collect();
+        bulletin.placed = fitting(placed);
         let packet = Packet {
             from: self.identity.id.to_string(),
             incarnation: self.identity.incarnation.get(),
@@ -302,6 +301,29 @@
     }
 }
 
+/// Return as much work as a bulletin holds, servers with most to read first.
+fn fitting(placed: impl Iterator<Item = (BackendKey, Summary)>) -> Vec<Placed> {
+    let mut all: Vec<Placed> = placed.map(placed_of).collect();
+    all.sort_by_key(|entry| std::cmp::Reverse(entry.unread_ms));
+    let mut bytes = 0;
+    let held = all
+        .iter()
+        .take_while(|entry| {
+            bytes += entry.encoded_len() + 2;
+            bytes <= PLACED_BYTES
+        })
+        .count();
+    if held < all.len() {
+        tracing::debug!(
+            servers = all.len(),
+            held,
+            "a bulletin holds only part of the work"
+        );
+    }
+    all.truncate(held);
+    all
+}
+
 fn placed_of((key, sum): (BackendKey, Summary)) -> Placed {
     Placed {
         server: key.0,
--- a/crates/oleanderpass_gateway/tests/peers.rs
+++ b/crates/oleanderpass_gateway/tests/peers.rs
@@ -82,3 +82,37 @@
     }
     assert!(instance.is_reader(at(1_110)));
 }
+
+/// Guards against work that peers never hear of because it is spread over many servers.
+#[test]
+fn work_at_thirty_servers_fits_a_bulletin() {
+    let mut one = gateway_named("edge-1", 31);
+    introduce(&mut one, "edge-2");
+    let mut req = begin(&mut one, at(100), "/chat/1", 500_000);
+    attempt(one.next(at(100), &mut req));
+    for _ in 0..12 {
+        let mut req = begin(&mut one, at(100), "/chat/1", 5_000);
+        attempt(one.next(at(100), &mut req));
+    }
+    for _ in 0..3 {
+        let mut req = begin(&mut one, at(100), "/look/1", 0);
+        attempt(one.next(at(100), &mut req));
+    }
+    let mut out = Vec::new();
+    one.on_tick(at(600), &mut out);
+    let bulletin = out
+        .iter()
+        .find_map(|(_, packet)| packet.bulletin.as_ref())
+        .unwrap();
+    assert!(
+        bulletin.placed.len() >= 20,
+        "{} servers",
+        bulletin.placed.len()
+    );
+    let packet = out
+        .iter()
+        .map(|(_, packet)| packet)
+        .find(|p| p.bulletin.is_some())
+        .unwrap();
+    assert!(oleanderpass_membership::packet::fits(packet));
+}
