--- a/crates/oleanderpass_gateway_io/src/frontend.rs
+++ b/crates/oleanderpass_gateway_io/src/frontend.rs
@@ -53,7 +53,8 @@
 /// The smallest head buffer that the HTTP library accepts.
 const MIN_HEAD_BUFFER: u64 = 8_192;
 
-/// The connections of callers at a time. Each takes a descriptor and about 20 KB.
+/// The connections of callers at a time. Each takes a descriptor; backend servers and
+/// peers need the rest of the 4,100.
 const MAX_CONNECTIONS: usize = 2_500;
 
 /// The connections that wait to be accepted.
--- a/crates/oleanderpass_gateway_io/src/logging.rs
+++ b/crates/oleanderpass_gateway_io/src/logging.rs
@@ -16,8 +16,7 @@
 /// The lines that wait while nobody reads them. At about 300 bytes a line they take 600 KB.
 const MAX_WAITING_LINES: usize = 2_000;
 
-/// The most lines a second. It is four times what an instance writes in the heaviest bursts of the
-/// standard days.
+/// The most lines a second. An instance wrote up to 177 in a second of the heaviest recorded day.
 pub const MAX_LINES_PER_S: u32 = 400;
 
 /// The time in which [`MAX_LINES_PER_S`] counts.
