Send short streams to engines with memory for them

Cause, from the instances' log: first events took 520 ms where 142 were expected, at engines with 7 of 12 streams and 53 ms unread. Their memory was taken by a long prompt's stream (190,000 of 197,200 tokens), and placement and the size of the pool looked at slots and unread work only.

--- a/crates/oleanderpass_gateway/src/placement.rs
+++ b/crates/oleanderpass_gateway/src/placement.rs
@@ -35,6 +35,10 @@
 /// The cost of an engine without a free slot, in milliseconds: about the time until one is free.
 const NO_SLOT_MS: f64 = 1_500.0;
 
+/// The cost of an engine that lacks the memory for a whole prompt, in milliseconds: about the time
+/// until a stream with a long prompt ends there.
+const NO_MEMORY_MS: f64 = 1_500.0;
+
 /// The cost of an engine that can't be reached, in milliseconds. Any other engine goes first.
 const AVOIDED_MS: f64 = 20_000.0;
 
@@ -177,7 +181,9 @@
     rng: &mut impl Rng,
 ) -> Option<Plan> {
     let tight = generation.is_short();
-    let pool = pools::choose(candidates, tight, long_load);
+    let need = generation.prompt + generation.output;
+    let most_memory = usable_memory(engine).saturating_sub(need);
+    let pool = pools::choose(candidates, tight, long_load, most_memory);
     place_in(engine, &pool.engines, generation, rng)
         .or_else(|| place_in(engine, candidates, generation, rng))
 }
@@ -209,10 +215,11 @@
     let mut ranked: Vec<(f64, &Candidate)> = candidates
         .iter()
         .map(|c| {
-            (
-                cost(engine, c, part_ms, tight) + rng.random_range(0.0..1.0),
-                c,
-            )
+            let mut cost = cost(engine, c, part_ms, tight) + rng.random_range(0.0..1.0);
+            if parts == 1 && c.load.memory + need > usable {
+                cost += NO_MEMORY_MS;
+            }
+            (cost, c)
         })
         .collect();
     ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
--- a/crates/oleanderpass_gateway/src/pools.rs
+++ b/crates/oleanderpass_gateway/src/pools.rs
@@ -7,6 +7,8 @@
 //! follows the short streams alone feeds on itself: squeezed long prompts slow the streams beside
 //! them, which then last longer and take more engines (mispill trouble-3 after its closing fault).
 
+use oleanderpass_types::size::Tokens;
+
 use crate::placement::Candidate;
 
 /// The part of an engine's slots that streams with short pauses fill before they take another
@@ -56,8 +58,9 @@
 }
 
 /// Return the engines for a generation with a short pause (`tight`) or another one. Engines that are
-/// avoided are left out while there are others.
-pub fn choose(candidates: &[Candidate], tight: bool, long_load: f64) -> Pool {
+/// avoided are left out while there are others. An engine with more than `most_memory` taken has no
+/// memory for the generation.
+pub fn choose(candidates: &[Candidate], tight: bool, long_load: f64, most_memory: Tokens) -> Pool {
     let mut sound: Vec<Candidate> = candidates.iter().filter(|c| !c.avoided).copied().collect();
     if sound.is_empty() {
         sound = candidates.to_vec();
@@ -72,14 +75,15 @@
         };
     }
     let mut short = border.short;
-    while short < border.most && sound[..short].iter().all(is_full) {
+    while short < border.most && sound[..short].iter().all(|c| is_full(c, most_memory)) {
         short += 1;
     }
     sound.truncate(short);
     Pool { engines: sound }
 }
 
-fn is_full(candidate: &Candidate) -> bool {
+fn is_full(candidate: &Candidate, most_memory: Tokens) -> bool {
     candidate.load.in_flight * 100 >= candidate.slots * FULL_PERCENT
         || candidate.load.unread_ms >= FULL_UNREAD_MS
+        || candidate.load.memory > most_memory
 }
--- a/crates/oleanderpass_gateway/tests/placement.rs
+++ b/crates/oleanderpass_gateway/tests/placement.rs
@@ -111,7 +111,7 @@
     let mut candidates = idle(9);
     candidates[0..2].iter_mut().for_each(|c| write_short(c, 11));
     let keys = |candidates: &[Candidate], tight| -> Vec<BackendKey> {
-        let pool = pools::choose(candidates, tight, 1.0);
+        let pool = pools::choose(candidates, tight, 1.0, engine().memory);
         pool.engines.iter().map(|c| c.key).collect()
     };
     let mut other = candidates.clone();
@@ -218,3 +218,20 @@
     assert!(plan.expected_ms < 300.0, "{}", plan.expected_ms);
     assert!(plan.behind_all_ms > 1_000.0, "{}", plan.behind_all_ms);
 }
+
+/// Guards against short streams that wait for memory until a long one ends while other engines have
+/// room (mispill-grown scale-2, seconds 14 and 15: first events after 520 ms at engines with 7 of 12
+/// streams and 50 ms unread).
+#[test]
+fn short_stream_avoids_an_engine_whose_memory_is_taken() {
+    let mut candidates = idle(3);
+    candidates[0].load.memory = Tokens::new(engine().memory.get() * 9 / 10);
+    candidates[0].load.in_flight = 1;
+    let rng = &mut Pcg64Mcg::new(1);
+    let plan = place_generation(&engine(), &candidates, &short(), 0.0, rng).unwrap();
+    assert_ne!(plan.first, candidates[0].key);
+    candidates[1].load.in_flight = 20;
+    candidates[2].load.in_flight = 20;
+    let plan = place_generation(&engine(), &candidates, &short(), 0.0, rng).unwrap();
+    assert_eq!(plan.first, candidates[0].key, "a slot takes longer");
+}
