--- a/crates/oleanderpass_bench/src/lib.rs
+++ b/crates/oleanderpass_bench/src/lib.rs
@@ -1,6 +1,7 @@
 //! Comparison of routing policies over one trace, and decision cost.
 
 pub mod cost;
+pub mod day;
 pub mod engine;
 pub mod fleet;
 pub mod measure;
--- a/crates/oleanderpass_bench/src/main.rs
+++ b/crates/oleanderpass_bench/src/main.rs
@@ -5,6 +5,7 @@
 use clap::Parser;
 use clap::Subcommand;
 use oleanderpass_bench::cost;
+use oleanderpass_bench::day;
 use oleanderpass_bench::pages;
 
 #[derive(Debug, Parser)]
@@ -36,6 +37,15 @@
         #[arg(long, default_value = "docs")]
         docs: PathBuf,
     },
+    /// Draw a day on the platform from the logs of its instances.
+    Day {
+        /// The log lines of all instances, in the order of time.
+        #[arg(value_name = "LOG")]
+        log: PathBuf,
+        /// The directory of the page.
+        #[arg(long, default_value = "target/day")]
+        out: PathBuf,
+    },
     /// Print the memory of one part at one size; `cost` runs this in processes of their own.
     #[command(hide = true)]
     Memory {
@@ -52,6 +62,7 @@
         Command::Goals { seeds } => pages::print_goals(&seeds),
         Command::Cost { docs } => cost::run(&docs),
         Command::Memory { part, size } => cost::print_memory(&part, size),
+        Command::Day { log, out } => day::write(&log, &out),
         Command::Missed => pages::print_missed(),
     }
 }
--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -762,6 +762,7 @@
             store_revision = self.store_revision,
             attempt = req.sent + req.unsent + 1,
             server = %first.id,
+            server_zone = %first.zone,
             standing = %backend.standing,
             listed_ms = now.since(backend.since).get(),
             in_flight = load.in_flight,
