Give each soak seed faults of its own, and more of them

Found by switching mechanisms off in a scratch copy: with "may go again" true for every kind, and with answers without proof accepted, four and eight seeds reported nothing. Causes: the generator keeps only odd states, so neighbouring seeds played the same faults (50 seeds were 25); the route of requests that must not repeat allowed one attempt only; a faulty server got few requests.

--- a/crates/oleanderpass/tests/soak.rs
+++ b/crates/oleanderpass/tests/soak.rs
@@ -15,9 +15,9 @@
 #[path = "soak/run.rs"]
 mod run;
 
-/// The seeds of CI, and those that ever failed. 11, 14, 18, 21, 44, 56 and 58: the stand-in kept reserved
+/// The seeds of CI, and those that ever failed. 5, 7, 9, 10, 22, 28 and 29: the stand-in kept reserved
 /// memory after its lease, which real engines don't, when an instance was killed or its release lost.
-const SEEDS: [u64; 9] = [1, 2, 11, 14, 18, 21, 44, 56, 58];
+const SEEDS: [u64; 9] = [0, 1, 5, 7, 9, 10, 22, 28, 29];
 
 /// The seeds that are played at the same time. Each takes about half a minute, mostly of waiting.
 const PARALLEL: usize = 4;
--- a/crates/oleanderpass/tests/soak/faults.rs
+++ b/crates/oleanderpass/tests/soak/faults.rs
@@ -56,11 +56,14 @@
             format!("store: {mode:?}")
         }
         5 | 6 => {
+            // One server at fault gets few requests in this time.
+            let faulty = fleet.servers.iter().skip(server % 2).step_by(2);
+            let faulty: Vec<_> = faulty.map(|server| server.worker.clone()).collect();
             let mode = *WORKER_MODES.choose(rng).unwrap();
-            fleet.servers[server].worker.set_mode(mode);
+            faulty.iter().for_each(|worker| worker.set_mode(mode));
             tokio::time::sleep(time).await;
-            fleet.servers[server].worker.set_mode(Mode::Good);
-            format!("server {server}: {mode:?}")
+            faulty.iter().for_each(|worker| worker.set_mode(Mode::Good));
+            format!("{} servers: {mode:?}", faulty.len())
         }
         7 => {
             fleet.instances[instance].signal(Signal::KILL);
--- a/crates/oleanderpass/tests/soak/run.rs
+++ b/crates/oleanderpass/tests/soak/run.rs
@@ -67,14 +67,14 @@
 }
 
 async fn play(seed: u64) -> Report {
-    let mut rng = Pcg64Mcg::new(u128::from(seed));
+    let mut rng = generator(seed, 0);
     let mut fleet = Fleet::start(seed).await;
     let records = Records::default();
     let stop = Arc::new(AtomicBool::new(false));
-    let callers: Vec<_> = (0..6)
+    let callers: Vec<_> = (1..=6)
         .map(|number| {
             let addrs: Vec<SocketAddr> = fleet.instances.iter().map(|i| i.callers()).collect();
-            let rng = Pcg64Mcg::new(u128::from(seed * 100 + number));
+            let rng = generator(seed, number);
             tokio::spawn(call(number, addrs, rng, records.clone(), stop.clone()))
         })
         .collect();
@@ -126,6 +126,11 @@
     }
 }
 
+/// Return the generator of one part of a seed. It keeps only odd states, so neighbours would be the same.
+fn generator(seed: u64, part: u64) -> Pcg64Mcg {
+    Pcg64Mcg::new(u128::from(part) << 64 | u128::from(2 * seed + 1))
+}
+
 /// Send one request after the other until told to stop.
 async fn call(
     number: u64,
