--- a/crates/oleanderpass_history/src/world.rs
+++ b/crates/oleanderpass_history/src/world.rs
@@ -158,7 +158,8 @@
             now: 0,
             number: 0,
             queue: BTreeMap::new(),
-            rng: Pcg64Mcg::new(u128::from(seed)),
+            // Only odd states are kept, so neighbouring seeds would give the same history.
+            rng: Pcg64Mcg::new(u128::from(seed) << 1 | 1),
             options,
             history: History::default(),
             nodes,
