--- a/crates/oleanderpass/tests/soak.rs
+++ b/crates/oleanderpass/tests/soak.rs
@@ -1,6 +1,7 @@
 //! Run real instances under random faults and check the promises from outside.
 //!
-//! CI runs the seeds in [`SEEDS`]. `OLEANDERPASS_SOAK=FIRST:COUNT` runs others by hand.
+//! CI runs the seeds in [`SEEDS`]. `OLEANDERPASS_SOAK=FIRST:COUNT` runs others by hand, and
+//! `FIRST:COUNT:PARALLEL` more of them at the same time, each with three processes.
 
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
@@ -24,16 +25,19 @@
 
 #[test]
 fn promises_hold_under_random_faults() {
+    let mut parallel = PARALLEL;
     let seeds: Vec<u64> = match std::env::var("OLEANDERPASS_SOAK") {
         Ok(range) => {
-            let (first, count) = range.split_once(':').unwrap();
-            let first: u64 = first.parse().unwrap();
-            (first..first + count.parse::<u64>().unwrap()).collect()
+            let parts: Vec<u64> = range.split(':').map(|part| part.parse().unwrap()).collect();
+            if let Some(&at_once) = parts.get(2) {
+                parallel = usize::try_from(at_once).unwrap();
+            }
+            (parts[0]..parts[0] + parts[1]).collect()
         }
         Err(_) => SEEDS.to_vec(),
     };
     let mut broken = Vec::new();
-    for group in seeds.chunks(PARALLEL) {
+    for group in seeds.chunks(parallel) {
         let runs: Vec<_> = group
             .iter()
             .map(|&seed| (seed, std::thread::spawn(move || run::run(seed))))
