--- a/crates/oleanderpass_gateway/src/admission.rs
+++ b/crates/oleanderpass_gateway/src/admission.rs
@@ -69,12 +69,12 @@
 /// Older prompts of all instances so go before younger ones.
 const BACKLOG_PERCENT: u64 = 60;
 
-/// The time to a first event that is reckoned with, in hundredths of the expected one. In a run of
+/// The time to a first event that a long prompt allows for, in hundredths of the expected one. In a run of
 /// mispill-grown scale-1 prompts of several parts took 1.0 to 1.6 times as long as expected.
 const ESTIMATE_PERCENT: u64 = 125;
 
-/// The unread time of engines up to which a long prompt is sent that will be late. It must not make
-/// those late that can still be on time.
+/// The unread time of engines up to which a late prompt is sent: a third of [`BACKLOG`], so that
+/// prompts that can be on time go first.
 const LATE_BACKLOG: Millis = Millis::new(100);
 
 /// The part of its callers' patience for which a late prompt waits at most, in hundredths. The rest is
