--- a/crates/oleanderpass_gateway/tests/placement.rs
+++ b/crates/oleanderpass_gateway/tests/placement.rs
@@ -220,8 +220,7 @@
 }
 
 /// Guards against short streams that wait for memory until a long one ends while other engines have
-/// room (mispill-grown scale-2, seconds 14 and 15: first events after 520 ms at engines with 7 of 12
-/// streams and 50 ms unread).
+/// room (phase of short streams after long prompts, mispill-grown scale-2).
 #[test]
 fn short_stream_avoids_an_engine_whose_memory_is_taken() {
     let mut candidates = idle(3);
