Renew reservations only while their request may run

If the request can't complete, the memory is released and the attempt ends. The lease is 2.5 s and is renewed each 0.7 s, so that it ends within the bound even if no release arrives.

Ruled out: a fixed limit on the age of a reservation (it cuts long prefills).

--- a/crates/oleanderpass_gateway/src/lib.rs
+++ b/crates/oleanderpass_gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod placement;
 pub mod pools;
 pub mod registry;
+pub mod reservation;
 pub mod retry_after;
 pub mod route;
 pub mod silence;
--- /dev/null
+++ b/crates/oleanderpass_gateway/src/reservation.rs
@@ -0,0 +1,86 @@
+//! Decide whether memory that helpers reserved for a request stays reserved.
+//!
+//! An engine keeps a reservation when the request that uses it ends. The instance therefore renews
+//! it only while something shows that the request waits or runs at its primary server.
+
+use oleanderpass_types::clock::Millis;
+use oleanderpass_types::clock::Timestamp;
+
+/// The lease of a reservation, from its last renewal. Together with [`RENEWAL_INTERVAL`] it is
+/// shorter than the time within which engines must have their memory back.
+pub const LEASE: Millis = Millis::new(2_500);
+
+/// The interval of renewals. Two may be lost before the lease ends.
+pub const RENEWAL_INTERVAL: Millis = Millis::new(700);
+
+/// The longest time for which a reservation is renewed before a request uses it. It is shorter than
+/// the time after which engines count unused memory as lost.
+const MAX_UNUSED_TIME: Millis = Millis::new(6_000);
+
+/// The number of consecutive reports without use that show the end of the request. A single one may
+/// be from before its start, or from a request that is preempted and prefilled again.
+const ENDED_REPORTS: u32 = 2;
+
+/// What an engine reports about a reservation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReservationState {
+    /// No request uses the memory.
+    Unused,
+    /// A request uses the memory.
+    Used,
+    /// The engine has no such reservation.
+    Missing,
+}
+
+/// What is known about the request of a reservation when a renewal is due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Evidence {
+    /// The primary server has sent events since the last renewal.
+    PrimaryActive,
+    /// The primary server accepts no connections.
+    PrimaryUnreachable,
+    /// The primary server accepts connections, and the helper reports this state.
+    Reported(ReservationState),
+    /// The primary server accepts connections, and the helper sent no report.
+    NoReport,
+}
+
+/// Tracks whether a request uses one reservation.
+#[derive(Clone, Copy, Debug)]
+pub struct ReservationUse {
+    reserved_at: Timestamp,
+    was_used: bool,
+    /// The number of reports without use since the last sign of use.
+    unused_reports: u32,
+}
+
+impl ReservationUse {
+    /// Create the state of a reservation that was granted at `now`.
+    pub fn new(now: Timestamp) -> Self {
+        Self {
+            reserved_at: now,
+            was_used: false,
+            unused_reports: 0,
+        }
+    }
+
+    /// Record the evidence at a due renewal. Return whether the reservation is renewed; if not, the
+    /// request can't complete any more, and the memory is released.
+    pub fn renews(&mut self, now: Timestamp, evidence: Evidence) -> bool {
+        match evidence {
+            Evidence::PrimaryActive | Evidence::Reported(ReservationState::Used) => {
+                self.was_used = true;
+                self.unused_reports = 0;
+                true
+            }
+            Evidence::PrimaryUnreachable => false,
+            Evidence::Reported(state) if self.was_used || state == ReservationState::Missing => {
+                self.unused_reports += 1;
+                self.unused_reports < ENDED_REPORTS
+            }
+            Evidence::Reported(_) | Evidence::NoReport => {
+                self.was_used || now.since(self.reserved_at) < MAX_UNUSED_TIME
+            }
+        }
+    }
+}
--- a/crates/oleanderpass_gateway_io/src/attempt.rs
+++ b/crates/oleanderpass_gateway_io/src/attempt.rs
@@ -35,6 +35,7 @@
 use crate::exchange::build_answer;
 use crate::instance::SharedInstance;
 use crate::metrics::prompt_length_label;
+use crate::reservation;
 use crate::reservation::Reservation;
 
 /// How long to wait for an answer after the deadline of the request. The server ends its work at
@@ -208,15 +209,23 @@
             return Outcome::Undelivered;
         }
     };
-    let result = send(
+    let sending = send(
         exchange,
         attempt,
         &running,
         &mut connection,
         &reservations,
         reply,
-    )
-    .await;
+    );
+    let event_count = || running.progress.get().events;
+    let result = tokio::select! {
+        biased;
+        result = sending => result,
+        // The primary server is gone or has ended the request, so no answer will come.
+        () = reservation::keep(&reservations, attempt.primary.addr, event_count) => {
+            Err(AttemptEnd::Silent)
+        }
+    };
     match result {
         Ok((outcome, end, head)) => {
             running.end(end);
--- a/crates/oleanderpass_gateway_io/src/connection.rs
+++ b/crates/oleanderpass_gateway_io/src/connection.rs
@@ -7,7 +7,11 @@
 use bytes::Bytes;
 use eyre::Result;
 use eyre::WrapErr;
+use eyre::eyre;
+use http::Request;
+use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -39,6 +43,9 @@
 /// no request is sent while the server closes the connection.
 const IDLE_MARGIN: Millis = Millis::new(1_000);
 
+/// The longest body, in bytes, of an answer to an order or of a report.
+const MAX_CALL_ANSWER: usize = 64 * 1024;
+
 /// The most idle connections that are kept for one backend server.
 const MAX_IDLE_PER_SERVER: usize = 16;
 
@@ -86,6 +93,26 @@
     })
 }
 
+/// Send a request on a new connection. Return the HTTP status and the body of the answer.
+///
+/// # Errors
+///
+/// Return the cause if there is no whole answer, or if its body is longer than [`MAX_CALL_ANSWER`].
+pub(crate) async fn call(addr: SocketAddr, req: Request<Full<Bytes>>) -> Result<(u16, Bytes)> {
+    let mut connection = open(addr).await?;
+    let answer = connection
+        .sender
+        .send_request(req)
+        .await
+        .wrap_err("send the request")?;
+    let status = answer.status().as_u16();
+    let body = Limited::new(answer.into_body(), MAX_CALL_ANSWER);
+    match body.collect().await {
+        Ok(body) => Ok((status, body.to_bytes())),
+        Err(error) => Err(eyre!("read the answer: {error}")),
+    }
+}
+
 /// Configure a socket so that its connection ends when the other side doesn't respond.
 fn enable_keepalive(socket: &TcpSocket) -> io::Result<()> {
     let socket = SockRef::from(socket);
--- a/crates/oleanderpass_gateway_io/src/reservation.rs
+++ b/crates/oleanderpass_gateway_io/src/reservation.rs
@@ -1,5 +1,6 @@
 //! Reserve memory on helpers for one attempt, and release it when the attempt ends.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -7,35 +8,33 @@
 use eyre::Result;
 use eyre::WrapErr;
 use http::Request;
-use http_body_util::BodyExt;
 use http_body_util::Full;
+use oleanderpass_gateway::reservation::Evidence;
+use oleanderpass_gateway::reservation::LEASE;
+use oleanderpass_gateway::reservation::RENEWAL_INTERVAL;
+use oleanderpass_gateway::reservation::ReservationState;
+use oleanderpass_gateway::reservation::ReservationUse;
 use oleanderpass_platform::order;
-use oleanderpass_types::clock::Millis;
+use oleanderpass_platform::report;
 use oleanderpass_types::size::Tokens;
 use smol_str::SmolStr;
 
 use crate::connection;
 use crate::instance::SharedInstance;
 
-/// The longest time for which memory stays reserved without a renewal. It is shorter than the time
-/// within which engines must have their memory back after the owner of a reservation has died.
-const MAX_LEASE: Millis = Millis::new(3_000);
-
-/// The interval of renewals. Two may be lost before the lease expires.
-const RENEWAL_INTERVAL: Duration = Duration::from_millis(1_000);
-
 /// The timeout for an order, from opening the connection to the end of the answer.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// The most times that a release is sent. The lease expires soon afterwards anyway.
 const MAX_RELEASE_ATTEMPTS: u32 = 2;
 
-/// Memory reserved on one engine. It is renewed until it is dropped, which releases the memory.
+/// Memory reserved on one engine. It is released when this is dropped.
 pub(crate) struct Reservation {
     instance: SharedInstance,
     addr: SocketAddr,
     id: SmolStr,
-    renewal: tokio::task::AbortHandle,
+    size: Tokens,
+    usage: RefCell<ReservationUse>,
 }
 
 impl Reservation {
@@ -46,32 +45,14 @@
         id: SmolStr,
         size: Tokens,
     ) -> Option<Self> {
-        let lease = MAX_LEASE.min(instance.settings.reservation_max);
-        let order = order::reserve(&id, size, lease).ok()?;
-        let order = Bytes::from(order);
-        let granted = send_order(instance, addr, "reserve", order.clone()).await;
-        let task = {
-            let instance = instance.clone();
-            let id = id.clone();
-            tokio::task::spawn_local(async move {
-                loop {
-                    tokio::time::sleep(RENEWAL_INTERVAL).await;
-                    if !send_order(&instance, addr, "renew", order.clone()).await {
-                        tracing::warn!(
-                            server = %addr,
-                            reservation = %id,
-                            "could not renew a reservation"
-                        );
-                    }
-                }
-            })
-        };
         let reservation = Self {
             instance: instance.clone(),
             addr,
             id,
-            renewal: task.abort_handle(),
+            size,
+            usage: RefCell::new(ReservationUse::new(instance.now())),
         };
+        let granted = send_order(instance, addr, "reserve", reservation.order()?).await;
         tracing::info!(
             server = %addr,
             reservation = %reservation.id,
@@ -88,11 +69,125 @@
     pub(crate) fn id(&self) -> &SmolStr {
         &self.id
     }
+
+    /// Return the order that makes or renews the reservation.
+    fn order(&self) -> Option<Bytes> {
+        let lease = LEASE.min(self.instance.settings.reservation_max);
+        match order::reserve(&self.id, self.size, lease) {
+            Ok(order) => Some(Bytes::from(order)),
+            Err(error) => {
+                tracing::error!(%error, reservation = %self.id, "could not encode an order");
+                None
+            }
+        }
+    }
+
+    /// Renew the reservation if its request may still run. Return whether it is renewed.
+    async fn renew(&self, primary: PrimaryState) -> bool {
+        let evidence = match primary {
+            PrimaryState::Active => Evidence::PrimaryActive,
+            PrimaryState::Unreachable => Evidence::PrimaryUnreachable,
+            PrimaryState::Reachable => match read_state(self.addr, &self.id).await {
+                Ok(state) => Evidence::Reported(state),
+                Err(error) => {
+                    tracing::info!(
+                        server = %self.addr,
+                        reservation = %self.id,
+                        error = format!("{error:#}"),
+                        "could not read the state of a reservation"
+                    );
+                    Evidence::NoReport
+                }
+            },
+        };
+        let renews = (self.usage.borrow_mut()).renews(self.instance.now(), evidence);
+        if !renews {
+            tracing::info!(
+                server = %self.addr,
+                reservation = %self.id,
+                ?evidence,
+                "the request of a reservation has ended"
+            );
+            return false;
+        }
+        let (instance, addr, id) = (self.instance.clone(), self.addr, self.id.clone());
+        if let Some(order) = self.order() {
+            // A helper that doesn't answer must not delay the renewals at the others.
+            tokio::task::spawn_local(async move {
+                if !send_order(&instance, addr, "renew", order).await {
+                    tracing::warn!(
+                        server = %addr,
+                        reservation = %id,
+                        "could not renew a reservation"
+                    );
+                }
+            });
+        }
+        true
+    }
+}
+
+/// What is known about the primary server of an attempt when renewals are due.
+#[derive(Clone, Copy, Debug)]
+enum PrimaryState {
+    /// It has sent events since the last renewal.
+    Active,
+    /// It accepts connections.
+    Reachable,
+    /// It accepts no connections.
+    Unreachable,
+}
+
+/// Renew the reservations of an attempt until its request can no longer complete. `primary` is the
+/// address of its primary server, and `event_count` returns the number of events that the server
+/// has sent. Never return if there are no reservations.
+pub(crate) async fn keep(
+    reservations: &[Option<Reservation>],
+    primary: SocketAddr,
+    event_count: impl Fn() -> u64,
+) {
+    let held: Vec<&Reservation> = reservations.iter().flatten().collect();
+    if held.is_empty() {
+        return std::future::pending().await;
+    }
+    let mut last_count = event_count();
+    loop {
+        tokio::time::sleep(Duration::from(RENEWAL_INTERVAL)).await;
+        let count = event_count();
+        let state = if std::mem::replace(&mut last_count, count) != count {
+            PrimaryState::Active
+        } else if let Err(error) = connection::open(primary).await {
+            tracing::info!(
+                server = %primary,
+                error = format!("{error:#}"),
+                "a primary server accepts no connections"
+            );
+            PrimaryState::Unreachable
+        } else {
+            PrimaryState::Reachable
+        };
+        for reservation in &held {
+            if !reservation.renew(state).await {
+                return;
+            }
+        }
+    }
+}
+
+/// Read the state of a reservation from the report of its engine.
+async fn read_state(addr: SocketAddr, id: &str) -> Result<ReservationState> {
+    let request = Request::get(report::PATH)
+        .header(http::header::HOST, addr.to_string())
+        .body(Full::new(Bytes::new()))?;
+    let call = connection::call(addr, request);
+    let (_, body) = tokio::time::timeout(ORDER_TIMEOUT, call)
+        .await
+        .wrap_err("read a report")??;
+    report::reservation_state(&body, id).wrap_err("decode a report")
 }
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        self.renewal.abort();
         let (instance, addr, id) = (self.instance.clone(), self.addr, self.id.clone());
         tokio::task::spawn_local(async move {
             let order = match order::release(&id) {
@@ -149,21 +244,12 @@
 
 /// Send an order on a new connection. Return the HTTP status of the answer.
 async fn post_order(addr: SocketAddr, order: Bytes) -> Result<u16> {
-    let mut connection = connection::open(addr).await?;
     let req = Request::post(order::PATH)
         .header(http::header::HOST, addr.to_string())
         .header(http::header::CONTENT_TYPE, "application/json")
         .body(Full::new(order))?;
-    let answer = connection
-        .sender
-        .send_request(req)
+    let (status, _) = connection::call(addr, req)
         .await
         .wrap_err("send an order")?;
-    let status = answer.status().as_u16();
-    answer
-        .into_body()
-        .collect()
-        .await
-        .wrap_err("read the answer")?;
     Ok(status)
 }
