--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -184,8 +184,11 @@
 }
 
 impl Request {
-    fn generation(&self) -> GenerationSpec {
+    fn generation(&self, now: Timestamp) -> GenerationSpec {
         GenerationSpec {
+            objective_left: Some(
+                now.until(self.spec.received + self.admission.route.objective),
+            ),
             prompt: self.spec.prompt,
             max_output: self.spec.max_output,
             gap: self.admission.route.gap,
@@ -194,7 +197,7 @@
     }
 
     fn is_short(&self) -> bool {
-        self.generation().is_short()
+        self.generation(self.spec.received).is_short()
     }
 }
 
@@ -755,7 +758,7 @@
         let config = self.config.clone()?;
         match config.engine(service) {
             Some(engine) => {
-                let generation = req.generation();
+                let generation = req.generation(now);
                 let long_prompt_load = self.load.long_prompt_load(now);
                 place_generation(
                     engine,
--- a/crates/oleanderpass_gateway/src/placement.rs
+++ b/crates/oleanderpass_gateway/src/placement.rs
@@ -101,6 +101,8 @@
     pub max_output: Tokens,
     /// The longest pause between events that is on time. `None` if the route sets no limit.
     pub gap: Option<Millis>,
+    /// The time until the objective of the first event.
+    pub objective_left: Option<Millis>,
     /// The engine that must get the request, because it was already sent to as many servers as the
     /// route allows.
     pub required_primary: Option<BackendKey>,
@@ -180,6 +182,34 @@
     cost + engine.step_ms * f64::from(load.in_flight) / f64::from(candidate.slots.max(1))
 }
 
+const OUTPUT_WEIGHT: f64 = 10.0;
+const WRITER_WEIGHT: f64 = 10_000.0;
+const HARM_MS_PER_TOKEN: f64 = 0.01;
+
+/// Return the weight of the streams that an engine decodes and that become late if it prefills
+/// `part_ms` more, in tokens.
+fn harm(engine: &EngineModel, candidate: &Candidate, part_ms: f64) -> f64 {
+    let load = &candidate.load;
+    let Some(gap) = load.gap else { return 0.0 };
+    let gap = gap.get() as f64;
+    let pass = engine.decode_pass_ms() * candidate.slowdown;
+    let before = load.unread_ms * candidate.slowdown + pass;
+    let after = (load.unread_ms + part_ms) * candidate.slowdown + pass;
+    if after > gap && before <= gap {
+        load.memory.get() as f64 + WRITER_WEIGHT * f64::from(load.in_flight)
+    } else {
+        0.0
+    }
+}
+
+fn own_loss(generation: &GenerationSpec, finish_ms: f64) -> f64 {
+    let weight =
+        generation.prompt.get() as f64 + OUTPUT_WEIGHT * generation.max_output.get() as f64;
+    let Some(left) = generation.objective_left else { return 0.0 };
+    let left = (left.get() as f64).max(1.0);
+    weight * ((finish_ms / left - 0.6) / 0.4).clamp(0.0, 1.0)
+}
+
 /// Return the memory of an engine that placement may fill.
 fn usable_memory(engine: &EngineModel) -> Tokens {
     Tokens::new(engine.memory.get() * MEMORY_PERCENT / 100)
@@ -221,26 +251,49 @@
     };
     let min_parts = need.get().div_ceil(usable.get().max(1)) as usize;
     let healthy_count = candidates.iter().filter(|c| !c.avoided).count().max(1);
-    let parts = wanted_parts
+    let max_parts = wanted_parts
         .min(healthy_count)
         .max(min_parts)
         .min(MAX_HELPERS + 1);
-    if parts > candidates.len() {
+    if max_parts > candidates.len() {
         return None;
     }
-    let part_ms = engine.prefill_ms(generation.prompt, parts);
-    let mut ranked: Vec<(f64, &Candidate)> = candidates
-        .iter()
-        .map(|c| {
-            let mut cost = cost(engine, c, part_ms, is_short) + rng.random_range(0.0..1.0);
-            if parts == 1 && c.load.memory + need > usable {
-                cost += NO_MEMORY_COST_MS;
-            }
-            (cost, c)
-        })
-        .collect();
-    ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
-    let chosen: Vec<&Candidate> = ranked.iter().take(parts).map(|(_, c)| *c).collect();
+    let min_parts = if is_short { max_parts } else { min_parts.max(1) };
+    let mut best: Option<(f64, f64, f64, Vec<&Candidate>)> = None;
+    for parts in min_parts..=max_parts {
+        let part_ms = engine.prefill_ms(generation.prompt, parts);
+        let mut ranked: Vec<(f64, &Candidate)> = candidates
+            .iter()
+            .map(|c| {
+                let mut cost = cost(engine, c, part_ms, is_short) + rng.random_range(0.0..1.0);
+                if parts == 1 && c.load.memory + need > usable {
+                    cost += NO_MEMORY_COST_MS;
+                }
+                if !is_short {
+                    cost += harm(engine, c, part_ms) * HARM_MS_PER_TOKEN;
+                }
+                (cost, c)
+            })
+            .collect();
+        ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let chosen: Vec<&Candidate> = ranked.iter().take(parts).map(|(_, c)| *c).collect();
+        let finish = chosen
+            .iter()
+            .map(|c| (c.load.unread_ms + part_ms) * c.slowdown)
+            .fold(0.0, f64::max);
+        let harmed: f64 = chosen.iter().map(|c| harm(engine, c, part_ms)).sum();
+        let lost = harmed + own_loss(generation, finish);
+        let better = best
+            .as_ref()
+            .is_none_or(|(best_lost, best_finish, ..)| {
+                lost < *best_lost - 1.0 || (lost <= *best_lost + 1.0 && finish < *best_finish)
+            });
+        if better {
+            best = Some((lost, finish, part_ms, chosen));
+        }
+    }
+    let (_, _, part_ms, chosen) = best?;
+    let parts = chosen.len();
     let primary = match generation.required_primary {
         Some(key) => candidates.iter().find(|c| c.key == key)?,
         None => choose_primary(&chosen, need, usable),
