Decode the streams of long prompts on few engines

Cause: primaries were chosen by the fewest streams, so every engine soon had one and no engine was left on which a long part makes nothing late.

--- a/crates/oleanderpass_gateway/src/placement.rs
+++ b/crates/oleanderpass_gateway/src/placement.rs
@@ -369,7 +369,7 @@
     let key = |c: &&&Candidate| {
         let free = usable.saturating_sub(c.load.memory);
         let lacking = need.saturating_sub(free);
-        (c.avoided, lacking, c.load.in_flight)
+        (c.avoided, lacking, c.load.in_flight >= c.slots, std::cmp::Reverse(c.load.in_flight))
     };
     chosen.iter().min_by_key(key).unwrap_or(&chosen[0])
 }
