Bound the load that one long prompt counts for

Cause: a prompt of 616,000 tokens takes 44 s of prefill and counted as 17 engines of load for 2.5 s, so one of 14 engines was left to short streams. Change: 10 s of prefill count at most, averaged over 4 s.

--- a/crates/oleanderpass_gateway/src/load.rs
+++ b/crates/oleanderpass_gateway/src/load.rs
@@ -19,7 +19,7 @@
 
 /// The time over which the load of long prompts is averaged. That load changes every ten seconds
 /// (standard days of the benchmark).
-const LOAD_WINDOW: Millis = Millis::new(2_500);
+const LOAD_WINDOW: Millis = Millis::new(4_000);
 
 /// A number that identifies an attempt of this instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -158,7 +158,7 @@
 
     /// Record a long prompt that takes engines `prefill_ms` in total to prefill.
     pub fn record_long_prompt(&mut self, now: Timestamp, prefill_ms: f64) {
-        self.long_prompts.push_back((now, prefill_ms));
+        self.long_prompts.push_back((now, prefill_ms.min(10_000.0)));
     }
 
     /// Return the average number of engines that prefill long prompts of this instance.
