--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -192,7 +192,6 @@
             prompt: self.spec.prompt,
             max_output: self.spec.max_output,
             gap: self.admission.route.gap,
-            latest: Millis::new(now.until(self.spec.deadline).get() * 60 / 100),
             required_primary: self.retry_server,
         }
     }
--- a/crates/oleanderpass_gateway/src/placement.rs
+++ b/crates/oleanderpass_gateway/src/placement.rs
@@ -103,8 +103,6 @@
     pub gap: Option<Millis>,
     /// The time until the objective of the first event.
     pub objective_left: Option<Millis>,
-    /// The latest useful time to the first event, if it is late.
-    pub latest: Millis,
     /// The engine that must get the request, because it was already sent to as many servers as the
     /// route allows.
     pub required_primary: Option<BackendKey>,
@@ -204,12 +202,9 @@
     }
 }
 
-fn own_weight(generation: &GenerationSpec) -> f64 {
-    generation.prompt.get() as f64 + OUTPUT_WEIGHT * generation.max_output.get() as f64
-}
-
 fn own_loss(generation: &GenerationSpec, finish_ms: f64) -> f64 {
-    let weight = own_weight(generation);
+    let weight =
+        generation.prompt.get() as f64 + OUTPUT_WEIGHT * generation.max_output.get() as f64;
     let Some(left) = generation.objective_left else { return 0.0 };
     let left = (left.get() as f64).max(1.0);
     weight * ((finish_ms / left - 0.6) / 0.4).clamp(0.0, 1.0)
@@ -287,14 +282,7 @@
             .map(|c| (c.load.unread_ms + part_ms) * c.slowdown)
             .fold(0.0, f64::max);
         let harmed: f64 = chosen.iter().map(|c| harm(engine, c, part_ms)).sum();
-        let own_lost = own_loss(generation, finish);
-        let lost = harmed + own_lost;
-        let finish = if own_lost >= 1.0 && own_lost >= own_weight(generation) - 1.0 {
-            // Late anyway.
-            finish.max(generation.latest.get() as f64)
-        } else {
-            finish
-        };
+        let lost = harmed + own_loss(generation, finish);
         let better = best
             .as_ref()
             .is_none_or(|(best_lost, best_finish, ..)| {
