Let short streams use engines of long prompts that are not full

Cause: when a phase of short streams follows one of long prompts, engines kept for long prompts stayed idle for six seconds while short streams were refused.

--- a/crates/oleanderpass_gateway/src/pools.rs
+++ b/crates/oleanderpass_gateway/src/pools.rs
@@ -97,7 +97,10 @@
     while short < sizes.max_short && healthy[..short].iter().all(|c| is_full(c, max_memory)) {
         short += 1;
     }
-    healthy.truncate(short);
+    let spare = healthy.split_off(short);
+    if healthy.iter().all(|c| is_full(c, max_memory)) {
+        healthy.extend(spare.into_iter().filter(|c| !is_full(c, max_memory)));
+    }
     Pool { engines: healthy }
 }
 
