Notice slow engines within a second and refuse what they cannot serve

Cause: the shortest pass of two windows of 1.5 s showed a slowdown after up to 3 s, and a prompt that waited for its engines was not checked against its caller's patience.

--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -687,6 +687,13 @@
         let Some(plan) = self.place(now, req) else {
             return self.end_request(now, req, Cause::NoCapacity);
         };
+        let scheduling = schedule(now, req, &plan);
+        if scheduling == Scheduling::Refused {
+            if is_retry {
+                self.budget.refund();
+            }
+            return self.end_request(now, req, Cause::NoCapacity);
+        }
         let is_long = plan.part_ms > 0.0 && !req.is_short();
         if is_long && !req.delivering {
             let backlog = Millis::new(plan.backlog_ms as u64);
@@ -702,10 +709,6 @@
                 return Next::Wait(at);
             }
         }
-        let scheduling = schedule(now, req, &plan);
-        if scheduling == Scheduling::Refused {
-            return self.end_request(now, req, Cause::NoCapacity);
-        }
         match self.begin_attempt(now, req, plan, scheduling) {
             Some(attempt) => Next::Send(Box::new(attempt)),
             None => self.end_request(now, req, Cause::NoCapacity),
--- a/crates/oleanderpass_gateway/src/health.rs
+++ b/crates/oleanderpass_gateway/src/health.rs
@@ -41,7 +41,7 @@
 
 /// The length of one window over which the shortest pass is recorded. It contains at least one pass
 /// without prefill.
-const PASS_WINDOW: Millis = Millis::new(1_500);
+const PASS_WINDOW: Millis = Millis::new(500);
 
 /// The slowdown below which an engine counts as normal. A pass over a full batch takes up to 1.5
 /// times as long as one over an empty batch.
