Send the expected wait as Retry-After

Cause: a refused caller was told to come back after half to all of the objective, however much prefill was pending, and was often refused again. Change: the time after which the request could be on time.

--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -692,7 +692,7 @@
             if is_retry {
                 self.budget.refund();
             }
-            return self.end_request(now, req, Cause::NoCapacity);
+            return self.refuse(now, req, Millis::new(plan.behind_all_ms as u64));
         }
         let is_long = plan.part_ms > 0.0 && !req.is_short();
         if is_long && !req.delivering {
@@ -732,15 +732,35 @@
         Ok(())
     }
 
+    /// Refuse a request whose first event is expected after `expected`, because that is too late.
+    /// Its caller may resend it when the pending prefill has become short enough for the request to
+    /// be on time.
+    fn refuse(&mut self, now: Timestamp, req: &Request, expected: Millis) -> Next {
+        let wait = expected.saturating_sub(req.admission.route.objective);
+        self.end_after(now, req, Cause::NoCapacity, wait)
+    }
+
     /// Choose the status and the wait for a request that ends without success.
     fn end_request(&mut self, now: Timestamp, req: &Request, cause: Cause) -> Next {
-        let status = status(req.worst_execution, cause);
-        let left = now.until(req.spec.deadline);
         let expected = match cause {
             // The objective stands for the time until a server has capacity.
             Cause::NoCapacity => req.admission.route.objective,
             _ => Millis::ZERO,
         };
+        self.end_after(now, req, cause, expected)
+    }
+
+    /// End a request without success. If it did not run, its caller may resend it after about
+    /// `expected`.
+    fn end_after(
+        &mut self,
+        now: Timestamp,
+        req: &Request,
+        cause: Cause,
+        expected: Millis,
+    ) -> Next {
+        let status = status(req.worst_execution, cause);
+        let left = now.until(req.spec.deadline);
         let retry_after = (req.worst_execution == Execution::NotRun && cause != Cause::Quarantined)
             .then(|| retry_after::choose(expected, left, &mut self.rng));
         Next::End {
