Take one failed connection for a lost packet, not for the end of a request

Cause, found by reading the change again: a single failed connection to the primary server ended a request with reserved memory. Change: two signs in a row are needed; the lease is 2.3 s, so that it still ends within 4 s if no release arrives.

--- a/crates/oleanderpass_gateway/src/reservation.rs
+++ b/crates/oleanderpass_gateway/src/reservation.rs
@@ -8,7 +8,7 @@
 
 /// The lease of a reservation, from its last renewal. Together with [`RENEWAL_INTERVAL`] it is
 /// shorter than the time within which engines must have their memory back.
-pub const LEASE: Millis = Millis::new(2_500);
+pub const LEASE: Millis = Millis::new(2_300);
 
 /// The interval of renewals. Two may be lost before the lease ends.
 pub const RENEWAL_INTERVAL: Millis = Millis::new(700);
@@ -17,9 +17,9 @@
 /// the time after which engines count unused memory as lost.
 const MAX_UNUSED_TIME: Millis = Millis::new(6_000);
 
-/// The number of consecutive reports without use that show the end of the request. A single one may
-/// be from before its start, or from a request that is preempted and prefilled again.
-const ENDED_REPORTS: u32 = 2;
+/// The number of consecutive signs that show the end of the request. A single one may be a lost
+/// packet, a report from before the start, or a request that is preempted and prefilled again.
+const SIGNS_OF_END: u32 = 2;
 
 /// What an engine reports about a reservation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,8 +50,8 @@
 pub struct ReservationUse {
     reserved_at: Timestamp,
     was_used: bool,
-    /// The number of reports without use since the last sign of use.
-    unused_reports: u32,
+    /// The number of signs of the end of the request since the last sign of use.
+    signs_of_end: u32,
 }
 
 impl ReservationUse {
@@ -60,7 +60,7 @@
         Self {
             reserved_at: now,
             was_used: false,
-            unused_reports: 0,
+            signs_of_end: 0,
         }
     }
 
@@ -70,17 +70,17 @@
         match evidence {
             Evidence::PrimaryActive | Evidence::Reported(ReservationState::Used) => {
                 self.was_used = true;
-                self.unused_reports = 0;
+                self.signs_of_end = 0;
                 true
             }
-            Evidence::PrimaryUnreachable => false,
-            Evidence::Reported(state) if self.was_used || state == ReservationState::Missing => {
-                self.unused_reports += 1;
-                self.unused_reports < ENDED_REPORTS
+            Evidence::Reported(ReservationState::Unused) if !self.was_used => {
+                now.since(self.reserved_at) < MAX_UNUSED_TIME
             }
-            Evidence::Reported(_) | Evidence::NoReport => {
-                self.was_used || now.since(self.reserved_at) < MAX_UNUSED_TIME
+            Evidence::PrimaryUnreachable | Evidence::Reported(_) => {
+                self.signs_of_end += 1;
+                self.signs_of_end < SIGNS_OF_END
             }
+            Evidence::NoReport => self.was_used || now.since(self.reserved_at) < MAX_UNUSED_TIME,
         }
     }
 }
