Log the shared parts of prompts with attempts and crashes

The logs could not show what the crashes of an incident have in common: a crash names the signatures of the requests in flight, which differ for each request, and not the parts of their prompts. `an attempt begins` and `a backend server crashed while it ran a request` now have the shared parts, and an attempt also has the number of crashes known for its request, so that evidence that was missing can be told from evidence that came too late.

--- a/crates/oleanderpass_gateway/src/crashes.rs
+++ b/crates/oleanderpass_gateway/src/crashes.rs
@@ -12,9 +12,12 @@
 use oleanderpass_quarantine::table::Quarantine;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::clock::Timestamp;
+use oleanderpass_types::id::PromptPartId;
 
 use crate::backend::Announcement;
 use crate::backend::BackendKey;
+use crate::gateway::RequestSpec;
+use crate::gateway::list;
 
 /// The time after a broken request within which its server must be found to be gone. The list of
 /// servers shows it after three missed heartbeats at an interval of 1.2 s.
@@ -36,6 +39,7 @@
     key: BackendKey,
     crash: CrashId,
     signature: Signature,
+    shared_parts: Vec<PromptPartId>,
 }
 
 /// The crash evidence of this instance and its peers.
@@ -53,8 +57,13 @@
         matches!(self.table.rule(now, signature), RunRule::Refused { .. })
     }
 
+    /// Return the number of crashes in which a request with this signature was in flight.
+    pub fn crash_count(&self, now: Timestamp, signature: Signature) -> usize {
+        self.table.crash_count(now, signature)
+    }
+
     /// Record that an attempt at a server broke off.
-    pub fn on_broken(&mut self, now: Timestamp, server: &Announcement, signature: Signature) {
+    pub fn on_broken(&mut self, now: Timestamp, server: &Announcement, spec: &RequestSpec) {
         self.broken.push(BrokenRequest {
             at: now,
             key: server.key(),
@@ -62,7 +71,8 @@
                 server: server.id.clone(),
                 incarnation: server.incarnation,
             },
-            signature,
+            signature: spec.signature,
+            shared_parts: spec.shared_parts.clone(),
         });
     }
 
@@ -79,6 +89,7 @@
                 tracing::warn!(
                     server = %request.crash.server,
                     signature = %request.signature,
+                    parts = %list(&request.shared_parts),
                     age_ms = now.since(request.at).get(),
                     "a backend server crashed while it ran a request"
                 );
--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -13,11 +13,14 @@
 use oleanderpass_types::clock::Timestamp;
 use oleanderpass_types::id::BackendServerId;
 use oleanderpass_types::id::Generation as Version;
+use oleanderpass_types::id::PromptPartId;
 use oleanderpass_types::id::ServiceId;
 use oleanderpass_types::size::Tokens;
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use smol_str::SmolStr;
+use smol_str::SmolStrBuilder;
+use smol_str::ToSmolStr;
 use strum::Display;
 
 use crate::admission;
@@ -148,6 +151,8 @@
     pub prompt: Tokens,
     /// The largest number of tokens that may be generated.
     pub max_output: Tokens,
+    /// The parts of the prompt that other prompts may have too.
+    pub shared_parts: Vec<PromptPartId>,
     /// When the request arrived.
     pub received: Timestamp,
     /// The earlier one of the caller's deadline and the end of the route's timeout.
@@ -835,6 +840,8 @@
             server_zone = %primary.zone,
             standing = %backend.standing,
             listed_ms = now.since(backend.since).get(),
+            parts = %list(&req.spec.shared_parts),
+            crashes = self.crashes.crash_count(now, req.spec.signature),
             in_flight = load.in_flight,
             unread_ms = load.unread_ms as u64,
             tight_writers = load.tight_writers,
@@ -1001,8 +1008,7 @@
             }
             AttemptEnd::Completed => self.crashes.on_finished(now, req.spec.signature),
             AttemptEnd::Broken => {
-                self.crashes
-                    .on_broken(now, &attempt.primary, req.spec.signature);
+                self.crashes.on_broken(now, &attempt.primary, &req.spec);
             }
             _ => {}
         }
@@ -1013,6 +1019,18 @@
     }
 }
 
+/// Format the ids of prompt parts for the log.
+pub(crate) fn list(parts: &[PromptPartId]) -> SmolStr {
+    let mut text = SmolStrBuilder::new();
+    for (index, part) in parts.iter().enumerate() {
+        if index > 0 {
+            text.push(',');
+        }
+        text.push_str(&part.to_smolstr());
+    }
+    text.finish()
+}
+
 /// Decide when a planned attempt is served. Calls with one whole answer and streams that have begun
 /// are always served at once.
 fn schedule(now: Timestamp, req: &Request, plan: &Plan) -> Scheduling {
--- a/crates/oleanderpass_gateway/tests/common/mod.rs
+++ b/crates/oleanderpass_gateway/tests/common/mod.rs
@@ -170,6 +170,7 @@
         key: Some(KEY.into()),
         prompt: Tokens::new(prompt),
         max_output: Tokens::new(1_000),
+        shared_parts: Vec::new(),
         received: now,
         deadline: now + Millis::new(10_000),
         signature: Signature(1),
--- a/crates/oleanderpass_gateway_io/src/frontend.rs
+++ b/crates/oleanderpass_gateway_io/src/frontend.rs
@@ -237,6 +237,7 @@
         key: head.key.clone(),
         prompt: head.prompt,
         max_output: head.max_output,
+        shared_parts: head.shared_parts.clone(),
         received,
         deadline,
         signature: signature(&head, path, &body),
--- a/crates/oleanderpass_quarantine/src/table.rs
+++ b/crates/oleanderpass_quarantine/src/table.rs
@@ -64,6 +64,19 @@
         self.suspects.keys().filter(refused).count()
     }
 
+    /// Return the number of unexpired crashes in which a request with this signature was in flight
+    /// and has not been cleared since.
+    pub fn crash_count(&self, now: Timestamp, sig: Signature) -> usize {
+        let ids = self.suspects.get(&sig);
+        let crashes = ids
+            .into_iter()
+            .flatten()
+            .filter_map(|id| self.crashes.get(id));
+        crashes
+            .filter(|crash| now.since(crash.at) < EVIDENCE_LIFETIME)
+            .count()
+    }
+
     /// Record evidence of a crash from this instance or from a peer.
     ///
     /// Evidence of the same crash is merged: if two instances report different signatures, no
--- a/crates/oleanderpass_types/src/id.rs
+++ b/crates/oleanderpass_types/src/id.rs
@@ -175,6 +175,36 @@
     Generation
 );
 
+/// The id of a part of a prompt that several prompts may have in common.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PromptPartId(u64);
+
+impl PromptPartId {
+    /// Create the id from a number.
+    pub const fn new(value: u64) -> Self {
+        Self(value)
+    }
+
+    /// Return the number.
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for PromptPartId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:08x}", self.0)
+    }
+}
+
+impl FromStr for PromptPartId {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
 /// The id of a request, unique over the fleet: the instance that admitted it, that instance's
 /// incarnation and a number.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/oleanderpass_types/tests/types.rs
+++ b/crates/oleanderpass_types/tests/types.rs
@@ -3,6 +3,7 @@
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::id::Digest;
 use oleanderpass_types::id::OrganisationId;
+use oleanderpass_types::id::PromptPartId;
 use oleanderpass_types::outcome::Outcome;
 use oleanderpass_types::size::Tokens;
 use test_case::test_case;
@@ -29,6 +30,9 @@
 fn sizes_round_trip() {
     assert_eq!("32 tokens".parse(), Ok(Tokens::new(32)));
     assert_eq!(Millis::new(7).to_string().parse(), Ok(Millis::new(7)));
+    let part = PromptPartId::new(0x0bfd_3806);
+    assert_eq!(part.to_string(), "0bfd3806");
+    assert_eq!(part.to_string().parse(), Ok(part));
     let digest = Digest([0xab; 32]);
     assert_eq!(digest.to_string().parse(), Ok(digest));
     assert!("é".repeat(32).parse::<Digest>().is_err());
