Add a failing test of requests that crash servers by a part in common

Callers saw 502 and broken streams while engines crashed one after the other: requests with one part of their prompts in common, otherwise all different, each crashed up to two engines.

The test simulates gateways in virtual time with their datagrams, engines that crash and return, and instances that start late, stand still, are cut off or are replaced one after the other; with 8 and with 295 instances.

--- a/crates/oleanderpass_gateway/tests/common/mod.rs
+++ b/crates/oleanderpass_gateway/tests/common/mod.rs
@@ -3,6 +3,8 @@
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 #![allow(dead_code, reason = "each test file uses only some of the items")]
 
+pub(crate) mod fleet;
+
 use std::net::SocketAddr;
 use std::rc::Rc;
 
