Refuse prompt parts that crash backend servers, over the whole fleet

Cause: quarantine recognises a request by its path, caller and body. Requests that differ in these but have a part of their prompts in common never added up, and each new one crashed up to two engines. The class of fault is evidence that is kept under too narrow a key.

Change: the shared parts of requests whose answer had not begun, or had just begun, are suspects of a crash. Instances tell each other crashes and suspects, and a part with three crashes is refused, checked before each attempt and again before its first byte. An answer that goes on after its start clears its parts of earlier crashes. A crash that a refused part explains doesn't count against the parts of requests that were in flight beside it. One instance tries a refused part again, at growing intervals. Each bulletin names the refused parts and a new peer gets the latest evidence again, so that instances that start, stand still or were cut off learn of them.

Three cases in which servers crash for another reason guard against refusing harmless parts.

Ruled out: lost evidence and a check that comes too early can't explain it alone; no signature was in more than four crashes while 80 engines crashed.

--- a/crates/oleanderpass_gateway/src/crashes.rs
+++ b/crates/oleanderpass_gateway/src/crashes.rs
@@ -4,10 +4,22 @@
 //! close connections. Only when the server is found to be gone does every request that broke off
 //! there become crash evidence.
 
+use oleanderpass_proto::peer::Bulletin;
 use oleanderpass_proto::peer::CrashEvidence;
+use oleanderpass_proto::peer::HarmlessPart;
+use oleanderpass_proto::peer::PartCrash;
+use oleanderpass_proto::peer::RefusedPart;
 use oleanderpass_quarantine::evidence::CrashId;
 use oleanderpass_quarantine::evidence::Evidence;
 use oleanderpass_quarantine::evidence::Signature;
+use oleanderpass_quarantine::parts::CrashReport;
+use oleanderpass_quarantine::parts::HarmlessReport;
+use oleanderpass_quarantine::parts::PartQuarantine;
+use oleanderpass_quarantine::parts::PartReports;
+use oleanderpass_quarantine::parts::PartRule;
+use oleanderpass_quarantine::parts::RefusalReport;
+use oleanderpass_quarantine::parts::START_TIME;
+use oleanderpass_quarantine::parts::ServerRun;
 use oleanderpass_quarantine::rule::RunRule;
 use oleanderpass_quarantine::table::Quarantine;
 use oleanderpass_types::clock::Millis;
@@ -40,12 +52,15 @@
     crash: CrashId,
     signature: Signature,
     shared_parts: Vec<PromptPartId>,
+    /// Whether the answer had not begun or had just begun.
+    at_start: bool,
 }
 
 /// The crash evidence of this instance and its peers.
 #[derive(Debug, Default)]
 pub struct CrashTracker {
     table: Quarantine,
+    parts: PartQuarantine,
     broken: Vec<BrokenRequest>,
     /// Signatures that this instance cleared, and how often they were sent to peers.
     cleared: Vec<(Signature, u32)>,
@@ -57,13 +72,52 @@
         matches!(self.table.rule(now, signature), RunRule::Refused { .. })
     }
 
+    /// Return whether a request with these prompt parts may be sent. `runs_trials` tells whether
+    /// this instance is the one that tries a refused part again.
+    pub fn part_rule(
+        &self,
+        now: Timestamp,
+        parts: &[PromptPartId],
+        runs_trials: impl Fn(PromptPartId) -> bool,
+    ) -> PartRule {
+        self.parts.rule(now, parts, runs_trials)
+    }
+
+    /// Return whether requests with one of these prompt parts are refused.
+    pub fn refuses_part(&self, parts: &[PromptPartId]) -> bool {
+        self.parts.refuses(parts)
+    }
+
+    /// Record that a request with a refused prompt part is sent as a trial.
+    pub fn on_part_trial(&mut self, now: Timestamp, part: PromptPartId) {
+        self.parts.on_trial(now, part);
+    }
+
+    /// Record that an answer went on after its start at `started`. Return whether that clears a
+    /// suspected prompt part.
+    pub fn on_answer_goes_on(
+        &mut self,
+        now: Timestamp,
+        started: Timestamp,
+        parts: &[PromptPartId],
+    ) -> bool {
+        self.parts.on_harmless(now, started, parts)
+    }
+
     /// Return the number of crashes in which a request with this signature was in flight.
     pub fn crash_count(&self, now: Timestamp, signature: Signature) -> usize {
         self.table.crash_count(now, signature)
     }
 
-    /// Record that an attempt at a server broke off.
-    pub fn on_broken(&mut self, now: Timestamp, server: &Announcement, spec: &RequestSpec) {
+    /// Record that an attempt at a server broke off. `first_event` is when the first event of the
+    /// attempt arrived, if one did.
+    pub fn on_broken(
+        &mut self,
+        now: Timestamp,
+        server: &Announcement,
+        spec: &RequestSpec,
+        first_event: Option<Timestamp>,
+    ) {
         self.broken.push(BrokenRequest {
             at: now,
             key: server.key(),
@@ -73,6 +127,7 @@
             },
             signature: spec.signature,
             shared_parts: spec.shared_parts.clone(),
+            at_start: first_event.is_none_or(|at| now.since(at) < START_TIME),
         });
     }
 
@@ -101,6 +156,11 @@
                     age: now.since(request.at),
                 };
                 self.table.on_crash(now, &evidence);
+                if request.at_start {
+                    let server = ServerRun(request.key.0);
+                    let age = now.since(request.at);
+                    self.parts.on_crash(now, server, age, request.shared_parts);
+                }
             }
         }
         crashed
@@ -135,6 +195,38 @@
         }
     }
 
+    /// Apply what a peer's bulletin says of prompt parts.
+    pub fn on_peer_parts(&mut self, now: Timestamp, bulletin: &Bulletin) {
+        let reports = PartReports {
+            crashes: bulletin.part_crashes.iter().map(decode_crash).collect(),
+            harmless: bulletin
+                .harmless_parts
+                .iter()
+                .map(decode_harmless)
+                .collect(),
+            refused: bulletin.refused_parts.iter().map(decode_refusal).collect(),
+        };
+        self.parts.on_reports(now, &reports);
+    }
+
+    /// Send the latest evidence again, because a peer has appeared that may not have it.
+    pub fn on_new_peer(&mut self) {
+        self.parts.on_new_peer();
+    }
+
+    /// Return whether peers have not been told yet of a suspected prompt part.
+    pub fn has_unsent_parts(&self) -> bool {
+        self.parts.has_unsent()
+    }
+
+    /// Add to a bulletin what peers must know of prompt parts, and count it as sent.
+    pub fn report_parts(&mut self, now: Timestamp, bulletin: &mut Bulletin) {
+        let reports = self.parts.next_reports(now, EVIDENCE_REPEATS);
+        bulletin.part_crashes = reports.crashes.iter().map(encode_crash).collect();
+        bulletin.harmless_parts = reports.harmless.iter().map(encode_harmless).collect();
+        bulletin.refused_parts = reports.refused.iter().map(encode_refusal).collect();
+    }
+
     /// Return the evidence and the cleared signatures to send with the next bulletin, and count
     /// them as sent.
     pub fn next_evidence(&mut self, now: Timestamp) -> (Vec<CrashEvidence>, Vec<u64>) {
@@ -153,7 +245,63 @@
     /// Drop evidence and broken requests that have expired.
     pub fn tick(&mut self, now: Timestamp) {
         self.table.tick(now);
+        self.parts.tick(now);
         self.broken
             .retain(|request| now.since(request.at) < CONFIRMATION_WINDOW);
     }
 }
+
+fn encode_crash(report: &CrashReport) -> PartCrash {
+    PartCrash {
+        server: report.server.0,
+        age_ms: report.age.get(),
+        suspects: report.suspects.iter().map(|part| part.get()).collect(),
+    }
+}
+
+fn decode_crash(raw: &PartCrash) -> CrashReport {
+    CrashReport {
+        server: ServerRun(raw.server),
+        age: Millis::new(raw.age_ms),
+        suspects: raw
+            .suspects
+            .iter()
+            .copied()
+            .map(PromptPartId::new)
+            .collect(),
+    }
+}
+
+fn encode_harmless(report: &HarmlessReport) -> HarmlessPart {
+    HarmlessPart {
+        part: report.part.get(),
+        age_ms: report.age.get(),
+    }
+}
+
+fn decode_harmless(raw: &HarmlessPart) -> HarmlessReport {
+    HarmlessReport {
+        part: PromptPartId::new(raw.part),
+        age: Millis::new(raw.age_ms),
+    }
+}
+
+fn encode_refusal(report: &RefusalReport) -> RefusedPart {
+    RefusedPart {
+        part: report.part.get(),
+        crashes: report.crashes,
+        age_ms: report.age.get(),
+        failed_trials: report.failed_trials,
+        was_harmless: report.was_harmless,
+    }
+}
+
+fn decode_refusal(raw: &RefusedPart) -> RefusalReport {
+    RefusalReport {
+        part: PromptPartId::new(raw.part),
+        crashes: raw.crashes,
+        age: Millis::new(raw.age_ms),
+        failed_trials: raw.failed_trials,
+        was_harmless: raw.was_harmless,
+    }
+}
--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -9,10 +9,15 @@
 use oleanderpass_proto::peer::Bulletin;
 use oleanderpass_proto::peer::Packet;
 use oleanderpass_quarantine::evidence::Signature;
+use oleanderpass_quarantine::parts::PartRule;
+use oleanderpass_quarantine::parts::START_TIME;
+use oleanderpass_routing::rendezvous::node_key;
+use oleanderpass_routing::rendezvous::weight;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::clock::Timestamp;
 use oleanderpass_types::id::BackendServerId;
 use oleanderpass_types::id::Generation as Version;
+use oleanderpass_types::id::InstanceId;
 use oleanderpass_types::id::PromptPartId;
 use oleanderpass_types::id::ServiceId;
 use oleanderpass_types::size::Tokens;
@@ -186,6 +191,12 @@
     helper_failures: u32,
     /// The random number that chose the service.
     draw: u32,
+    /// When the first event of the current attempt arrived.
+    first_event: Option<Timestamp>,
+    /// Whether the answer of the current attempt is known to have gone on after its start.
+    goes_on: bool,
+    /// Whether the request tries out a refused part of its prompt.
+    is_part_trial: bool,
 }
 
 impl Request {
@@ -512,6 +523,12 @@
         let Some(update) = update else {
             return;
         };
+        if let Some(bulletin) = &packet.bulletin {
+            self.crashes.on_peer_parts(now, bulletin);
+        }
+        if update.appeared {
+            self.crashes.on_new_peer();
+        }
         let capacity = self.budget_capacity();
         self.budget.set_capacity(capacity);
         let is_newer = self.load.on_bulletin(
@@ -560,10 +577,9 @@
         if !self.fleet.is_due(now, self.bulletin_pending) {
             return;
         }
-        self.bulletin_pending = false;
         let (crashes, cleared) = self.crashes.next_evidence(now);
         let leaving = self.leaving_notices.iter().rev().take(MAX_SERVERS_PER_LIST);
-        let bulletin = Bulletin {
+        let mut bulletin = Bulletin {
             store_revision: self.store_revision,
             config_version: self.config.as_ref().map_or(0, |c| c.version.get()),
             leaving: leaving.map(|(_, key)| key.0).collect(),
@@ -579,12 +595,10 @@
             long_read_ms_per_s: (self.load.own_long_prompt_load(now) * MS_PER_S) as u32,
             ..Bulletin::default()
         };
-        let first = out.len();
+        self.crashes.report_parts(now, &mut bulletin);
+        self.bulletin_pending = self.crashes.has_unsent_parts();
         self.fleet
-            .send_bulletin(now, bulletin, self.load.placed(now), out);
-        for (_, packet) in &mut out[first..] {
-            packet.crashes.clone_from(&crashes);
-        }
+            .send_bulletin(now, bulletin, crashes, self.load.placed(now), out);
     }
 
     /// Return the capacity of this instance's retry budget: an equal share of the slack of all
@@ -645,6 +659,9 @@
             retry_server: None,
             helper_failures: 0,
             draw,
+            first_event: None,
+            goes_on: false,
+            is_part_trial: false,
         };
         let engine = self
             .config
@@ -672,7 +689,7 @@
         if now >= req.spec.deadline {
             return self.end_request(now, req, Cause::Timeout);
         }
-        if self.crashes.refuses(now, req.spec.signature) {
+        if self.crashes.refuses(now, req.spec.signature) || !self.admits_parts(now, req) {
             return self.end_request(now, req, Cause::Quarantined);
         }
         let is_retry = req.sent > 0;
@@ -719,6 +736,35 @@
         }
     }
 
+    /// Return whether no part of the request's prompt is refused, or whether the request is a trial
+    /// of a refused part. A trial is sent to one server only.
+    fn admits_parts(&mut self, now: Timestamp, req: &mut Request) -> bool {
+        if req.is_part_trial {
+            return req.sent == 0 || !self.crashes.refuses_part(&req.spec.shared_parts);
+        }
+        let rule = self.crashes.part_rule(now, &req.spec.shared_parts, |part| {
+            self.runs_trials(now, part)
+        });
+        match rule {
+            PartRule::Allowed => true,
+            PartRule::Refused(_) => false,
+            PartRule::TrialDue(part) => {
+                tracing::info!(request = %req.spec.id, %part, "a refused prompt part is tried again");
+                self.crashes.on_part_trial(now, part);
+                req.is_part_trial = true;
+                true
+            }
+        }
+    }
+
+    /// Return whether this instance is the one of all live instances that tries a refused part
+    /// again.
+    fn runs_trials(&self, now: Timestamp, part: PromptPartId) -> bool {
+        let rank = |id: &InstanceId| (weight(part.get(), node_key(id.as_str())), id.clone());
+        let own = rank(&self.identity.id);
+        self.fleet.live_peers(now).all(|(id, _)| rank(id) < own)
+    }
+
     /// Admit a request again if a newer configuration has come into force. It keeps its service if
     /// the route still sends requests to it.
     fn readmit(&self, now: Timestamp, req: &mut Request) -> Result<(), Rejection> {
@@ -887,6 +933,8 @@
             self.load.add(helper.key, id, helper_load);
         }
         req.tried.push(plan.primary);
+        req.first_event = None;
+        req.goes_on = false;
         Some(Attempt {
             id,
             plan,
@@ -905,7 +953,8 @@
             .registry
             .get(attempt.plan.primary)
             .is_some_and(|backend| backend.standing != Standing::Leaving);
-        now < req.spec.deadline && version == Some(req.admission.version) && usable
+        let parts_allowed = req.is_part_trial || !self.crashes.refuses_part(&req.spec.shared_parts);
+        now < req.spec.deadline && version == Some(req.admission.version) && usable && parts_allowed
     }
 
     /// Record that an attempt is being sent.
@@ -938,6 +987,22 @@
         self.load.on_first_event(attempt.plan.keys(), attempt.id);
     }
 
+    /// Record that events of the current attempt arrived.
+    pub fn on_events(&mut self, now: Timestamp, req: &mut Request) {
+        let first = *req.first_event.get_or_insert(now);
+        if !req.goes_on && now.since(first) >= START_TIME {
+            self.on_answer_goes_on(now, req, first);
+        }
+    }
+
+    /// Record that the answer of the current attempt, which began at `first`, went on after its
+    /// start.
+    fn on_answer_goes_on(&mut self, now: Timestamp, req: &mut Request, first: Timestamp) {
+        req.goes_on = true;
+        let parts = &req.spec.shared_parts;
+        self.bulletin_pending |= self.crashes.on_answer_goes_on(now, first, parts);
+    }
+
     /// Record that no connection to a server can be opened, or that it is no longer listed.
     pub fn on_server_gone(&mut self, now: Timestamp, key: BackendKey) {
         self.bulletin_pending |= self.crashes.on_server_gone(now, key);
@@ -1006,9 +1071,16 @@
                     self.budget.refund();
                 }
             }
-            AttemptEnd::Completed => self.crashes.on_finished(now, req.spec.signature),
+            AttemptEnd::Completed => {
+                self.crashes.on_finished(now, req.spec.signature);
+                if let Some(first) = req.first_event.filter(|_| !req.goes_on) {
+                    self.on_answer_goes_on(now, req, first);
+                }
+            }
             AttemptEnd::Broken => {
-                self.crashes.on_broken(now, &attempt.primary, &req.spec);
+                let first_event = req.first_event;
+                self.crashes
+                    .on_broken(now, &attempt.primary, &req.spec, first_event);
             }
             _ => {}
         }
--- a/crates/oleanderpass_gateway/src/peers.rs
+++ b/crates/oleanderpass_gateway/src/peers.rs
@@ -9,6 +9,7 @@
 use oleanderpass_membership::membership::Output;
 use oleanderpass_membership::packet::MAX_PACKET_BYTES;
 use oleanderpass_proto::peer::Bulletin;
+use oleanderpass_proto::peer::CrashEvidence;
 use oleanderpass_proto::peer::Packet;
 use oleanderpass_proto::peer::Placed;
 use oleanderpass_routing::rendezvous::node_key;
@@ -60,6 +61,8 @@
 /// The latest state that a peer reported.
 #[derive(Clone, Debug)]
 pub struct PeerView {
+    /// Its incarnation.
+    pub incarnation: u64,
     /// The source address of its last bulletin. The peer protocols use the same address.
     pub addr: SocketAddr,
     /// Its availability zone.
@@ -79,6 +82,8 @@
 pub struct PeerUpdate {
     /// The peer that sent it.
     pub from: InstanceId,
+    /// Whether the peer was unknown or silent before, or has started again.
+    pub appeared: bool,
     /// The sequence number, which rises over all incarnations of the peer.
     pub sequence: u64,
     /// The load that the peer has placed on backend servers.
@@ -176,7 +181,12 @@
             return None;
         }
         let zone = bulletin.zone.parse::<ZoneId>().ok()?;
+        let silence_limit = self.silence_limit();
+        let appeared = self.peers.get(&from).is_none_or(|peer| {
+            peer.incarnation != packet.incarnation || now.since(peer.last_heard) >= silence_limit
+        });
         let peer = self.peers.entry(from.clone()).or_insert_with(|| PeerView {
+            incarnation: packet.incarnation,
             addr: source,
             zone: zone.clone(),
             last_heard: now,
@@ -184,6 +194,7 @@
             config_version: 0,
             reads_store: false,
         });
+        peer.incarnation = packet.incarnation;
         peer.addr = source;
         peer.zone = zone;
         peer.last_heard = now;
@@ -201,6 +212,7 @@
             .collect();
         Some(PeerUpdate {
             from,
+            appeared,
             sequence: bulletin.sequence,
             placed,
             leaving,
@@ -250,12 +262,13 @@
         self.interval().saturating_mul(MAX_MISSED_BULLETINS)
     }
 
-    /// Send a bulletin to all members that may be alive. `placed` is the load of this instance on
-    /// each server.
+    /// Send a bulletin with crash evidence to all members that may be alive. `placed` is the load of
+    /// this instance on each server; it fills the space that the rest leaves.
     pub fn send_bulletin(
         &mut self,
         now: Timestamp,
         mut bulletin: Bulletin,
+        crashes: Vec<CrashEvidence>,
         placed: impl Iterator<Item = (BackendKey, BackendLoad)>,
         out: &mut Vec<(SocketAddr, Packet)>,
     ) {
@@ -264,13 +277,20 @@
         self.sequence = self.sequence.max(self.identity.incarnation.get()) + 1;
         bulletin.sequence = self.sequence;
         bulletin.zone = self.identity.zone.to_string();
-        bulletin.placed = fit_into_bulletin(placed);
-        let packet = Packet {
+        let mut packet = Packet {
             from: self.identity.id.to_string(),
             incarnation: self.identity.incarnation.get(),
+            crashes,
             bulletin: Some(Box::new(bulletin)),
             ..Packet::default()
         };
+        // The length of the bulletin may take one byte more with the load.
+        let space = MAX_PACKET_BYTES
+            .saturating_sub(packet.encoded_len() + 1)
+            .min(MAX_PLACED_BYTES);
+        if let Some(bulletin) = &mut packet.bulletin {
+            bulletin.placed = fit_into_bulletin(placed, space);
+        }
         for member in self.membership.live_members() {
             out.push((member.addr, packet.clone()));
         }
@@ -310,8 +330,11 @@
     }
 }
 
-/// Encode as much load as a bulletin has space for, servers with the most pending prefill first.
-fn fit_into_bulletin(placed: impl Iterator<Item = (BackendKey, BackendLoad)>) -> Vec<Placed> {
+/// Encode as much load as fits into `space` bytes, servers with the most pending prefill first.
+fn fit_into_bulletin(
+    placed: impl Iterator<Item = (BackendKey, BackendLoad)>,
+    space: usize,
+) -> Vec<Placed> {
     let mut all: Vec<Placed> = placed.map(encode_placed).collect();
     all.sort_by_key(|entry| std::cmp::Reverse(entry.unread_ms));
     let mut bytes = 0;
@@ -320,7 +343,7 @@
         .take_while(|entry| {
             // Each entry is preceded by one byte for its tag and one for its length.
             bytes += entry.encoded_len() + 2;
-            bytes <= MAX_PLACED_BYTES
+            bytes <= space
         })
         .count();
     if count < all.len() {
--- a/crates/oleanderpass_gateway/tests/common/fleet.rs
+++ b/crates/oleanderpass_gateway/tests/common/fleet.rs
@@ -40,7 +40,7 @@
 /// The number of events of a stream.
 const EVENTS: u32 = 6;
 /// The time until a crashed server is back, in milliseconds.
-const RESTART_MS: u64 = 3_000;
+pub(crate) const RESTART_MS: u64 = 3_000;
 /// The time until an instance notices that a server is gone, in milliseconds.
 const NOTICE_MS: u64 = 2;
 /// The time after a disturbance of an instance from which its sends are judged, in milliseconds.
@@ -85,6 +85,7 @@
         events: u32,
     },
     Gone(usize, BackendKey),
+    Crash(usize),
     Return(usize),
 }
 
@@ -205,6 +206,11 @@
         self.push(at, Event::Fault(instance, fault));
     }
 
+    /// Let a server crash without any request being its cause.
+    pub(crate) fn crash_server(&mut self, at: u64, server: usize) {
+        self.push(at, Event::Crash(server));
+    }
+
     /// Play until `end`, in milliseconds from the start.
     pub(crate) fn run(&mut self, end: u64) {
         while let Some(entry) = self.queue.first_entry() {
@@ -238,7 +244,7 @@
             Event::Tick(instance) | Event::Gone(instance, _) => Some(*instance),
             Event::Deliver { to, .. } => Some(*to),
             Event::Resume(run) | Event::Progress { run, .. } => Some(self.runs[*run].instance),
-            Event::Arrive(_) | Event::Fault(..) | Event::Return(_) => None,
+            Event::Arrive(_) | Event::Fault(..) | Event::Crash(_) | Event::Return(_) => None,
         };
         if let Some(wake) = instance.map(|instance| self.frozen_until[instance])
             && wake > self.now
@@ -262,6 +268,7 @@
                     gateway.on_server_gone(at(self.now), key);
                 }
             }
+            Event::Crash(server) => self.crash(server),
             Event::Return(server) => self.restart_server(server),
         }
     }
@@ -488,6 +495,7 @@
         else {
             return;
         };
+        gateway.on_events(now, &mut run.req);
         if events == 1 {
             gateway.on_first_event(current);
             run.began_at_first |= attempt == 1;
@@ -509,6 +517,9 @@
     }
 
     fn crash(&mut self, server: usize) {
+        if !self.engines[server].up {
+            return;
+        }
         self.crashes.push(self.now);
         let key = self.announcement(server).key();
         let engine = &mut self.engines[server];
--- a/crates/oleanderpass_gateway/tests/crashing_part.rs
+++ b/crates/oleanderpass_gateway/tests/crashing_part.rs
@@ -10,6 +10,7 @@
 use crate::common::fleet::Call;
 use crate::common::fleet::Fault;
 use crate::common::fleet::Fleet;
+use crate::common::fleet::RESTART_MS;
 
 /// The part that crashes servers.
 const CRASHING_PART: u64 = 0xbad;
@@ -25,8 +26,8 @@
 
 /// Schedule harmless requests, each with one of a few first parts. `gap` is the time between two of
 /// them, in milliseconds.
-fn harmless_requests(fleet: &mut Fleet, gap: u64) {
-    for number in 0..LENGTH_MS / gap {
+fn harmless_requests(fleet: &mut Fleet, gap: u64, length: u64) {
+    for number in 0..length / gap {
         let call = Call {
             parts: vec![number % 7],
             crashes: false,
@@ -64,16 +65,11 @@
     let last = fleet.crashes[..fleet.crashes.len().min(KNOWN_CRASHES)]
         .last()
         .unwrap();
-    let judged = fleet
-        .harmless()
-        .filter(|fared| fared.in_touch && fared.at > last + 2 * CONTACT_MS);
-    let (began, all) = judged.fold((0, 0), |(began, all), fared| {
-        (began + u32::from(fared.began_at_first), all + 1)
-    });
+    let (begun, all) = count_begun(fleet, last + 2 * CONTACT_MS, LENGTH_MS);
     assert!(all >= 20, "only {all} harmless requests");
     assert!(
-        2 * began >= all,
-        "{began} of {all} harmless requests began at their first attempt"
+        2 * begun >= all,
+        "{begun} of {all} harmless requests began at their first attempt"
     );
 }
 
@@ -90,7 +86,7 @@
     at_once: u64,
 ) {
     let mut fleet = Fleet::new(instances, engines, &[], 1);
-    harmless_requests(&mut fleet, 30);
+    harmless_requests(&mut fleet, 30, LENGTH_MS);
     crashing_requests(&mut fleet, 1_000, gap, at_once);
     fleet.run(LENGTH_MS);
     check(&fleet);
@@ -104,7 +100,7 @@
 fn disturbed_instance_learns_of_the_part(fault: Fault) {
     let absent: &[usize] = if fault == Fault::Start { &[3] } else { &[] };
     let mut fleet = Fleet::new(8, 14, absent, 2);
-    harmless_requests(&mut fleet, 30);
+    harmless_requests(&mut fleet, 30, LENGTH_MS);
     crashing_requests(&mut fleet, 1_000, 150, 1);
     let begin = if fault == Fault::Start { 9_000 } else { 1_100 };
     fleet.fault(begin, 3, fault);
@@ -112,12 +108,48 @@
     check(&fleet);
 }
 
+/// Return how many of the harmless requests that arrived in this time began at their first attempt,
+/// and how many there were.
+fn count_begun(fleet: &Fleet, from: u64, to: u64) -> (usize, usize) {
+    let judged = fleet
+        .harmless()
+        .filter(|fared| fared.in_touch && fared.at > from && fared.at <= to);
+    judged.fold((0, 0), |(begun, all), fared| {
+        (begun + usize::from(fared.began_at_first), all + 1)
+    })
+}
+
+/// Guards against refusing harmless parts for long after all servers crashed for another reason:
+/// at once, or one after the other. Half of the requests must begin as soon as the servers are
+/// back, and all within the time that instances have to recover.
+#[test_case(0; "all servers at once")]
+#[test_case(70; "one server after the other")]
+#[test_case(400; "slowly one server after the other")]
+fn parts_stay_allowed_when_servers_crash_for_another_reason(gap: u64) {
+    const LENGTH_MS: u64 = 25_000;
+    const RECOVERY_MS: u64 = 12_000;
+    for seed in 0..10 {
+        let mut fleet = Fleet::new(8, 14, &[], seed);
+        harmless_requests(&mut fleet, 30, LENGTH_MS);
+        for server in 0..14 {
+            fleet.crash_server(3_000 + gap * server as u64, server);
+        }
+        fleet.run(LENGTH_MS);
+        let back = fleet.crashes[13] + RESTART_MS;
+        let (begun, all) = count_begun(&fleet, back, LENGTH_MS - 1_000);
+        assert!(2 * begun >= all, "{begun} of {all} began, seed {seed}");
+        let (begun, all) = count_begun(&fleet, back + RECOVERY_MS, LENGTH_MS - 1_000);
+        assert!(all >= 20, "only {all} requests");
+        assert_eq!(begun, all, "requests are still refused, seed {seed}");
+    }
+}
+
 /// Guards against evidence that is lost when instances that hold it are replaced one after the
 /// other.
 #[test]
 fn part_stays_refused_over_restarts_of_all_instances() {
     let mut fleet = Fleet::new(8, 14, &[], 3);
-    harmless_requests(&mut fleet, 30);
+    harmless_requests(&mut fleet, 30, LENGTH_MS);
     crashing_requests(&mut fleet, 1_000, 150, 1);
     for instance in 0..8 {
         fleet.fault(4_000 + 1_200 * instance as u64, instance, Fault::Start);
--- a/crates/oleanderpass_gateway_io/src/attempt.rs
+++ b/crates/oleanderpass_gateway_io/src/attempt.rs
@@ -123,6 +123,9 @@
         }
         progress.events += count as u64;
         self.progress.set(progress);
+        let req = &self.exchange.req;
+        let gateway = &self.exchange.instance.gateway;
+        gateway.borrow_mut().on_events(now, &mut req.borrow_mut());
         if self.has_events.replace(true) {
             return;
         }
--- a/crates/oleanderpass_quarantine/src/lib.rs
+++ b/crates/oleanderpass_quarantine/src/lib.rs
@@ -17,5 +17,6 @@
 //!   clears it, and all suspicion ends [`evidence::EVIDENCE_LIFETIME`] after the crash.
 
 pub mod evidence;
+pub mod parts;
 pub mod rule;
 pub mod table;
--- /dev/null
+++ b/crates/oleanderpass_quarantine/tests/parts.rs
@@ -0,0 +1,180 @@
+//! Guards against prompt parts that crash servers and are not found, and against harmless parts
+//! that stay refused.
+
+use oleanderpass_quarantine::evidence::EVIDENCE_LIFETIME;
+use oleanderpass_quarantine::parts::PartQuarantine;
+use oleanderpass_quarantine::parts::PartReports;
+use oleanderpass_quarantine::parts::PartRule;
+use oleanderpass_quarantine::parts::RefusalReport;
+use oleanderpass_quarantine::parts::ServerRun;
+use oleanderpass_types::clock::Millis;
+use oleanderpass_types::clock::Timestamp;
+use oleanderpass_types::id::PromptPartId;
+use test_case::test_case;
+
+const CRASHING: PromptPartId = PromptPartId::new(0xbad);
+const HARMLESS: PromptPartId = PromptPartId::new(1);
+const REPEATS: u32 = 3;
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(1_000_000 + ms)
+}
+
+/// Record a crash each 300 ms from 0 on, and decide when the last one has settled. Return that
+/// time.
+fn crash(table: &mut PartQuarantine, count: u64, suspects: &[PromptPartId]) -> Timestamp {
+    for number in 0..count {
+        let suspects = suspects.iter().copied();
+        table.on_crash(at(number * 300), ServerRun(number), Millis::ZERO, suspects);
+    }
+    let settled = at(count * 300 + 1_000);
+    table.tick(settled);
+    settled
+}
+
+/// Guards against a part that is refused too early, or not after three crashes.
+#[test_case(2, false)]
+#[test_case(3, true)]
+fn part_is_refused_after_three_crashes(crashes: u64, refused: bool) {
+    let mut table = PartQuarantine::default();
+    let now = crash(&mut table, crashes, &[CRASHING]);
+    assert_eq!(table.refuses(&[HARMLESS, CRASHING]), refused);
+    let rule = table.rule(now, &[CRASHING], |_| false);
+    assert_eq!(rule == PartRule::Refused(CRASHING), refused);
+}
+
+/// Guards against refusing a part that was only in flight beside the one that crashes servers.
+#[test]
+fn explained_crashes_do_not_count_against_other_parts() {
+    let mut table = PartQuarantine::default();
+    crash(&mut table, 3, &[HARMLESS, CRASHING]);
+    table.on_crash(at(900), ServerRun(9), Millis::ZERO, [CRASHING]);
+    table.tick(at(2_000));
+    assert!(table.refuses(&[CRASHING]));
+    assert!(!table.refuses(&[HARMLESS]));
+}
+
+/// Guards against clearing a part by an answer that began before its crashes, and against refusing
+/// one of which an answer began after them.
+#[test_case(100, true; "before the last crashes")]
+#[test_case(700, false; "after all crashes")]
+fn answer_clears_the_crashes_before_its_start(started: u64, refused: bool) {
+    let mut table = PartQuarantine::default();
+    let now = crash(&mut table, 4, &[CRASHING]);
+    assert!(table.refuses(&[CRASHING]));
+    table.on_harmless(now, at(started), &[CRASHING]);
+    assert_eq!(table.refuses(&[CRASHING]), refused);
+}
+
+/// Guards against evidence of an old crash that arrives late and makes a cleared part a suspect
+/// again.
+#[test]
+fn late_evidence_does_not_count_against_a_harmless_part() {
+    let mut table = PartQuarantine::default();
+    table.on_harmless(at(2_000), at(1_500), &[HARMLESS]);
+    for number in 0..5 {
+        let age = Millis::new(1_000 + number * 10);
+        table.on_crash(at(2_100), ServerRun(number), age, [HARMLESS]);
+    }
+    table.tick(at(4_000));
+    assert!(!table.refuses(&[HARMLESS]));
+    let reports = table.next_reports(at(4_000), REPEATS);
+    assert_eq!(reports.harmless.len(), 1, "peers are not told");
+}
+
+/// Guards against a peer that goes on reporting a part as refused although it was cleared.
+#[test]
+fn report_of_a_cleared_part_is_answered() {
+    let mut table = PartQuarantine::default();
+    table.on_harmless(at(2_000), at(1_500), &[HARMLESS]);
+    let report = RefusalReport {
+        part: HARMLESS,
+        crashes: 3,
+        age: Millis::new(1_000),
+        failed_trials: 0,
+        was_harmless: false,
+    };
+    let reports = PartReports {
+        refused: vec![report],
+        ..PartReports::default()
+    };
+    table.on_reports(at(2_100), &reports);
+    assert!(!table.refuses(&[HARMLESS]));
+    assert_eq!(table.next_reports(at(2_200), REPEATS).harmless.len(), 1);
+}
+
+/// Guards against an instance without evidence that ignores what its peers refuse, and against one
+/// that refuses for ever what no peer reports any more.
+#[test]
+fn reported_refusal_holds_while_peers_repeat_it() {
+    let mut table = PartQuarantine::default();
+    let mut peer = PartQuarantine::default();
+    let now = crash(&mut peer, 3, &[CRASHING]);
+    let reports = PartReports {
+        crashes: Vec::new(),
+        ..peer.next_reports(now, REPEATS)
+    };
+    table.on_reports(now, &reports);
+    assert!(table.refuses(&[CRASHING]));
+    let later = now + Millis::new(9_000);
+    table.tick(later);
+    assert!(table.refuses(&[CRASHING]));
+    assert_eq!(
+        table.next_reports(later, REPEATS).refused,
+        [],
+        "an instance repeats what it only heard"
+    );
+    table.tick(now + Millis::new(11_000));
+    assert!(!table.refuses(&[CRASHING]));
+}
+
+/// Guards against a part that stays refused for ever, and against trials by several instances or
+/// at a constant rate, which crash one server each.
+#[test]
+fn trials_are_made_by_one_instance_at_growing_intervals() {
+    let mut table = PartQuarantine::default();
+    let mut now = crash(&mut table, 3, &[CRASHING]);
+    let mut trials = Vec::new();
+    let start = now;
+    for number in 0..2_000 {
+        now = start + Millis::new(number * 500);
+        table.tick(now);
+        assert_eq!(
+            table.rule(now, &[CRASHING], |_| false),
+            PartRule::Refused(CRASHING)
+        );
+        if table.rule(now, &[CRASHING], |_| true) == PartRule::TrialDue(CRASHING) {
+            table.on_trial(now, CRASHING);
+            table.on_crash(now, ServerRun(100 + number), Millis::ZERO, [CRASHING]);
+            trials.push(now.since(start).get() / 1_000);
+        }
+        if trials.len() == 3 {
+            break;
+        }
+    }
+    let gaps: Vec<u64> = trials.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    assert!(trials[0] >= 50, "first trial after {} s", trials[0]);
+    assert!(gaps[0] >= 2 * 60 && gaps[1] >= 2 * gaps[0], "{trials:?}");
+}
+
+/// Guards against evidence that never expires and against tables that grow without bound.
+#[test]
+fn evidence_expires_and_is_bounded() {
+    let mut table = PartQuarantine::default();
+    for number in 0..2_000 {
+        let suspects = (0..200).map(|part| PromptPartId::new(number * 200 + part));
+        table.on_crash(at(number), ServerRun(number), Millis::ZERO, suspects);
+    }
+    let mut crashes = 0;
+    loop {
+        let reports = table.next_reports(at(3_000), REPEATS);
+        if reports.crashes.is_empty() {
+            break;
+        }
+        crashes += reports.crashes.len();
+        assert!(crashes < 256 * 64, "unbounded evidence");
+    }
+    table.tick(at(3_000) + EVIDENCE_LIFETIME);
+    table.on_new_peer();
+    assert!(table.next_reports(at(3_000), REPEATS).crashes.is_empty());
+}
