Treat an unframed stream without any event as broken off

An answer, a stream too, may come with neither a length nor chunks and end with its connection. A stream that ended after the head and before its first event was delivered as a whole, empty success: callers would have seen an empty 200 when an engine crashed right after it had sent its head.

Without framing the end of the connection is the only end, so the attempt now counts as broken if no event arrived, and the connection isn't kept.

--- a/crates/oleanderpass_gateway_io/src/attempt.rs
+++ b/crates/oleanderpass_gateway_io/src/attempt.rs
@@ -363,7 +363,7 @@
     check_answer(exchange, attempt, &head)?;
     let kind = exchange.req.borrow().admission.route.kind;
     if answer.status().is_success() && kind.is_stream() {
-        let end = relay(exchange, running, answer, reply).await?;
+        let end = relay(exchange, running, &head, answer, reply).await?;
         return Ok((Outcome::Delivered(head.status), end, head));
     }
     let (parts, body) = answer.into_parts();
@@ -461,6 +461,7 @@
 async fn relay(
     exchange: &Exchange,
     running: &RunningAttempt<'_>,
+    head: &AnswerHead,
     answer: Response<Incoming>,
     reply: &mut Reply,
 ) -> Result<AttemptEnd, AttemptEnd> {
@@ -479,6 +480,11 @@
                 );
                 return Err(AttemptEnd::Broken);
             }
+            // Without framing, a stream that ends before its first event can't be told from one
+            // that was cut.
+            Some(None) if head.ends_with_connection && !running.has_events.get() => {
+                return Err(AttemptEnd::Broken);
+            }
             Some(None) if events.is_at_boundary() => break,
             Some(None) => return Err(AttemptEnd::Broken),
             None => return Err(end_without_answer(exchange)),
