Prefer the part further back when several always came together

A test with real connections showed that an instance refused the first part of the prompts in place of the one that crashed the engines: both had been in flight in all crashes, no answer had cleared either, and the choice followed the id. Other callers with the same first part got 502.

Of parts with the same evidence the one further back in the prompt is chosen now, because fewer other prompts have it; if it was the wrong one, the next crashes without it move the choice.

--- a/crates/oleanderpass_quarantine/src/parts.rs
+++ b/crates/oleanderpass_quarantine/src/parts.rs
@@ -583,7 +583,8 @@
 
     /// Return the parts that are refused by own evidence: the one with the most crashes first, and
     /// then those that have enough crashes which no part before them explains. A part of which an
-    /// answer was written before comes last.
+    /// answer was written before comes last. Of parts that always came together, the one further
+    /// back in the prompt comes first, because fewer other prompts have it.
     fn refused_by_evidence(&self, now: Timestamp) -> IndexMap<PromptPartId, Refusal> {
         let mut refused = IndexMap::new();
         let mut explained: IndexSet<ServerRun> = IndexSet::new();
@@ -596,12 +597,13 @@
                 .filter_map(|(part, servers)| {
                     let evidence = self.evidence(now, *part, servers, &explained)?;
                     let refusal = evidence.refusal;
-                    let rank = (!refusal.was_harmless, evidence.settled, *part);
+                    let position = self.position(*part, servers);
+                    let rank = (!refusal.was_harmless, evidence.settled, position, *part);
                     let suffices = evidence.suffices(!refused.is_empty());
                     suffices.then_some((rank, refusal))
                 })
                 .max_by_key(|(rank, _)| *rank);
-            let Some(((_, _, part), refusal)) = worst else {
+            let Some(((.., part), refusal)) = worst else {
                 return refused;
             };
             refused.insert(part, refusal);
@@ -609,6 +611,13 @@
         }
     }
 
+    /// Return the position of a part among the suspects of its first crash, which are in the order
+    /// of their prompts.
+    fn position(&self, part: PromptPartId, servers: &IndexSet<ServerRun>) -> Option<usize> {
+        let crash = self.crashes.get(servers.first()?)?;
+        crash.suspects.get_index_of(&part)
+    }
+
     /// Return the evidence against a part that is a suspect of the crashes of these servers, apart
     /// from `explained` ones. `None` if there is no other.
     fn evidence(
--- a/crates/oleanderpass_quarantine/tests/parts.rs
+++ b/crates/oleanderpass_quarantine/tests/parts.rs
@@ -54,6 +54,30 @@
     assert!(!table.refuses(&[HARMLESS]));
 }
 
+/// Guards against refusing the first part of a prompt, which many harmless prompts have too, when
+/// no answer shows yet which one of its parts crashes servers.
+#[test]
+fn part_further_back_is_refused_if_parts_always_came_together() {
+    let first = PromptPartId::new(0xffff);
+    let mut table = PartQuarantine::default();
+    crash(&mut table, 4, &[first, CRASHING]);
+    assert!(table.refuses(&[CRASHING]));
+    assert!(!table.refuses(&[first]));
+}
+
+/// Guards against a wrong first choice that is kept although later crashes contradict it.
+#[test]
+fn choice_follows_the_evidence() {
+    let other = PromptPartId::new(2);
+    let mut table = PartQuarantine::default();
+    crash(&mut table, 4, &[CRASHING, other]);
+    assert!(table.refuses(&[other]));
+    table.on_crash(at(1_300), ServerRun(9), Millis::ZERO, [CRASHING, HARMLESS]);
+    table.tick(at(2_500));
+    assert!(table.refuses(&[CRASHING]));
+    assert!(!table.refuses(&[other]));
+}
+
 /// Guards against clearing a part by an answer that began before its crashes, and against refusing
 /// one of which an answer began after them.
 #[test_case(100, true; "before the last crashes")]
