Count a server whose address another one has as gone

A crash counts as evidence only when the server is found gone. If a new server has the address before the instance checks it, the connection succeeds, and the crash showed only when the entry lapsed, seconds later. A 421 to a request that names the old server says the same at once, so it confirms the crash now.

answer_of_another_server_confirms_a_crash failed before and passes now.

--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -1003,7 +1003,8 @@
         self.bulletin_pending |= self.crashes.on_answer_goes_on(now, first, parts);
     }
 
-    /// Record that no connection to a server can be opened, or that it is no longer listed.
+    /// Record that no connection to a server can be opened, that another server has its address, or
+    /// that it is no longer listed.
     pub fn on_server_gone(&mut self, now: Timestamp, key: BackendKey) {
         self.bulletin_pending |= self.crashes.on_server_gone(now, key);
     }
@@ -1052,7 +1053,7 @@
             | AttemptEnd::HelperFailed
             | AttemptEnd::Cancelled => None,
         };
-        if end == AttemptEnd::NotSent {
+        if matches!(end, AttemptEnd::NotSent | AttemptEnd::WrongServer) {
             self.on_server_gone(now, attempt.plan.primary);
         }
         if let Some(observation) = observation {
--- a/crates/oleanderpass_gateway/tests/gateway.rs
+++ b/crates/oleanderpass_gateway/tests/gateway.rs
@@ -117,6 +117,31 @@
     assert_eq!(status(gateway.next(at(400), &mut req)), 502);
 }
 
+/// Guards against missing a crash because a new server has the address before the instance checks
+/// it. The list of servers shows the change only seconds later.
+#[test]
+fn answer_of_another_server_confirms_a_crash() {
+    let mut gateway = gateway(6);
+    for number in 0..3 {
+        let now = at(number * 100);
+        let mut req = begin(&mut gateway, now, "/chat/1", 5_000);
+        let crashed = attempt(gateway.next(now, &mut req));
+        gateway.on_sent(&mut req, &crashed);
+        gateway.on_attempt_end(now, &mut req, &crashed, AttemptEnd::Broken);
+        let mut other = begin(&mut gateway, now, "/chat/2", 5_000);
+        other.spec.signature = Signature(2);
+        let mut misdirected = attempt(gateway.next(now, &mut other));
+        misdirected.plan.primary = crashed.plan.primary;
+        gateway.on_attempt_end(now, &mut other, &misdirected, AttemptEnd::WrongServer);
+        // The next request gets another server.
+        let mut entry = crashed.primary;
+        entry.state = AnnouncedState::Draining;
+        gateway.on_entry(now, entry.id.clone(), 50 + number, Some(entry));
+    }
+    let mut req = begin(&mut gateway, at(400), "/chat/1", 5_000);
+    assert_eq!(status(gateway.next(at(400), &mut req)), 502);
+}
+
 /// Guards against quarantining a harmless request for ten minutes because its answers from three
 /// servers were lost.
 #[test]
