Log and show the limits on request rates that back ends name

An answer may name the requests per second that its server accepts from all instances together. The instance forwarded the header and didn't read it, so neither logs nor /status could tell an unread limit from one that each instance keeps to by itself. The limit is decoded into a rate, its changes are logged, an attempt begins with the known limit in its line, and /status lists it. Nothing is decided by it yet.

--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -20,6 +20,7 @@
 use oleanderpass_types::id::InstanceId;
 use oleanderpass_types::id::PromptPartId;
 use oleanderpass_types::id::ServiceId;
+use oleanderpass_types::size::RequestRate;
 use oleanderpass_types::size::Tokens;
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
@@ -60,6 +61,7 @@
 use crate::registry::Standing;
 use crate::retry_after;
 use crate::route::Route;
+use crate::server_limits::ServerLimits;
 
 /// The number of attempts without a sent byte after which a request ends.
 const MAX_UNSENT: u32 = 5;
@@ -293,6 +295,7 @@
     health: IndexMap<BackendKey, Health>,
     fleet: Fleet,
     crashes: CrashTracker,
+    server_limits: ServerLimits,
     budget: RetryBudget,
     /// The number of attempts so far, which numbers the next one.
     attempts: u64,
@@ -330,6 +333,7 @@
             load: LoadTracker::default(),
             health: IndexMap::new(),
             crashes: CrashTracker::default(),
+            server_limits: ServerLimits::default(),
             budget: RetryBudget::default(),
             attempts: 0,
             store_revision: 0,
@@ -888,6 +892,7 @@
             listed_ms = now.since(backend.since).get(),
             parts = %list(&req.spec.shared_parts),
             crashes = self.crashes.crash_count(now, req.spec.signature),
+            limit_per_s = self.server_limits.get(plan.primary).map(|(rate, _)| rate.per_second()),
             in_flight = load.in_flight,
             unread_ms = load.unread_ms as u64,
             tight_writers = load.tight_writers,
@@ -982,6 +987,28 @@
         route.kind.may_repeat() && req.sent < route.max_attempts && !self.budget.is_empty()
     }
 
+    /// Record the limit on its request rate that a server named in an answer, or `None` if it named
+    /// none.
+    pub fn on_server_limit(&mut self, now: Timestamp, key: BackendKey, rate: Option<RequestRate>) {
+        let previous = self.server_limits.get(key).map(|(rate, _)| rate);
+        if previous != rate
+            && let Some(backend) = self.registry.get(key)
+        {
+            tracing::info!(
+                server = %backend.announcement.id,
+                rate_per_s = rate.map(RequestRate::per_second),
+                previous_per_s = previous.map(RequestRate::per_second),
+                "a backend server changed the limit on its request rate"
+            );
+        }
+        self.server_limits.on_answer(now, key, rate);
+    }
+
+    /// Return the limits on their request rates that servers named.
+    pub fn server_limits(&self) -> &ServerLimits {
+        &self.server_limits
+    }
+
     /// Record that the first event of an attempt arrived.
     pub fn on_first_event(&mut self, attempt: &Attempt) {
         self.load.on_first_event(attempt.plan.keys(), attempt.id);
--- a/crates/oleanderpass_gateway/src/lib.rs
+++ b/crates/oleanderpass_gateway/src/lib.rs
@@ -21,5 +21,6 @@
 pub mod reservation;
 pub mod retry_after;
 pub mod route;
+pub mod server_limits;
 pub mod silence;
 pub(crate) mod split;
--- a/crates/oleanderpass_gateway_io/src/attempt.rs
+++ b/crates/oleanderpass_gateway_io/src/attempt.rs
@@ -361,6 +361,13 @@
     };
     let head = answer::decode(answer.status().as_u16(), answer.headers());
     check_answer(exchange, attempt, &head)?;
+    if head.status != answer::WRONG_SERVER {
+        instance.gateway.borrow_mut().on_server_limit(
+            instance.now(),
+            attempt.plan.primary,
+            head.rate_limit,
+        );
+    }
     let kind = exchange.req.borrow().admission.route.kind;
     if answer.status().is_success() && kind.is_stream() {
         let end = relay(exchange, running, &head, answer, reply).await?;
--- a/crates/oleanderpass_gateway_io/src/internal_http.rs
+++ b/crates/oleanderpass_gateway_io/src/internal_http.rs
@@ -97,10 +97,14 @@
         gateway.store_revision(),
         gateway.fleet().live_peers(now).count(),
     );
-    for (_, backend) in gateway.registry().iter() {
+    for (key, backend) in gateway.registry().iter() {
+        let limit = gateway.server_limits().get(key);
+        let limit = limit.map_or_else(String::new, |(rate, named)| {
+            format!(" limit {rate}/s named {} ago", now.since(named))
+        });
         let entry = &backend.announcement;
         text += &format!(
-            "server: {} {} {} {} for {}\n",
+            "server: {} {} {} {} for {}{limit}\n",
             entry.id,
             entry.service,
             entry.zone,
--- a/crates/oleanderpass_types/src/size.rs
+++ b/crates/oleanderpass_types/src/size.rs
@@ -1,4 +1,4 @@
-//! Count tokens and bytes.
+//! Count tokens, bytes and requests per second.
 
 use std::fmt;
 use std::num::ParseIntError;
@@ -95,3 +95,56 @@
         Self(bytes.0.div_ceil(BYTES_PER_TOKEN))
     }
 }
+
+/// A rate of requests, in thousandths of a request per second.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestRate(u32);
+
+impl RequestRate {
+    /// Create the rate from thousandths of a request per second.
+    pub const fn from_thousandths(thousandths: u32) -> Self {
+        Self(thousandths)
+    }
+
+    /// Return the rate in thousandths of a request per second.
+    pub const fn thousandths(self) -> u32 {
+        self.0
+    }
+
+    /// Return the rate in requests per second.
+    pub fn per_second(self) -> f64 {
+        f64::from(self.0) / 1_000.0
+    }
+}
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:03}", self.0 / 1_000, self.0 % 1_000)
+    }
+}
+
+/// A text that is not a rate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct InvalidRate;
+
+impl fmt::Display for InvalidRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a rate is a decimal number of requests per second that is not negative")
+    }
+}
+
+impl std::error::Error for InvalidRate {}
+
+impl FromStr for RequestRate {
+    type Err = InvalidRate;
+
+    /// Parse a decimal number of requests per second. Digits beyond the third decimal are dropped.
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let rate: f64 = text.trim().parse().map_err(|_| InvalidRate)?;
+        if rate.is_finite() && rate >= 0.0 {
+            Ok(Self((rate * 1_000.0) as u32))
+        } else {
+            Err(InvalidRate)
+        }
+    }
+}
