Add a failing test of limits on request rates that back ends name

The test uses the simulated fleet: servers name limits from 0 to 10 requests/s to 8 or 295 instances, some of which start, stand still or are cut off; the limits must also be used, be lifted when no longer named, and be remembered while nothing is sent.

--- a/crates/oleanderpass_gateway/tests/common/fleet.rs
+++ b/crates/oleanderpass_gateway/tests/common/fleet.rs
@@ -20,6 +20,7 @@
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::id::Incarnation;
 use oleanderpass_types::id::PromptPartId;
+use oleanderpass_types::size::RequestRate;
 use oleanderpass_types::size::Tokens;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -87,6 +88,7 @@
     Gone(usize, BackendKey),
     Crash(usize),
     Return(usize),
+    Limit(usize, Option<RequestRate>),
 }
 
 /// A request that reached a server.
@@ -94,6 +96,8 @@
 pub(crate) struct Sent {
     /// When, in milliseconds from the start.
     pub(crate) at: u64,
+    /// The instance that sent it.
+    pub(crate) instance: usize,
     /// The server.
     pub(crate) server: usize,
     /// Whether the request crashes servers.
@@ -131,6 +135,8 @@
     up: bool,
     incarnation: u64,
     runs: Vec<usize>,
+    /// The limit on its request rate that it names in its answers.
+    limit: Option<RequestRate>,
 }
 
 /// Gateways, servers and the events between them.
@@ -151,6 +157,9 @@
     pub(crate) sent: Vec<Sent>,
     /// When servers crashed, in milliseconds from the start.
     pub(crate) crashes: Vec<u64>,
+    /// When an instance first got an answer of a server that named a limit, in milliseconds from
+    /// the start.
+    pub(crate) told: BTreeMap<(usize, usize), u64>,
 }
 
 fn addr_of(instance: usize) -> SocketAddr {
@@ -182,12 +191,14 @@
                     up: true,
                     incarnation: 1,
                     runs: Vec::new(),
+                    limit: None,
                 })
                 .collect(),
             runs: Vec::new(),
             revision: 10,
             sent: Vec::new(),
             crashes: Vec::new(),
+            told: BTreeMap::new(),
         };
         for instance in (0..instances).filter(|instance| !absent.contains(instance)) {
             fleet.start(instance);
@@ -211,6 +222,11 @@
         self.push(at, Event::Crash(server));
     }
 
+    /// Let a server name a limit on its request rate, or none any more.
+    pub(crate) fn limit(&mut self, at: u64, server: usize, limit: Option<RequestRate>) {
+        self.push(at, Event::Limit(server, limit));
+    }
+
     /// Play until `end`, in milliseconds from the start.
     pub(crate) fn run(&mut self, end: u64) {
         while let Some(entry) = self.queue.first_entry() {
@@ -244,7 +260,11 @@
             Event::Tick(instance) | Event::Gone(instance, _) => Some(*instance),
             Event::Deliver { to, .. } => Some(*to),
             Event::Resume(run) | Event::Progress { run, .. } => Some(self.runs[*run].instance),
-            Event::Arrive(_) | Event::Fault(..) | Event::Crash(_) | Event::Return(_) => None,
+            Event::Arrive(_)
+            | Event::Fault(..)
+            | Event::Crash(_)
+            | Event::Return(_)
+            | Event::Limit(..) => None,
         };
         if let Some(wake) = instance.map(|instance| self.frozen_until[instance])
             && wake > self.now
@@ -269,6 +289,7 @@
                 }
             }
             Event::Crash(server) => self.crash(server),
+            Event::Limit(server, limit) => self.engines[server].limit = limit,
             Event::Return(server) => self.restart_server(server),
         }
     }
@@ -458,6 +479,7 @@
             run.attempt = Some(attempt);
             let sent = Sent {
                 at: self.now,
+                instance,
                 server,
                 crashes: run.call.crashes,
                 in_touch: self.calm_since[instance] == 0
@@ -497,6 +519,12 @@
         };
         gateway.on_events(now, &mut run.req);
         if events == 1 {
+            let limit = self.engines[run.server].limit;
+            gateway.on_server_limit(now, current.plan.primary, limit);
+            if limit.is_some() {
+                let key = (run.instance, run.server);
+                self.told.entry(key).or_insert(self.now);
+            }
             gateway.on_first_event(current);
             run.began_at_first |= attempt == 1;
         }
