Keep the fleet within the limits on request rates that back ends name

Cause: the header with the limit was forwarded to callers and read by nobody. The class of fault is a signal of a back end that the protocol defines and the instance passes by. Ruled out: a limit that each instance keeps to by itself; nothing decoded it.

Change: instances tell each other the latest word of each server on its limit. Rendezvous hashing chooses a few instances for each limited server, which share its rate in equal parts and save one request at most; the others send it nothing. No instance needs to know what the others have sent, so the bound holds at any fleet size, and instances that have just started begin without a saved request. The number of shares follows from the published allowance. A request that no server may get now waits if a share allows it within its objective, and is refused at once otherwise, with the wait as Retry-After. A limit holds until the server answers without one; a server with the limit 0 gets a request now and then, because only an answer shows the change. A retry that found no server gives its budget back now.

--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -8,6 +8,7 @@
 use oleanderpass_membership::membership::Identity;
 use oleanderpass_proto::peer::Bulletin;
 use oleanderpass_proto::peer::Packet;
+use oleanderpass_proto::peer::ServerLimit as RawServerLimit;
 use oleanderpass_quarantine::evidence::Signature;
 use oleanderpass_quarantine::parts::PartRule;
 use oleanderpass_quarantine::parts::START_TIME;
@@ -61,6 +62,8 @@
 use crate::registry::Standing;
 use crate::retry_after;
 use crate::route::Route;
+use crate::server_limits::Allowance;
+use crate::server_limits::LimitReport;
 use crate::server_limits::ServerLimits;
 
 /// The number of attempts without a sent byte after which a request ends.
@@ -233,6 +236,8 @@
     pub scheduling: Scheduling,
     /// Whether a retry was withdrawn from the retry budget for the attempt.
     pub is_retry: bool,
+    /// Whether the attempt was counted against a limit on the request rate of the server.
+    pub counts_against_limit: bool,
 }
 
 /// What to do next with a request.
@@ -500,6 +505,7 @@
                 ChangeKind::Removed => {
                     self.on_server_gone(now, change.key);
                     self.health.swap_remove(&change.key);
+                    self.server_limits.remove(change.key);
                 }
                 ChangeKind::Vanished => self.on_server_gone(now, change.key),
                 ChangeKind::Listed => {}
@@ -529,6 +535,9 @@
         };
         if let Some(bulletin) = &packet.bulletin {
             self.crashes.on_peer_parts(now, bulletin);
+            for limit in &bulletin.server_limits {
+                self.server_limits.on_report(now, &decode_limit(limit));
+            }
         }
         if update.appeared {
             self.crashes.on_new_peer();
@@ -565,6 +574,10 @@
             self.health.values_mut().for_each(|h| h.decay(elapsed));
             self.load.tick(now);
             self.crashes.tick(now);
+            let own = node_key(self.identity.id.as_str());
+            let peers = self.fleet.live_peers(now);
+            let peers: Vec<u64> = peers.map(|(id, _)| node_key(id.as_str())).collect();
+            self.server_limits.tick(now, own, &peers);
             let mut changes = Vec::new();
             self.registry.tick(now, &mut changes);
             self.apply_changes(now, &changes);
@@ -600,6 +613,8 @@
             ..Bulletin::default()
         };
         self.crashes.report_parts(now, &mut bulletin);
+        let limits = self.server_limits.next_reports(now);
+        bulletin.server_limits = limits.iter().map(encode_limit).collect();
         self.bulletin_pending = self.crashes.has_unsent_parts();
         self.fleet
             .send_bulletin(now, bulletin, crashes, self.load.placed(now), out);
@@ -710,7 +725,7 @@
             return self.end_request(now, req, Cause::AttemptFailed);
         }
         let Some(plan) = self.place(now, req) else {
-            return self.end_request(now, req, Cause::NoCapacity);
+            return self.wait_for_limit(now, req, is_retry);
         };
         let scheduling = schedule(now, req, &plan);
         if scheduling == Scheduling::Refused {
@@ -769,6 +784,32 @@
         self.fleet.live_peers(now).all(|(id, _)| rank(id) < own)
     }
 
+    /// Decide what to do with a request that no server may get now. It waits if the limit of a
+    /// server allows it in time.
+    fn wait_for_limit(&mut self, now: Timestamp, req: &Request, is_retry: bool) -> Next {
+        if is_retry {
+            self.budget.refund();
+        }
+        let usable = self.registry.usable(now, &req.admission.service);
+        let waits = usable.filter_map(|(key, _)| match self.server_limits.allowance(now, key) {
+            Allowance::After(wait) => Some(wait),
+            Allowance::Unlimited | Allowance::Now | Allowance::Never => None,
+        });
+        let Some(wait) = waits.min() else {
+            return self.end_request(now, req, Cause::NoCapacity);
+        };
+        let route = &req.admission.route;
+        let latest = if req.delivering {
+            now + route.gap.unwrap_or_default()
+        } else {
+            req.spec.received + route.objective
+        };
+        if now + wait <= latest {
+            return Next::Wait(now + wait);
+        }
+        self.end_after(now, req, Cause::NoCapacity, wait)
+    }
+
     /// Admit a request again if a newer configuration has come into force. It keeps its service if
     /// the route still sends requests to it.
     fn readmit(&self, now: Timestamp, req: &mut Request) -> Result<(), Rejection> {
@@ -849,7 +890,12 @@
         let engine = self.config.as_ref().and_then(|c| c.engine(service));
         // Without a cost model, as for plain services, the slowdown is always 1.
         let decode_pass_ms = engine.map_or(f64::MAX, EngineModel::decode_pass_ms);
+        let may_send = |key| {
+            let allowance = self.server_limits.allowance(now, key);
+            matches!(allowance, Allowance::Unlimited | Allowance::Now)
+        };
         usable
+            .filter(|(key, _)| may_send(*key))
             .map(|(key, backend)| {
                 let zone = &backend.announcement.zone;
                 let health = self.health.get(&key);
@@ -940,6 +986,7 @@
         req.tried.push(plan.primary);
         req.first_event = None;
         req.goes_on = false;
+        let counts_against_limit = self.server_limits.take(now, plan.primary);
         Some(Attempt {
             id,
             plan,
@@ -947,6 +994,7 @@
             helpers,
             scheduling,
             is_retry: req.sent > 0,
+            counts_against_limit,
         })
     }
 
@@ -959,7 +1007,13 @@
             .get(attempt.plan.primary)
             .is_some_and(|backend| backend.standing != Standing::Leaving);
         let parts_allowed = req.is_part_trial || !self.crashes.refuses_part(&req.spec.shared_parts);
-        now < req.spec.deadline && version == Some(req.admission.version) && usable && parts_allowed
+        let within_limit = attempt.counts_against_limit
+            || self.server_limits.allowance(now, attempt.plan.primary) == Allowance::Unlimited;
+        now < req.spec.deadline
+            && version == Some(req.admission.version)
+            && usable
+            && parts_allowed
+            && within_limit
     }
 
     /// Record that an attempt is being sent.
@@ -1001,7 +1055,7 @@
                 "a backend server changed the limit on its request rate"
             );
         }
-        self.server_limits.on_answer(now, key, rate);
+        self.bulletin_pending |= self.server_limits.on_answer(now, key, rate);
     }
 
     /// Return the limits on their request rates that servers named.
@@ -1094,6 +1148,9 @@
         match end {
             AttemptEnd::NotSent | AttemptEnd::StaleConnection => {
                 req.unsent += 1;
+                if attempt.counts_against_limit {
+                    self.server_limits.refund(now, attempt.plan.primary);
+                }
                 // No server received the request, so the retry added no load.
                 if attempt.is_retry {
                     self.budget.refund();
@@ -1119,6 +1176,24 @@
     }
 }
 
+fn encode_limit(report: &LimitReport) -> RawServerLimit {
+    RawServerLimit {
+        server: report.key.0,
+        lifted: report.rate.is_none(),
+        rate_thousandths: report.rate.map_or(0, RequestRate::thousandths),
+        age_ms: report.age.get(),
+    }
+}
+
+fn decode_limit(raw: &RawServerLimit) -> LimitReport {
+    let rate = RequestRate::from_thousandths(raw.rate_thousandths);
+    LimitReport {
+        key: BackendKey(raw.server),
+        rate: (!raw.lifted).then_some(rate),
+        age: Millis::new(raw.age_ms),
+    }
+}
+
 /// Format the ids of prompt parts for the log.
 pub(crate) fn list(parts: &[PromptPartId]) -> SmolStr {
     let mut text = SmolStrBuilder::new();
--- a/crates/oleanderpass_gateway/tests/server_limits.rs
+++ b/crates/oleanderpass_gateway/tests/server_limits.rs
@@ -4,9 +4,15 @@
 
 mod common;
 
+use oleanderpass_gateway::backend::BackendKey;
+use oleanderpass_gateway::server_limits::Allowance;
+use oleanderpass_gateway::server_limits::LimitReport;
+use oleanderpass_gateway::server_limits::ServerLimits;
+use oleanderpass_types::clock::Millis;
 use oleanderpass_types::size::RequestRate;
 use test_case::test_case;
 
+use crate::common::at;
 use crate::common::fleet::CONTACT_MS;
 use crate::common::fleet::Call;
 use crate::common::fleet::Fault;
@@ -179,3 +185,63 @@
         check(&fleet, server, rate(500));
     }
 }
+
+const KEY: BackendKey = BackendKey(7);
+
+fn report(rate: Option<RequestRate>, age: u64) -> LimitReport {
+    LimitReport {
+        key: KEY,
+        rate,
+        age: Millis::new(age),
+    }
+}
+
+/// Guards against an old report of a peer that replaces what the server said later.
+#[test]
+fn newer_answer_wins() {
+    let mut limits = ServerLimits::default();
+    limits.on_answer(at(5_000), KEY, Some(rate(1_000)));
+    limits.on_report(at(5_100), &report(Some(rate(9_000)), 500));
+    assert_eq!(limits.get(KEY), Some((rate(1_000), at(5_000))));
+    limits.on_report(at(6_000), &report(None, 500));
+    assert_eq!(limits.get(KEY), None);
+    limits.on_report(at(6_100), &report(Some(rate(1_000)), 1_000));
+    assert_eq!(limits.get(KEY), None, "an old report restored a limit");
+    assert_eq!(limits.allowance(at(6_100), KEY), Allowance::Unlimited);
+}
+
+/// Guards against a request that is counted although it was not sent, and against saving more than
+/// one request.
+#[test]
+fn request_that_was_not_sent_is_given_back() {
+    let mut limits = ServerLimits::default();
+    limits.on_answer(at(0), KEY, Some(rate(1_000)));
+    assert_eq!(limits.allowance(at(0), KEY), Allowance::Never);
+    limits.tick(at(0), 1, &[]);
+    assert_eq!(
+        limits.allowance(at(400), KEY),
+        Allowance::After(Millis::new(600))
+    );
+    assert_eq!(limits.allowance(at(60_000), KEY), Allowance::Now);
+    assert!(limits.take(at(60_000), KEY));
+    assert_ne!(limits.allowance(at(60_000), KEY), Allowance::Now);
+    limits.refund(at(60_000), KEY);
+    assert_eq!(limits.allowance(at(60_000), KEY), Allowance::Now);
+    assert!(!limits.take(at(60_000), BackendKey(8)), "no limit is named");
+}
+
+/// Guards against limits that don't fit a bulletin and are never sent.
+#[test]
+fn bulletins_take_turns_to_name_limits() {
+    let mut limits = ServerLimits::default();
+    for key in 0..100 {
+        limits.on_answer(at(0), BackendKey(key), Some(rate(1_000)));
+    }
+    let mut named = std::collections::BTreeSet::new();
+    for _ in 0..7 {
+        let reports = limits.next_reports(at(0));
+        assert!(reports.len() <= 16);
+        named.extend(reports.iter().map(|report| report.key));
+    }
+    assert_eq!(named.len(), 100);
+}
