--- a/crates/oleanderpass/tests/soak.rs
+++ b/crates/oleanderpass/tests/soak.rs
@@ -6,6 +6,8 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
+#[path = "soak/back_ends.rs"]
+mod back_ends;
 #[path = "soak/check.rs"]
 mod check;
 #[path = "soak/faults.rs"]
--- a/crates/oleanderpass/tests/soak/fleet.rs
+++ b/crates/oleanderpass/tests/soak/fleet.rs
@@ -117,7 +117,7 @@
     pub(crate) stand_in: BackendServer,
     pub(crate) proxy: Proxy,
     /// The incarnation in its entry (`born`).
-    incarnation: u64,
+    pub(crate) incarnation: u64,
 }
 
 /// The instances and stand-ins of one run.
--- a/crates/oleanderpass/tests/soak/run.rs
+++ b/crates/oleanderpass/tests/soak/run.rs
@@ -15,6 +15,7 @@
 use rand_pcg::Pcg64Mcg;
 use rustix::process::Signal;
 
+use crate::back_ends;
 use crate::check;
 use crate::check::CallRecord;
 use crate::faults;
@@ -105,6 +106,7 @@
     }
     fleet.wait_until_ready().await;
     check_configuration(&mut fleet, &mut violations).await;
+    back_ends::check(&mut fleet, &mut rng, &mut violations).await;
     check_recovery(&fleet, &mut violations).await;
     check_planned_stop(&mut fleet, &records, &mut violations).await;
     tokio::time::sleep(RELEASE_BOUND).await;
