Ask for more evidence before a prompt part is refused

Causes and changes: one request that was retried counted as three crashes of its parts, so two different requests are needed, and three moments, or five crashes of three different requests at one moment; instances knew only crashes with suspects, so a part seemed to explain most of them, and now crashes without suspects are kept and told too; a part that only some instances knew to be harmless waited 60 s for its trial, and now peers tell that, and trials begin after 1 s for such parts and 10 s for others; a peer's report that was taken back was kept for 10 s, now 2 s. A bulletin that gets too long drops entries that are sent again later.

--- a/crates/oleanderpass_gateway/src/crashes.rs
+++ b/crates/oleanderpass_gateway/src/crashes.rs
@@ -8,6 +8,7 @@
 use oleanderpass_proto::peer::CrashEvidence;
 use oleanderpass_proto::peer::HarmlessPart;
 use oleanderpass_proto::peer::PartCrash;
+use oleanderpass_proto::peer::PartSuspect;
 use oleanderpass_proto::peer::RefusedPart;
 use oleanderpass_quarantine::evidence::CrashId;
 use oleanderpass_quarantine::evidence::Evidence;
@@ -20,6 +21,7 @@
 use oleanderpass_quarantine::parts::RefusalReport;
 use oleanderpass_quarantine::parts::START_TIME;
 use oleanderpass_quarantine::parts::ServerRun;
+use oleanderpass_quarantine::parts::Suspect;
 use oleanderpass_quarantine::rule::RunRule;
 use oleanderpass_quarantine::table::Quarantine;
 use oleanderpass_types::clock::Millis;
@@ -156,11 +158,14 @@
                     age: now.since(request.at),
                 };
                 self.table.on_crash(now, &evidence);
-                if request.at_start {
-                    let server = ServerRun(request.key.0);
-                    let age = now.since(request.at);
-                    self.parts.on_crash(now, server, age, request.shared_parts);
-                }
+                let suspects = request.shared_parts.iter().map(|part| Suspect {
+                    part: *part,
+                    request: request.signature,
+                });
+                let suspects = suspects.filter(|_| request.at_start);
+                let server = ServerRun(request.key.0);
+                let age = now.since(request.at);
+                self.parts.on_crash(now, server, age, suspects);
             }
         }
         crashed
@@ -252,23 +257,26 @@
 }
 
 fn encode_crash(report: &CrashReport) -> PartCrash {
+    let suspects = report.suspects.iter().map(|suspect| PartSuspect {
+        part: suspect.part.get(),
+        request: suspect.request.0,
+    });
     PartCrash {
         server: report.server.0,
         age_ms: report.age.get(),
-        suspects: report.suspects.iter().map(|part| part.get()).collect(),
+        suspects: suspects.collect(),
     }
 }
 
 fn decode_crash(raw: &PartCrash) -> CrashReport {
+    let suspects = raw.suspects.iter().map(|suspect| Suspect {
+        part: PromptPartId::new(suspect.part),
+        request: Signature(suspect.request),
+    });
     CrashReport {
         server: ServerRun(raw.server),
         age: Millis::new(raw.age_ms),
-        suspects: raw
-            .suspects
-            .iter()
-            .copied()
-            .map(PromptPartId::new)
-            .collect(),
+        suspects: suspects.collect(),
     }
 }
 
--- a/crates/oleanderpass_gateway/src/peers.rs
+++ b/crates/oleanderpass_gateway/src/peers.rs
@@ -8,6 +8,7 @@
 use oleanderpass_membership::membership::Membership;
 use oleanderpass_membership::membership::Output;
 use oleanderpass_membership::packet::MAX_PACKET_BYTES;
+use oleanderpass_membership::packet::fits_datagram;
 use oleanderpass_proto::peer::Bulletin;
 use oleanderpass_proto::peer::CrashEvidence;
 use oleanderpass_proto::peer::Packet;
@@ -284,6 +285,7 @@
             bulletin: Some(Box::new(bulletin)),
             ..Packet::default()
         };
+        fit_into_datagram(&mut packet);
         // The length of the bulletin may take one byte more with the load.
         let space = MAX_PACKET_BYTES
             .saturating_sub(packet.encoded_len() + 1)
@@ -330,6 +332,23 @@
     }
 }
 
+/// Remove entries of lists that peers get again with later bulletins, until a packet fits into a
+/// datagram.
+fn fit_into_datagram(packet: &mut Packet) {
+    while !fits_datagram(packet) {
+        let Some(bulletin) = &mut packet.bulletin else {
+            return;
+        };
+        let removed = bulletin.server_limits.pop().is_some()
+            || bulletin.harmless_parts.pop().is_some()
+            || bulletin.part_crashes.pop().is_some()
+            || bulletin.unreachable.pop().is_some();
+        if !removed {
+            return;
+        }
+    }
+}
+
 /// Encode as much load as fits into `space` bytes, servers with the most pending prefill first.
 fn fit_into_bulletin(
     placed: impl Iterator<Item = (BackendKey, BackendLoad)>,
--- a/crates/oleanderpass_quarantine/src/parts.rs
+++ b/crates/oleanderpass_quarantine/src/parts.rs
@@ -19,11 +19,12 @@
 use oleanderpass_types::id::PromptPartId;
 
 use crate::evidence::EVIDENCE_LIFETIME;
+use crate::evidence::Signature;
 
 /// The time after its first event in which an answer still counts as just begun.
 pub const START_TIME: Millis = Millis::new(300);
 
-/// The number of crashes after which a part is refused.
+/// The number of crashes after which a part is refused, where simultaneous ones count as one.
 pub const CRASHES_BEFORE_REFUSED: usize = 3;
 
 /// The number of crashes for a further part while one is refused, and for a part that is a suspect
@@ -31,6 +32,13 @@
 /// caused them, because the instance that sent it is gone.
 pub const CRASHES_BESIDE_REFUSED: usize = 5;
 
+/// The number of different requests that must have been in flight in the crashes of a part. One
+/// request alone is recognised by its signature.
+const MIN_REQUESTS: usize = 2;
+
+/// The number of different requests from which crashes that came together are enough.
+const REQUESTS_IN_BURST: usize = 3;
+
 /// The percentage of the crashes in its time span from which a part counts as their main cause.
 const MAIN_CAUSE_PERCENT: usize = 40;
 
@@ -46,14 +54,18 @@
 /// groups.
 const FIRST_TRIAL_INTERVAL: Millis = Millis::new(500);
 
-/// The time until the first trial of a part with more crashes. It doubles with each failed trial.
-const TRIAL_INTERVAL: Millis = Millis::from_secs(60);
+/// The time until the first trial of a part with more crashes, and the factor by which it grows with
+/// each failed trial.
+const TRIAL_INTERVAL: Millis = Millis::from_secs(10);
+const TRIAL_INTERVAL_FACTOR: u64 = 4;
 
 /// The same for a part of which an answer was written before.
-const KNOWN_TRIAL_INTERVAL: Millis = Millis::from_secs(5);
+const KNOWN_TRIAL_INTERVAL: Millis = Millis::from_secs(1);
+const KNOWN_TRIAL_INTERVAL_FACTOR: u64 = 2;
 
-/// The time for which a peer's report of a refused part holds. Peers repeat it in each bulletin.
-const REPORT_LIFETIME: Millis = Millis::from_secs(10);
+/// The time for which a peer's report of a refused part holds. Peers repeat it in each bulletin, and
+/// stop when further evidence contradicts it.
+const REPORT_LIFETIME: Millis = Millis::from_secs(2);
 
 /// The time for which a part is known to be harmless after the start of its last answer.
 const HARMLESS_LIFETIME: Millis = Millis::from_secs(60);
@@ -68,10 +80,10 @@
 const MAX_HARMLESS: usize = 4_096;
 
 /// The most crashes in one bulletin, suspects of each, harmless parts, and refused parts.
-const MAX_CRASHES_PER_BULLETIN: usize = 4;
+const MAX_CRASHES_PER_BULLETIN: usize = 3;
 const MAX_SUSPECTS_PER_CRASH: usize = 8;
 const MAX_HARMLESS_PER_BULLETIN: usize = 8;
-const MAX_REFUSED_PER_BULLETIN: usize = 4;
+const MAX_REFUSED_PER_BULLETIN: usize = 8;
 
 /// The number of latest crashes that are sent again when a peer appears.
 const CRASHES_FOR_NEW_PEER: usize = 8;
@@ -80,6 +92,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerRun(pub u64);
 
+/// A part that may have caused a crash.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Suspect {
+    /// The part.
+    pub part: PromptPartId,
+    /// A request with the part that was in flight.
+    pub request: Signature,
+}
+
 /// Suspects of one crash, as instances tell each other.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CrashReport {
@@ -88,7 +109,7 @@
     /// The time since the crash.
     pub age: Millis,
     /// Shared parts of the requests whose answers had not begun or had just begun.
-    pub suspects: Vec<PromptPartId>,
+    pub suspects: Vec<Suspect>,
 }
 
 /// A part that is harmless, as instances tell each other.
@@ -140,8 +161,16 @@
 #[derive(Clone, Debug)]
 struct Crash {
     at: Timestamp,
-    /// The number of times that each suspect was sent to peers.
-    suspects: IndexMap<PromptPartId, u32>,
+    suspects: IndexMap<PromptPartId, SuspectState>,
+    /// The number of times that the crash was sent to peers without suspects.
+    sent: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct SuspectState {
+    request: Signature,
+    /// The number of times that the suspect was sent to peers.
+    sent: u32,
 }
 
 /// An answer to a prompt with some part that went on after its start.
@@ -239,24 +268,25 @@
         if (refusal.crashes as usize) < CRASHES_BEFORE_REFUSED {
             return FIRST_TRIAL_INTERVAL;
         }
-        let first = if refusal.was_harmless {
-            KNOWN_TRIAL_INTERVAL
+        let (first, factor) = if refusal.was_harmless {
+            (KNOWN_TRIAL_INTERVAL, KNOWN_TRIAL_INTERVAL_FACTOR)
         } else {
-            TRIAL_INTERVAL
+            (TRIAL_INTERVAL, TRIAL_INTERVAL_FACTOR)
         };
         let failed = self.failed_trials(part);
         first
-            .saturating_mul(1 << failed.min(10))
+            .saturating_mul(factor.saturating_pow(failed))
             .min(EVIDENCE_LIFETIME)
     }
 
-    /// Record a crash that this instance has seen, or further suspects of a known one.
+    /// Record a crash that this instance has seen, or further suspects of a known one. Crashes
+    /// without suspects count too, because they show that no part is their cause.
     pub fn on_crash(
         &mut self,
         now: Timestamp,
         server: ServerRun,
         age: Millis,
-        suspects: impl IntoIterator<Item = PromptPartId>,
+        suspects: impl IntoIterator<Item = Suspect>,
     ) {
         self.record_crash(now, server, age, suspects, 0);
     }
@@ -267,28 +297,27 @@
         now: Timestamp,
         server: ServerRun,
         age: Millis,
-        suspects: impl IntoIterator<Item = PromptPartId>,
+        suspects: impl IntoIterator<Item = Suspect>,
         sent: u32,
     ) {
         if age >= EVIDENCE_LIFETIME {
             return;
         }
-        let known = self.crashes.get(&server);
-        let at = known.map_or(now - age, |crash| crash.at);
-        for part in suspects {
+        let crash = self.crashes.entry(server).or_insert_with(|| Crash {
+            at: now - age,
+            suspects: IndexMap::new(),
+            sent,
+        });
+        for Suspect { part, request } in suspects {
             if let Some(harmless) = self.harmless.get_mut(&part)
-                && harmless.started > at
+                && harmless.started > crash.at
             {
                 // The peer that reports the crash may not know.
                 harmless.sent = Some(0);
                 continue;
             }
-            let crash = self.crashes.entry(server).or_insert_with(|| Crash {
-                at,
-                suspects: IndexMap::new(),
-            });
             if crash.suspects.len() < MAX_SUSPECTS && !crash.suspects.contains_key(&part) {
-                crash.suspects.insert(part, sent);
+                crash.suspects.insert(part, SuspectState { request, sent });
                 self.suspects.entry(part).or_default().insert(server);
                 self.changed = true;
             }
@@ -391,11 +420,15 @@
 
     fn on_reported_refusal(&mut self, now: Timestamp, report: &RefusalReport) {
         let last_crash = now - report.age;
-        if let Some(harmless) = self.harmless.get_mut(&report.part)
-            && harmless.started > last_crash
-        {
-            harmless.sent = Some(0);
-            return;
+        if let Some(harmless) = self.harmless.get_mut(&report.part) {
+            let is_cleared = harmless.started > last_crash;
+            if is_cleared || !report.was_harmless {
+                // The peer doesn't know.
+                harmless.sent = Some(0);
+            }
+            if is_cleared {
+                return;
+            }
         }
         let trials = self.trials.entry(report.part).or_default();
         trials.failed = trials.failed.max(report.failed_trials);
@@ -422,10 +455,9 @@
             return;
         };
         for crash in self.crashes.values_mut().filter(|c| c.at >= *oldest) {
-            crash
-                .suspects
-                .values_mut()
-                .for_each(|sent| *sent = (*sent).min(1));
+            for suspect in crash.suspects.values_mut() {
+                suspect.sent = suspect.sent.min(1);
+            }
         }
     }
 
@@ -467,7 +499,7 @@
     pub fn has_unsent(&self) -> bool {
         self.crashes
             .values()
-            .any(|crash| crash.suspects.values().any(|sent| *sent == 0))
+            .any(|crash| crash.suspects.values().any(|suspect| suspect.sent == 0))
     }
 
     /// Return the crashes for the next bulletin: those sent least often first, and of these the
@@ -477,7 +509,8 @@
             .crashes
             .iter()
             .filter_map(|(server, crash)| {
-                let sent = crash.suspects.values().min().copied()?;
+                let sent = crash.suspects.values().map(|suspect| suspect.sent).min();
+                let sent = sent.unwrap_or(crash.sent);
                 (sent < repeats).then_some((sent, Reverse(crash.at), *server))
             })
             .collect();
@@ -493,20 +526,26 @@
             let mut parts: Vec<PromptPartId> = crash
                 .suspects
                 .iter()
-                .filter(|(_, sent)| **sent == least)
+                .filter(|(_, suspect)| suspect.sent == least)
                 .map(|(part, _)| *part)
                 .collect();
             parts.sort_by_key(|part| Reverse(crash_count(part)));
             parts.truncate(MAX_SUSPECTS_PER_CRASH);
-            for part in &parts {
-                if let Some(sent) = crash.suspects.get_mut(part) {
-                    *sent += 1;
-                }
-            }
+            let suspects = parts.iter().filter_map(|part| {
+                let suspect = crash.suspects.get_mut(part)?;
+                suspect.sent += 1;
+                let request = suspect.request;
+                Some(Suspect {
+                    part: *part,
+                    request,
+                })
+            });
+            let suspects: Vec<Suspect> = suspects.collect();
+            crash.sent += u32::from(suspects.is_empty());
             reports.push(CrashReport {
                 server,
+                suspects,
                 age: now.since(crash.at),
-                suspects: parts,
             });
         }
         reports
@@ -565,6 +604,7 @@
                     crashes = refusal.crashes,
                     last_crash_ms = now.since(refusal.last_crash).get(),
                     own_evidence = refusal.own,
+                    was_harmless = refusal.was_harmless,
                     "requests with a prompt part that crashes backend servers are refused"
                 );
             }
@@ -628,25 +668,25 @@
         explained: &IndexSet<ServerRun>,
     ) -> Option<PartEvidence> {
         let unexplained = |server: &&ServerRun| !explained.contains(*server);
-        let mut times: Vec<Timestamp> = servers
-            .iter()
-            .filter(unexplained)
-            .filter_map(|server| Some(self.crashes.get(server)?.at))
-            .collect();
+        let crashes = || {
+            let servers = servers.iter().filter(unexplained);
+            servers.filter_map(|server| self.crashes.get(server))
+        };
+        let mut times: Vec<Timestamp> = crashes().map(|crash| crash.at).collect();
         times.sort_unstable();
         let (first, last) = (*times.first()?, *times.last()?);
-        let settled = times
-            .iter()
-            .filter(|at| now.since(**at) >= SETTLING_TIME)
-            .count();
+        let settled = times.iter().filter(|at| now.since(**at) >= SETTLING_TIME);
+        let requests: IndexSet<Signature> = crashes()
+            .filter_map(|crash| Some(crash.suspects.get(&part)?.request))
+            .collect();
         let in_span = self
             .crashes
             .iter()
-            .filter(|(server, crash)| unexplained(server) && crash.at >= first && crash.at <= last)
-            .count();
+            .filter(|(server, crash)| unexplained(server) && crash.at >= first && crash.at <= last);
         Some(PartEvidence {
-            settled,
-            percent: times.len() * 100 / in_span.max(1),
+            settled: settled.count(),
+            requests: requests.len(),
+            percent: times.len() * 100 / in_span.count().max(1),
             refusal: Refusal {
                 crashes: count_groups(&times),
                 last_crash: last,
@@ -662,6 +702,8 @@
 struct PartEvidence {
     /// The number of crashes that count.
     settled: usize,
+    /// The number of different requests with the part in these crashes.
+    requests: usize,
     /// The percentage of its crashes among all crashes of their time span.
     percent: usize,
     /// The refusal that would follow.
@@ -671,16 +713,24 @@
 impl PartEvidence {
     /// Return whether the part is to be refused. `others_refused` tells whether another one is.
     fn suffices(&self, others_refused: bool) -> bool {
+        let groups = self.refusal.crashes as usize;
         if self.percent < MAIN_CAUSE_PERCENT {
-            return self.refusal.crashes as usize >= CRASHES_BESIDE_REFUSED
-                && self.settled >= CRASHES_BESIDE_REFUSED;
+            return self.settled >= CRASHES_BESIDE_REFUSED
+                && groups >= CRASHES_BESIDE_REFUSED
+                && self.requests >= REQUESTS_IN_BURST;
         }
+        let is_burst = self.settled >= CRASHES_BESIDE_REFUSED
+            && self.requests >= REQUESTS_IN_BURST
+            && !self.refusal.was_harmless;
         let limit = if others_refused {
             CRASHES_BESIDE_REFUSED
         } else {
             CRASHES_BEFORE_REFUSED
         };
-        self.settled >= limit
+        is_burst
+            || self.settled >= limit
+                && groups >= CRASHES_BEFORE_REFUSED
+                && self.requests >= MIN_REQUESTS
     }
 }
 
