Count events as well as time before an answer clears its parts

An answer cleared its prompt's parts once 300 ms had passed since its first event. A pass of a busy engine takes longer than that, so a part whose engine crashed at the end of a long pass would have counted as harmless, and its crashes not at all.

The types that instances exchange and the weighing of evidence are modules of their own, and the encoding of limits stands beside them; nothing else changes.

--- a/crates/oleanderpass_gateway/src/crashes.rs
+++ b/crates/oleanderpass_gateway/src/crashes.rs
@@ -13,25 +13,26 @@
 use oleanderpass_quarantine::evidence::CrashId;
 use oleanderpass_quarantine::evidence::Evidence;
 use oleanderpass_quarantine::evidence::Signature;
-use oleanderpass_quarantine::parts::CrashReport;
-use oleanderpass_quarantine::parts::HarmlessReport;
+use oleanderpass_quarantine::part_report::CrashReport;
+use oleanderpass_quarantine::part_report::HarmlessReport;
+use oleanderpass_quarantine::part_report::PartReports;
+use oleanderpass_quarantine::part_report::RefusalReport;
+use oleanderpass_quarantine::part_report::ServerRun;
+use oleanderpass_quarantine::part_report::Suspect;
 use oleanderpass_quarantine::parts::PartQuarantine;
-use oleanderpass_quarantine::parts::PartReports;
 use oleanderpass_quarantine::parts::PartRule;
-use oleanderpass_quarantine::parts::RefusalReport;
-use oleanderpass_quarantine::parts::START_TIME;
-use oleanderpass_quarantine::parts::ServerRun;
-use oleanderpass_quarantine::parts::Suspect;
 use oleanderpass_quarantine::rule::RunRule;
 use oleanderpass_quarantine::table::Quarantine;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::clock::Timestamp;
 use oleanderpass_types::id::PromptPartId;
+use smol_str::SmolStr;
+use smol_str::SmolStrBuilder;
+use smol_str::ToSmolStr;
 
 use crate::backend::Announcement;
 use crate::backend::BackendKey;
 use crate::gateway::RequestSpec;
-use crate::gateway::list;
 
 /// The time after a broken request within which its server must be found to be gone. The list of
 /// servers shows it after three missed heartbeats at an interval of 1.2 s.
@@ -111,14 +112,14 @@
         self.table.crash_count(now, signature)
     }
 
-    /// Record that an attempt at a server broke off. `first_event` is when the first event of the
-    /// attempt arrived, if one did.
+    /// Record that an attempt at a server broke off. `at_start` tells that its answer had not begun
+    /// or had just begun.
     pub fn on_broken(
         &mut self,
         now: Timestamp,
         server: &Announcement,
         spec: &RequestSpec,
-        first_event: Option<Timestamp>,
+        at_start: bool,
     ) {
         self.broken.push(BrokenRequest {
             at: now,
@@ -129,7 +130,7 @@
             },
             signature: spec.signature,
             shared_parts: spec.shared_parts.clone(),
-            at_start: first_event.is_none_or(|at| now.since(at) < START_TIME),
+            at_start,
         });
     }
 
@@ -313,3 +314,15 @@
         was_harmless: raw.was_harmless,
     }
 }
+
+/// Format the ids of prompt parts for the log.
+pub(crate) fn list(parts: &[PromptPartId]) -> SmolStr {
+    let mut text = SmolStrBuilder::new();
+    for (index, part) in parts.iter().enumerate() {
+        if index > 0 {
+            text.push(',');
+        }
+        text.push_str(&part.to_smolstr());
+    }
+    text.finish()
+}
--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -8,9 +8,9 @@
 use oleanderpass_membership::membership::Identity;
 use oleanderpass_proto::peer::Bulletin;
 use oleanderpass_proto::peer::Packet;
-use oleanderpass_proto::peer::ServerLimit as RawServerLimit;
 use oleanderpass_quarantine::evidence::Signature;
 use oleanderpass_quarantine::parts::PartRule;
+use oleanderpass_quarantine::parts::START_ARRIVALS;
 use oleanderpass_quarantine::parts::START_TIME;
 use oleanderpass_routing::rendezvous::node_key;
 use oleanderpass_routing::rendezvous::weight;
@@ -26,8 +26,6 @@
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use smol_str::SmolStr;
-use smol_str::SmolStrBuilder;
-use smol_str::ToSmolStr;
 use strum::Display;
 
 use crate::admission;
@@ -37,6 +35,7 @@
 use crate::config::Configuration;
 use crate::config::Organisation;
 use crate::crashes::CrashTracker;
+use crate::crashes::list;
 use crate::drain::Drain;
 use crate::engine::EngineModel;
 use crate::health::Health;
@@ -63,8 +62,9 @@
 use crate::retry_after;
 use crate::route::Route;
 use crate::server_limits::Allowance;
-use crate::server_limits::LimitReport;
 use crate::server_limits::ServerLimits;
+use crate::server_limits::decode_limit;
+use crate::server_limits::encode_limit;
 
 /// The number of attempts without a sent byte after which a request ends.
 const MAX_UNSENT: u32 = 5;
@@ -198,6 +198,8 @@
     draw: u32,
     /// When the first event of the current attempt arrived.
     first_event: Option<Timestamp>,
+    /// The number of arrivals of events of the current attempt.
+    arrivals: u32,
     /// Whether the answer of the current attempt is known to have gone on after its start.
     goes_on: bool,
     /// Whether the request tries out a refused part of its prompt.
@@ -679,6 +681,7 @@
             helper_failures: 0,
             draw,
             first_event: None,
+            arrivals: 0,
             goes_on: false,
             is_part_trial: false,
         };
@@ -985,6 +988,7 @@
         }
         req.tried.push(plan.primary);
         req.first_event = None;
+        req.arrivals = 0;
         req.goes_on = false;
         let counts_against_limit = self.server_limits.take(now, plan.primary);
         Some(Attempt {
@@ -1071,7 +1075,9 @@
     /// Record that events of the current attempt arrived.
     pub fn on_events(&mut self, now: Timestamp, req: &mut Request) {
         let first = *req.first_event.get_or_insert(now);
-        if !req.goes_on && now.since(first) >= START_TIME {
+        req.arrivals += 1;
+        let goes_on = now.since(first) >= START_TIME && req.arrivals >= START_ARRIVALS;
+        if goes_on && !req.goes_on {
             self.on_answer_goes_on(now, req, first);
         }
     }
@@ -1163,9 +1169,9 @@
                 }
             }
             AttemptEnd::Broken => {
-                let first_event = req.first_event;
+                let at_start = !req.goes_on;
                 self.crashes
-                    .on_broken(now, &attempt.primary, &req.spec, first_event);
+                    .on_broken(now, &attempt.primary, &req.spec, at_start);
             }
             _ => {}
         }
@@ -1176,36 +1182,6 @@
     }
 }
 
-fn encode_limit(report: &LimitReport) -> RawServerLimit {
-    RawServerLimit {
-        server: report.key.0,
-        lifted: report.rate.is_none(),
-        rate_thousandths: report.rate.map_or(0, RequestRate::thousandths),
-        age_ms: report.age.get(),
-    }
-}
-
-fn decode_limit(raw: &RawServerLimit) -> LimitReport {
-    let rate = RequestRate::from_thousandths(raw.rate_thousandths);
-    LimitReport {
-        key: BackendKey(raw.server),
-        rate: (!raw.lifted).then_some(rate),
-        age: Millis::new(raw.age_ms),
-    }
-}
-
-/// Format the ids of prompt parts for the log.
-pub(crate) fn list(parts: &[PromptPartId]) -> SmolStr {
-    let mut text = SmolStrBuilder::new();
-    for (index, part) in parts.iter().enumerate() {
-        if index > 0 {
-            text.push(',');
-        }
-        text.push_str(&part.to_smolstr());
-    }
-    text.finish()
-}
-
 /// Decide when a planned attempt is served. Calls with one whole answer and streams that have begun
 /// are always served at once.
 fn schedule(now: Timestamp, req: &Request, plan: &Plan) -> Scheduling {
--- a/crates/oleanderpass_gateway/src/server_limits.rs
+++ b/crates/oleanderpass_gateway/src/server_limits.rs
@@ -7,6 +7,7 @@
 //! have saved up stay few.
 
 use indexmap::IndexMap;
+use oleanderpass_proto::peer::ServerLimit as RawServerLimit;
 use oleanderpass_routing::rendezvous::weight;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::clock::Timestamp;
@@ -226,3 +227,23 @@
             .collect()
     }
 }
+
+/// Encode what a server said of its limit for a bulletin.
+pub(crate) fn encode_limit(report: &LimitReport) -> RawServerLimit {
+    RawServerLimit {
+        server: report.key.0,
+        lifted: report.rate.is_none(),
+        rate_thousandths: report.rate.map_or(0, RequestRate::thousandths),
+        age_ms: report.age.get(),
+    }
+}
+
+/// Decode what a peer reports of a server's limit.
+pub(crate) fn decode_limit(raw: &RawServerLimit) -> LimitReport {
+    let rate = RequestRate::from_thousandths(raw.rate_thousandths);
+    LimitReport {
+        key: BackendKey(raw.server),
+        rate: (!raw.lifted).then_some(rate),
+        age: Millis::new(raw.age_ms),
+    }
+}
--- a/crates/oleanderpass_gateway/tests/gateway.rs
+++ b/crates/oleanderpass_gateway/tests/gateway.rs
@@ -15,6 +15,7 @@
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::clock::Timestamp;
 use oleanderpass_types::id::Incarnation;
+use oleanderpass_types::id::PromptPartId;
 use test_case::test_case;
 
 use crate::common::HOST;
@@ -117,6 +118,32 @@
     assert_eq!(status(gateway.next(at(400), &mut req)), 502);
 }
 
+/// Guards against taking a prompt part for harmless because its engine, in a pass that takes longer
+/// than usual, crashes long after the first event.
+#[test]
+fn crash_in_a_long_pass_counts_against_the_part() {
+    let mut gateway = gateway(6);
+    let part = PromptPartId::new(0xbad);
+    for number in 0..3 {
+        let now = at(number * 2_000);
+        let mut req = begin(&mut gateway, now, "/chat/1", 5_000);
+        req.spec.signature = Signature(number);
+        req.spec.shared_parts = vec![part];
+        let crashed = attempt(gateway.next(now, &mut req));
+        gateway.on_sent(&mut req, &crashed);
+        gateway.on_events(now + Millis::new(100), &mut req);
+        gateway.on_events(now + Millis::new(900), &mut req);
+        let end = now + Millis::new(1_200);
+        gateway.on_attempt_end(end, &mut req, &crashed, AttemptEnd::Broken);
+        restart(&mut gateway, end, &crashed, number + 2);
+    }
+    gateway.on_tick(at(6_500), &mut Vec::new());
+    let mut req = begin(&mut gateway, at(6_500), "/chat/1", 5_000);
+    req.spec.signature = Signature(9);
+    req.spec.shared_parts = vec![part];
+    assert_eq!(status(gateway.next(at(6_500), &mut req)), 502);
+}
+
 /// Guards against missing a crash because a new server has the address before the instance checks
 /// it. The list of servers shows the change only seconds later.
 #[test]
--- a/crates/oleanderpass_quarantine/src/lib.rs
+++ b/crates/oleanderpass_quarantine/src/lib.rs
@@ -17,6 +17,8 @@
 //!   clears it, and all suspicion ends [`evidence::EVIDENCE_LIFETIME`] after the crash.
 
 pub mod evidence;
+mod part_evidence;
+pub mod part_report;
 pub mod parts;
 pub mod rule;
 pub mod table;
--- a/crates/oleanderpass_quarantine/src/parts.rs
+++ b/crates/oleanderpass_quarantine/src/parts.rs
@@ -20,36 +20,28 @@
 
 use crate::evidence::EVIDENCE_LIFETIME;
 use crate::evidence::Signature;
-
-/// The time after its first event in which an answer still counts as just begun.
+use crate::part_evidence::CRASHES_BEFORE_REFUSED;
+use crate::part_evidence::PartEvidence;
+use crate::part_evidence::Refusal;
+use crate::part_evidence::count_groups;
+use crate::part_report::CrashReport;
+use crate::part_report::HarmlessReport;
+use crate::part_report::PartReports;
+use crate::part_report::RefusalReport;
+use crate::part_report::ServerRun;
+use crate::part_report::Suspect;
+
+/// The time after its first event until which an answer still counts as just begun.
 pub const START_TIME: Millis = Millis::new(300);
 
-/// The number of crashes after which a part is refused, where simultaneous ones count as one.
-pub const CRASHES_BEFORE_REFUSED: usize = 3;
-
-/// The number of crashes for a further part while one is refused, and for a part that is a suspect
-/// of less than [`MAIN_CAUSE_PERCENT`] of them. The evidence of some crashes lacks the part that
-/// caused them, because the instance that sent it is gone.
-pub const CRASHES_BESIDE_REFUSED: usize = 5;
-
-/// The number of different requests that must have been in flight in the crashes of a part. One
-/// request alone is recognised by its signature.
-const MIN_REQUESTS: usize = 2;
-
-/// The number of different requests from which crashes that came together are enough.
-const REQUESTS_IN_BURST: usize = 3;
-
-/// The percentage of the crashes in its time span from which a part counts as their main cause.
-const MAIN_CAUSE_PERCENT: usize = 40;
+/// The number of arrivals of events until which an answer still counts as just begun, because a
+/// pass of a busy engine may take longer than [`START_TIME`].
+pub const START_ARRIVALS: u32 = 3;
 
 /// The time until a crash counts. Within it, requests that start elsewhere clear harmless parts,
 /// and all evidence of the crash arrives.
 const SETTLING_TIME: Millis = Millis::new(800);
 
-/// Crashes that follow each other more closely count as one for the intervals between trials,
-/// because servers that share a cause of failure go down together.
-const SIMULTANEOUS_TIME: Millis = Millis::new(200);
-
 /// The interval between trials of a part while all its crashes came together or in one or two
 /// groups.
 const FIRST_TRIAL_INTERVAL: Millis = Millis::new(500);
@@ -88,65 +80,6 @@
 /// The number of latest crashes that are sent again when a peer appears.
 const CRASHES_FOR_NEW_PEER: usize = 8;
 
-/// A hash of the id and incarnation of a backend server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ServerRun(pub u64);
-
-/// A part that may have caused a crash.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Suspect {
-    /// The part.
-    pub part: PromptPartId,
-    /// A request with the part that was in flight.
-    pub request: Signature,
-}
-
-/// Suspects of one crash, as instances tell each other.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct CrashReport {
-    /// The server that crashed.
-    pub server: ServerRun,
-    /// The time since the crash.
-    pub age: Millis,
-    /// Shared parts of the requests whose answers had not begun or had just begun.
-    pub suspects: Vec<Suspect>,
-}
-
-/// A part that is harmless, as instances tell each other.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct HarmlessReport {
-    /// The part.
-    pub part: PromptPartId,
-    /// The time since the start of an answer that went on.
-    pub age: Millis,
-}
-
-/// A part that is refused, as instances tell each other.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct RefusalReport {
-    /// The part.
-    pub part: PromptPartId,
-    /// The number of its crashes, where simultaneous ones count as one.
-    pub crashes: u32,
-    /// The time since the last crash.
-    pub age: Millis,
-    /// The number of trials that ended in a crash.
-    pub failed_trials: u32,
-    /// Whether an answer to a prompt with the part was written before.
-    pub was_harmless: bool,
-}
-
-/// Everything about parts that goes into one bulletin.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct PartReports {
-    /// Crashes with their suspects.
-    pub crashes: Vec<CrashReport>,
-    /// Suspects that turned out to be harmless.
-    pub harmless: Vec<HarmlessReport>,
-    /// Refused parts.
-    pub refused: Vec<RefusalReport>,
-}
-
 /// Whether a request may be sent, judged by the parts of its prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PartRule {
@@ -181,17 +114,6 @@
     sent: Option<u32>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Refusal {
-    /// The number of crashes, where simultaneous ones count as one.
-    crashes: u32,
-    last_crash: Timestamp,
-    /// Whether an answer to a prompt with the part was written before.
-    was_harmless: bool,
-    /// Whether this instance holds the evidence itself.
-    own: bool,
-}
-
 /// The trials of a refused part.
 #[derive(Clone, Copy, Debug, Default)]
 struct Trials {
@@ -696,53 +618,3 @@
         })
     }
 }
-
-/// The evidence against one part.
-#[derive(Clone, Copy, Debug)]
-struct PartEvidence {
-    /// The number of crashes that count.
-    settled: usize,
-    /// The number of different requests with the part in these crashes.
-    requests: usize,
-    /// The percentage of its crashes among all crashes of their time span.
-    percent: usize,
-    /// The refusal that would follow.
-    refusal: Refusal,
-}
-
-impl PartEvidence {
-    /// Return whether the part is to be refused. `others_refused` tells whether another one is.
-    fn suffices(&self, others_refused: bool) -> bool {
-        let groups = self.refusal.crashes as usize;
-        if self.percent < MAIN_CAUSE_PERCENT {
-            return self.settled >= CRASHES_BESIDE_REFUSED
-                && groups >= CRASHES_BESIDE_REFUSED
-                && self.requests >= REQUESTS_IN_BURST;
-        }
-        let is_burst = self.settled >= CRASHES_BESIDE_REFUSED
-            && self.requests >= REQUESTS_IN_BURST
-            && !self.refusal.was_harmless;
-        let limit = if others_refused {
-            CRASHES_BESIDE_REFUSED
-        } else {
-            CRASHES_BEFORE_REFUSED
-        };
-        is_burst
-            || self.settled >= limit
-                && groups >= CRASHES_BEFORE_REFUSED
-                && self.requests >= MIN_REQUESTS
-    }
-}
-
-/// Return the number of crashes at these sorted times, where simultaneous ones count as one.
-fn count_groups(times: &[Timestamp]) -> u32 {
-    let mut groups = 0;
-    let mut group_start = None;
-    for at in times {
-        if group_start.is_none_or(|start| at.since(start) >= SIMULTANEOUS_TIME) {
-            groups += 1;
-            group_start = Some(*at);
-        }
-    }
-    groups
-}
--- a/crates/oleanderpass_quarantine/tests/parts.rs
+++ b/crates/oleanderpass_quarantine/tests/parts.rs
@@ -3,12 +3,12 @@
 
 use oleanderpass_quarantine::evidence::EVIDENCE_LIFETIME;
 use oleanderpass_quarantine::evidence::Signature;
+use oleanderpass_quarantine::part_report::PartReports;
+use oleanderpass_quarantine::part_report::RefusalReport;
+use oleanderpass_quarantine::part_report::ServerRun;
+use oleanderpass_quarantine::part_report::Suspect;
 use oleanderpass_quarantine::parts::PartQuarantine;
-use oleanderpass_quarantine::parts::PartReports;
 use oleanderpass_quarantine::parts::PartRule;
-use oleanderpass_quarantine::parts::RefusalReport;
-use oleanderpass_quarantine::parts::ServerRun;
-use oleanderpass_quarantine::parts::Suspect;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::clock::Timestamp;
 use oleanderpass_types::id::PromptPartId;
