--- a/crates/oleanderpass_gateway/src/crashes.rs
+++ b/crates/oleanderpass_gateway/src/crashes.rs
@@ -91,6 +91,11 @@
         self.parts.refuses(parts)
     }
 
+    /// Return the refused prompt parts, each with the time of its last crash.
+    pub fn refused_parts(&self) -> impl Iterator<Item = (PromptPartId, Timestamp)> {
+        self.parts.refused()
+    }
+
     /// Record that a request with a refused prompt part is sent as a trial.
     pub fn on_part_trial(&mut self, now: Timestamp, part: PromptPartId) {
         self.parts.on_trial(now, part);
--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -1062,6 +1062,11 @@
         self.bulletin_pending |= self.server_limits.on_answer(now, key, rate);
     }
 
+    /// Return the evidence of crashes.
+    pub fn crashes(&self) -> &CrashTracker {
+        &self.crashes
+    }
+
     /// Return the limits on their request rates that servers named.
     pub fn server_limits(&self) -> &ServerLimits {
         &self.server_limits
--- a/crates/oleanderpass_gateway_io/src/internal_http.rs
+++ b/crates/oleanderpass_gateway_io/src/internal_http.rs
@@ -83,7 +83,7 @@
 }
 
 /// Return the state of the instance as text, with one `key: value` pair per line and one line per
-/// backend server.
+/// refused prompt part and per backend server.
 fn status(instance: &SharedInstance) -> String {
     let gateway = instance.gateway.borrow();
     let now = instance.now();
@@ -97,6 +97,10 @@
         gateway.store_revision(),
         gateway.fleet().live_peers(now).count(),
     );
+    for (part, last_crash) in gateway.crashes().refused_parts() {
+        let age = now.since(last_crash);
+        text += &format!("refused_prompt_part: {part} last crash {age} ago\n");
+    }
     for (key, backend) in gateway.registry().iter() {
         let limit = gateway.server_limits().get(key);
         let limit = limit.map_or_else(String::new, |(rate, named)| {
--- a/crates/oleanderpass_quarantine/src/parts.rs
+++ b/crates/oleanderpass_quarantine/src/parts.rs
@@ -168,6 +168,12 @@
         parts.iter().any(|part| self.refused.contains_key(part))
     }
 
+    /// Return the refused parts, each with the time of its last crash.
+    pub fn refused(&self) -> impl Iterator<Item = (PromptPartId, Timestamp)> {
+        let refused = self.refused.iter();
+        refused.map(|(part, refusal)| (*part, refusal.last_crash))
+    }
+
     /// Record that a request with a refused part is sent as a trial.
     pub fn on_trial(&mut self, now: Timestamp, part: PromptPartId) {
         let failed = self.failed_trials(part);
