Lift a limit on a request rate only by a proven success without one

Any answer that named no limit lifted it, at all instances. A refusal, or an error in front of the server, may come without the header, and all requests that wait would then be sent at once. Only a success with the server's proof lifts the limit now; any answer may name one.

refusal_does_not_lift_a_limit fails without the change and passes with it.

--- a/crates/oleanderpass_gateway_io/src/attempt.rs
+++ b/crates/oleanderpass_gateway_io/src/attempt.rs
@@ -361,7 +361,10 @@
     };
     let head = answer::decode(answer.status().as_u16(), answer.headers());
     check_answer(exchange, attempt, &head)?;
-    if head.status != answer::WRONG_SERVER {
+    // A refusal may come from a part of the server that doesn't know its limit, so only a proven
+    // success without one shows that the limit no longer holds.
+    let is_success = answer.status().is_success() && head.proven;
+    if head.rate_limit.is_some() || is_success {
         instance.gateway.borrow_mut().on_server_limit(
             instance.now(),
             attempt.plan.primary,
