Decide on reading the store in the core, and log its era

What was read (the copy for peers) and the decisions on reading move from the I/O crate to oleanderpass_gateway: store, store_reader. The I/O crate makes the calls. The header Store-Era is decoded in platform/, kept beside each revision, passed to peers, logged and shown by /status. Nothing is decided by it: positions are still ordered by their revision alone.

Tests: positions in calls are converted from numbers; no assert has changed.

--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -8,6 +8,7 @@
 use oleanderpass_membership::membership::Identity;
 use oleanderpass_proto::peer::Bulletin;
 use oleanderpass_proto::peer::Packet;
+use oleanderpass_proto::peer::StoreCopy;
 use oleanderpass_quarantine::evidence::Signature;
 use oleanderpass_quarantine::parts::PartRule;
 use oleanderpass_quarantine::parts::START_ARRIVALS;
@@ -65,6 +66,11 @@
 use crate::server_limits::ServerLimits;
 use crate::server_limits::decode_limit;
 use crate::server_limits::encode_limit;
+use crate::store::Content;
+use crate::store::CopySource;
+use crate::store::LocalCopy;
+use crate::store::StoreItem;
+use crate::store::StorePosition;
 
 /// The number of attempts without a sent byte after which a request ends.
 const MAX_UNSENT: u32 = 5;
@@ -306,8 +312,8 @@
     budget: RetryBudget,
     /// The number of attempts so far, which numbers the next one.
     attempts: u64,
-    /// The newest revision of the store that was read.
-    store_revision: u64,
+    /// What was read from the platform's store, by this instance or by peers.
+    store: LocalCopy,
     /// Whether this instance reads the store itself and can reach it.
     reads_store: bool,
     /// When servers began to leave, for bulletins.
@@ -343,7 +349,7 @@
             server_limits: ServerLimits::default(),
             budget: RetryBudget::default(),
             attempts: 0,
-            store_revision: 0,
+            store: LocalCopy::default(),
             reads_store: false,
             leaving_notices: Vec::new(),
             last_expiry: now,
@@ -424,20 +430,101 @@
         true
     }
 
-    /// Return the newest revision of the store that this instance has read.
-    pub fn store_revision(&self) -> u64 {
-        self.store_revision
+    /// Return the newest position of the store that this instance has read.
+    pub fn store_position(&self) -> StorePosition {
+        self.store.position()
     }
 
-    /// Record that all changes up to this revision of the store have been read.
-    pub fn on_store_revision(&mut self, revision: u64) {
-        self.store_revision = self.store_revision.max(revision);
+    /// Record that all changes up to this position of the store have been read.
+    pub fn on_store_position(&mut self, position: StorePosition) {
+        self.store.advance(position);
     }
 
-    /// Return the newest revision of the store that a live peer has read, or 0 if there is none.
-    pub fn newest_peer_revision(&self, now: Timestamp) -> u64 {
+    /// Apply a changed or removed item of the store. The configuration stays in force if the new
+    /// one is invalid or was removed.
+    pub fn on_store_item(&mut self, now: Timestamp, item: StoreItem) {
+        self.store.apply(&item);
+        match item.content {
+            Content::Configuration(Some(config)) => {
+                self.on_configuration(config);
+            }
+            Content::Server(id, _) if item.value.is_none() => {
+                self.on_entry_removed(now, id, item.position);
+            }
+            Content::Server(id, entry) => self.on_entry(now, id, item.position, entry),
+            Content::Configuration(None) | Content::Other => {}
+        }
+    }
+
+    /// Replace all backend servers by the items of a list that was read at `position`.
+    pub fn on_store_list(
+        &mut self,
+        now: Timestamp,
+        position: StorePosition,
+        items: Vec<StoreItem>,
+    ) {
+        self.store.replace_servers(position, &items);
+        let list = items.into_iter().filter_map(|item| match item.content {
+            Content::Server(id, entry) => Some((id, item.position, entry)),
+            Content::Configuration(_) | Content::Other => None,
+        });
+        self.on_list(now, position, list.collect());
+    }
+
+    /// Apply a peer's copy of the store up to `position`. It holds all items, or the changes after
+    /// [`CopySource::after`] if it is `partial`.
+    pub fn on_peer_copy(
+        &mut self,
+        now: Timestamp,
+        position: StorePosition,
+        partial: bool,
+        items: Vec<StoreItem>,
+    ) {
+        let (servers, others) = items
+            .into_iter()
+            .partition(|item| !partial && matches!(item.content, Content::Server(..)));
+        let others: Vec<StoreItem> = others;
+        for item in others {
+            self.on_store_item(now, item);
+        }
+        if !partial {
+            let mut servers: Vec<StoreItem> = servers;
+            servers.retain(|item| item.value.is_some());
+            self.on_store_list(now, position, servers);
+        }
+        self.on_store_position(position);
+    }
+
+    /// Return what changed in the store after a position, for a peer. The default asks for
+    /// everything.
+    pub fn store_changes(&self, after: StorePosition) -> StoreCopy {
+        self.store.changes(after)
+    }
+
+    /// Return whether a live peer knows something newer of the store than this instance.
+    pub fn is_behind(&self, now: Timestamp) -> bool {
+        let own = self.store_position();
+        let mut live = self.fleet.live_peers(now);
+        live.any(|(_, peer)| peer.store_position > own)
+    }
+
+    /// Return where to fetch the newest copy of the store, if a live peer has a newer one than this
+    /// instance. Without a configuration, any live peer's copy will do.
+    pub fn copy_source(&self, now: Timestamp) -> Option<CopySource> {
+        let own = self.store_position();
+        let has_configuration = self.config.is_some();
         let live = self.fleet.live_peers(now);
-        live.map(|(_, peer)| peer.store_revision).max().unwrap_or(0)
+        let source = live
+            .filter(|(_, peer)| peer.store_position > own || !has_configuration)
+            .max_by_key(|(_, peer)| peer.store_position)?;
+        Some(CopySource {
+            addr: source.1.addr,
+            after: if has_configuration {
+                own
+            } else {
+                StorePosition::default()
+            },
+        })
     }
 
     /// Record whether this instance reads the store itself and can reach it.
@@ -457,15 +544,15 @@
         self.registry.on_store_recovered(now);
     }
 
-    /// Apply a whole list of backend servers that was read at `revision`. Each entry comes with the
-    /// revision of its last change.
+    /// Apply a whole list of backend servers that was read at `position`. Each entry comes with the
+    /// position of its last change.
     pub fn on_list(
         &mut self,
         now: Timestamp,
-        revision: u64,
-        list: Vec<(BackendServerId, u64, ListEntry)>,
+        position: impl Into<StorePosition>,
+        list: Vec<(BackendServerId, StorePosition, ListEntry)>,
     ) {
-        let changes = self.registry.apply_list(now, revision, list);
+        let changes = self.registry.apply_list(now, position, list);
         self.apply_changes(now, &changes);
     }
 
@@ -474,19 +561,24 @@
         &mut self,
         now: Timestamp,
         id: BackendServerId,
-        revision: u64,
+        position: impl Into<StorePosition>,
         entry: ListEntry,
     ) {
         let mut changes = Vec::new();
         self.registry
-            .apply_entry(now, id, revision, entry, &mut changes);
+            .apply_entry(now, id, position, entry, &mut changes);
         self.apply_changes(now, &changes);
     }
 
     /// Apply the removal of an entry of the list of backend servers.
-    pub fn on_entry_removed(&mut self, now: Timestamp, id: BackendServerId, revision: u64) {
+    pub fn on_entry_removed(
+        &mut self,
+        now: Timestamp,
+        id: BackendServerId,
+        position: impl Into<StorePosition>,
+    ) {
         let mut changes = Vec::new();
-        self.registry.apply_removal(now, id, revision, &mut changes);
+        self.registry.apply_removal(now, id, position, &mut changes);
         self.apply_changes(now, &changes);
     }
 
@@ -496,7 +588,8 @@
             tracing::info!(
                 server = %change.id,
                 change = %change.kind,
-                store_revision = self.store_revision,
+                store_era = self.store_position().era,
+                store_revision = self.store_position().revision,
                 "a backend server changed"
             );
             match change.kind {
@@ -599,7 +692,8 @@
         let (crashes, cleared) = self.crashes.next_evidence(now);
         let leaving = self.leaving_notices.iter().rev().take(MAX_SERVERS_PER_LIST);
         let mut bulletin = Bulletin {
-            store_revision: self.store_revision,
+            store_era: self.store_position().era,
+            store_revision: self.store_position().revision,
             config_version: self.config.as_ref().map_or(0, |c| c.version.get()),
             leaving: leaving.map(|(_, key)| key.0).collect(),
             unreachable: self
@@ -932,7 +1026,7 @@
         tracing::info!(
             request = %req.spec.id,
             config_version = %req.admission.version,
-            store_revision = self.store_revision,
+            store_revision = self.store_position().revision,
             attempt = req.sent + req.unsent + 1,
             waited_ms = now.since(req.spec.received).get(),
             server = %primary.id,
--- a/crates/oleanderpass_gateway/src/lib.rs
+++ b/crates/oleanderpass_gateway/src/lib.rs
@@ -24,3 +24,5 @@
 pub mod server_limits;
 pub mod silence;
 pub(crate) mod split;
+pub mod store;
+pub mod store_reader;
--- a/crates/oleanderpass_gateway/src/peers.rs
+++ b/crates/oleanderpass_gateway/src/peers.rs
@@ -26,6 +26,7 @@
 use crate::backend::BackendKey;
 use crate::load::BackendLoad;
 use crate::load::TIGHT_GAP;
+use crate::store::StorePosition;
 
 /// The interval between two bulletins without changes, in a fleet of up to 150 members.
 const BULLETIN_INTERVAL: Millis = Millis::new(450);
@@ -70,8 +71,8 @@
     pub zone: ZoneId,
     /// When its last bulletin was received.
     pub last_heard: Timestamp,
-    /// The newest revision of the store that the peer has read.
-    pub store_revision: u64,
+    /// The newest position of the store that the peer has read.
+    pub store_position: StorePosition,
     /// The version of the configuration in force at the peer.
     pub config_version: u64,
     /// Whether the peer reads the store itself and can reach it.
@@ -191,7 +192,7 @@
             addr: source,
             zone: zone.clone(),
             last_heard: now,
-            store_revision: 0,
+            store_position: StorePosition::default(),
             config_version: 0,
             reads_store: false,
         });
@@ -200,7 +201,8 @@
         peer.zone = zone;
         peer.last_heard = now;
         peer.reads_store = bulletin.reads_store;
-        peer.store_revision = peer.store_revision.max(bulletin.store_revision);
+        let position = StorePosition::new(bulletin.store_era, bulletin.store_revision);
+        peer.store_position = peer.store_position.max(position);
         peer.config_version = peer.config_version.max(bulletin.config_version);
         self.max_live_peers = self.max_live_peers.max(self.live_peers(now).count());
         let placed = bulletin.placed.iter().map(decode_placed).collect();
--- a/crates/oleanderpass_gateway/src/registry.rs
+++ b/crates/oleanderpass_gateway/src/registry.rs
@@ -1,6 +1,6 @@
 //! Keep the list of backend servers from the platform's store.
 //!
-//! The store decides which servers get new work. Its entries are applied by revision, so that
+//! The store decides which servers get new work. Its entries are applied by position, so that
 //! answers of the store and copies from peers may arrive in any order.
 
 use indexmap::IndexMap;
@@ -13,6 +13,7 @@
 use crate::backend::AnnouncedState;
 use crate::backend::Announcement;
 use crate::backend::BackendKey;
+use crate::store::StorePosition;
 
 /// The time for which a ready server that vanished from the list serves as a last resort. It covers
 /// entries that expire together, and it is shorter than the time for which leaving servers still
@@ -23,7 +24,7 @@
 /// listed again. Source: the platform's letter.
 pub const RECOVERY_GRACE: Millis = Millis::new(2_000);
 
-/// The time for which the revision of a removed entry is kept, so that older updates of the entry
+/// The time for which the position of a removed entry is kept, so that older updates of the entry
 /// are still ignored. They arrive within seconds.
 const TOMBSTONE_LIFETIME: Millis = Millis::from_secs(60);
 
@@ -83,8 +84,8 @@
 #[derive(Debug, Default)]
 pub struct Registry {
     backends: IndexMap<BackendKey, Backend>,
-    /// The revision of the last change of each id, and the key of the incarnation that is listed.
-    revisions: IndexMap<BackendServerId, (u64, Option<BackendKey>)>,
+    /// The position of the last change of each id, and the key of the incarnation that is listed.
+    positions: IndexMap<BackendServerId, (StorePosition, Option<BackendKey>)>,
     /// When each entry was removed.
     tombstones: Vec<(Timestamp, BackendServerId)>,
     /// When the store last recovered from an outage.
@@ -130,44 +131,46 @@
         })
     }
 
-    /// Apply a whole list that is at least as new as `revision`. Servers that are not in it are
-    /// removed, unless their last change is newer than `revision`.
+    /// Apply a whole list that is at least as new as `position`. Servers that are not in it are
+    /// removed, unless their last change is newer than `position`.
     pub fn apply_list(
         &mut self,
         now: Timestamp,
-        revision: u64,
-        list: Vec<(BackendServerId, u64, ListEntry)>,
+        position: impl Into<StorePosition>,
+        list: Vec<(BackendServerId, StorePosition, ListEntry)>,
     ) -> Vec<Change> {
+        let position = position.into();
         let mut changes = Vec::new();
         let listed: Vec<BackendServerId> = list.iter().map(|(id, _, _)| id.clone()).collect();
         for (id, changed, entry) in list {
             self.apply_entry(now, id, changed, entry, &mut changes);
         }
         let missing: Vec<BackendServerId> = self
-            .revisions
+            .positions
             .iter()
-            .filter(|(id, (at, key))| key.is_some() && *at <= revision && !listed.contains(id))
+            .filter(|(id, (at, key))| key.is_some() && *at <= position && !listed.contains(id))
             .map(|(id, _)| id.clone())
             .collect();
         for id in missing {
-            self.apply_removal(now, id, revision, &mut changes);
+            self.apply_removal(now, id, position, &mut changes);
         }
         self.complete = true;
         changes
     }
 
-    /// Apply one entry that was written at `revision`. Older entries than the known one are
+    /// Apply one entry that was written at `position`. Older entries than the known one are
     /// ignored.
     pub fn apply_entry(
         &mut self,
         now: Timestamp,
         id: BackendServerId,
-        revision: u64,
+        position: impl Into<StorePosition>,
         entry: ListEntry,
         changes: &mut Vec<Change>,
     ) {
-        let known = self.revisions.get(&id).copied();
-        if known.is_some_and(|(at, _)| at >= revision) {
+        let position = position.into();
+        let known = self.positions.get(&id).copied();
+        if known.is_some_and(|(at, _)| at >= position) {
             return;
         }
         let Some(announcement) = entry else {
@@ -177,7 +180,7 @@
                 ChangeKind::Removed,
                 changes,
             );
-            self.revisions.insert(id, (revision, None));
+            self.positions.insert(id, (position, None));
             return;
         };
         let key = announcement.key();
@@ -220,25 +223,26 @@
                 since,
             },
         );
-        self.revisions.insert(id, (revision, Some(key)));
+        self.positions.insert(id, (position, Some(key)));
     }
 
-    /// Apply the removal of an entry at `revision`. A ready server then serves as a last resort for
+    /// Apply the removal of an entry at `position`. A ready server then serves as a last resort for
     /// a short time.
     pub fn apply_removal(
         &mut self,
         now: Timestamp,
         id: BackendServerId,
-        revision: u64,
+        position: impl Into<StorePosition>,
         changes: &mut Vec<Change>,
     ) {
-        let Some((at, key)) = self.revisions.get(&id).copied() else {
+        let position = position.into();
+        let Some((at, key)) = self.positions.get(&id).copied() else {
             return;
         };
-        if at > revision {
+        if at > position {
             return;
         }
-        self.revisions.insert(id.clone(), (revision, None));
+        self.positions.insert(id.clone(), (position, None));
         self.tombstones.push((now, id.clone()));
         let Some(key) = key else {
             return;
@@ -287,11 +291,11 @@
         let gone: Vec<(Timestamp, BackendServerId)> = gone;
         for (_, id) in gone {
             if self
-                .revisions
+                .positions
                 .get(&id)
                 .is_some_and(|(_, key)| key.is_none())
             {
-                self.revisions.shift_remove(&id);
+                self.positions.shift_remove(&id);
             }
         }
     }
--- /dev/null
+++ b/crates/oleanderpass_gateway/src/store.rs
@@ -0,0 +1,228 @@
+//! Keep what was read from the platform's store, so that peers can fetch it from this instance.
+
+use std::collections::VecDeque;
+use std::fmt;
+use std::net::SocketAddr;
+use std::num::ParseIntError;
+use std::str::FromStr;
+
+use bytes::Bytes;
+use indexmap::IndexMap;
+use oleanderpass_proto::peer::StoreCopy;
+use oleanderpass_proto::peer::StoreItem as RawStoreItem;
+use oleanderpass_types::id::BackendServerId;
+use smol_str::SmolStr;
+
+use crate::config::Configuration;
+use crate::registry::ListEntry;
+
+/// The most removals that are kept for peers. A peer that misses more of them gets a copy of
+/// everything.
+const MAX_REMOVALS: usize = 256;
+
+/// A position in the history of the store.
+///
+/// A store that is restored from an older copy of itself starts another history, in which it gives
+/// out revisions again. It then raises its era by one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct StorePosition {
+    /// The number of the history, or 0 if the store doesn't number them.
+    pub era: u64,
+    /// The revision within the history.
+    pub revision: u64,
+}
+
+impl StorePosition {
+    /// Return the position of a revision in the history `era`.
+    pub const fn new(era: u64, revision: u64) -> Self {
+        Self { era, revision }
+    }
+}
+
+impl PartialOrd for StorePosition {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for StorePosition {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        self.revision.cmp(&other.revision)
+    }
+}
+
+impl From<u64> for StorePosition {
+    /// Return the position of a revision of a store that doesn't number its histories.
+    fn from(revision: u64) -> Self {
+        Self::new(0, revision)
+    }
+}
+
+impl fmt::Display for StorePosition {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.era, self.revision)
+    }
+}
+
+impl FromStr for StorePosition {
+    type Err = ParseIntError;
+
+    /// Parse what [`fmt::Display`] writes. A number alone is a revision without an era.
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text.split_once('.') {
+            Some((era, revision)) => Ok(Self::new(era.parse()?, revision.parse()?)),
+            None => text.parse::<u64>().map(Self::from),
+        }
+    }
+}
+
+/// An item of the store, or its removal.
+#[derive(Clone, Debug)]
+pub struct StoreItem {
+    /// The key.
+    pub key: SmolStr,
+    /// The position of its last change.
+    pub position: StorePosition,
+    /// The undecoded value, or `None` for a removal.
+    pub value: Option<Bytes>,
+    /// What the item describes.
+    pub content: Content,
+}
+
+/// What an item of the store describes.
+#[derive(Clone, Debug)]
+pub enum Content {
+    /// The configuration, or `None` if it is invalid or was removed.
+    Configuration(Option<Configuration>),
+    /// A backend server. Its entry is `None` if it is malformed or was removed.
+    Server(BackendServerId, ListEntry),
+    /// Something that this system doesn't use.
+    Other,
+}
+
+/// Where to fetch a newer copy of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CopySource {
+    /// The address of the peer.
+    pub addr: SocketAddr,
+    /// The position after which changes are missing. [`StorePosition::default`] asks for
+    /// everything.
+    pub after: StorePosition,
+}
+
+/// A present item of the copy.
+#[derive(Debug)]
+struct Held {
+    position: StorePosition,
+    value: Bytes,
+    /// Whether the item describes a backend server.
+    is_server: bool,
+}
+
+/// A copy of the items of the store, undecoded.
+#[derive(Debug, Default)]
+pub(crate) struct LocalCopy {
+    /// The position up to which nothing is missing.
+    position: StorePosition,
+    items: IndexMap<SmolStr, Held>,
+    /// The positions and keys of removed items, the latest removal last.
+    removed: VecDeque<(StorePosition, SmolStr)>,
+    /// Removals up to this position may be missing from `removed`; all later ones are there.
+    removals_complete_after: StorePosition,
+}
+
+impl LocalCopy {
+    /// Return the position up to which nothing is missing.
+    pub(crate) fn position(&self) -> StorePosition {
+        self.position
+    }
+
+    /// Record that nothing is missing up to a position.
+    pub(crate) fn advance(&mut self, position: StorePosition) {
+        self.position = self.position.max(position);
+    }
+
+    /// Return what changed after a position, for a peer. Return everything if `after` is the
+    /// default, or if removals since then are no longer kept.
+    pub(crate) fn changes(&self, after: StorePosition) -> StoreCopy {
+        let partial = after > StorePosition::default() && after >= self.removals_complete_after;
+        let is_wanted = |position: StorePosition| !partial || position > after;
+        let present = self
+            .items
+            .iter()
+            .map(|(key, held)| encode(key, held.position, Some(&held.value)));
+        let removed = self
+            .removed
+            .iter()
+            .map(|(position, key)| encode(key, *position, None));
+        let items = present.chain(removed);
+        StoreCopy {
+            era: self.position.era,
+            revision: self.position.revision,
+            items: items
+                .filter(|item| is_wanted(StorePosition::new(item.era, item.revision)))
+                .collect(),
+            partial,
+        }
+    }
+
+    /// Apply a change, unless a newer one of the same item was applied before.
+    pub(crate) fn apply(&mut self, item: &StoreItem) {
+        match &item.value {
+            _ if !self.is_newer(&item.key, item.position) => {}
+            Some(value) => {
+                let held = Held {
+                    position: item.position,
+                    value: value.clone(),
+                    is_server: matches!(item.content, Content::Server(..)),
+                };
+                self.items.insert(item.key.clone(), held);
+            }
+            None => self.remove(item.key.clone(), item.position),
+        }
+    }
+
+    /// Replace all items of backend servers by those that were read at `position`. Items that
+    /// changed later stay.
+    pub(crate) fn replace_servers(&mut self, position: StorePosition, items: &[StoreItem]) {
+        let missing: Vec<SmolStr> = self
+            .items
+            .iter()
+            .filter(|(_, held)| held.is_server && held.position <= position)
+            .filter(|(key, _)| items.iter().all(|item| item.key != **key))
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in missing {
+            self.remove(key, position);
+        }
+        for item in items {
+            self.apply(item);
+        }
+    }
+
+    fn is_newer(&self, key: &SmolStr, position: StorePosition) -> bool {
+        self.items
+            .get(key)
+            .is_none_or(|held| held.position <= position)
+    }
+
+    fn remove(&mut self, key: SmolStr, position: StorePosition) {
+        self.items.swap_remove(&key);
+        self.removed.push_back((position, key));
+        if self.removed.len() > MAX_REMOVALS
+            && let Some((position, _)) = self.removed.pop_front()
+        {
+            self.removals_complete_after = position;
+        }
+    }
+}
+
+fn encode(key: &SmolStr, position: StorePosition, value: Option<&Bytes>) -> RawStoreItem {
+    RawStoreItem {
+        key: key.to_string(),
+        era: position.era,
+        revision: position.revision,
+        value: value.map_or_else(Vec::new, |value| value.to_vec()),
+        removed: value.is_none(),
+    }
+}
--- /dev/null
+++ b/crates/oleanderpass_gateway/src/store_reader.rs
@@ -0,0 +1,210 @@
+//! Decide when an instance reads the platform's store itself, and when it takes what peers have
+//! read.
+
+use oleanderpass_types::clock::Millis;
+use oleanderpass_types::clock::Timestamp;
+
+use crate::gateway::Gateway;
+use crate::store::CopySource;
+use crate::store::StoreItem;
+use crate::store::StorePosition;
+
+/// How long the store keeps a watch call waiting for changes. If the connection has gone silent,
+/// the call fails only after this time, or earlier if peers have read newer changes.
+const WATCH_WAIT: Millis = Millis::new(8_000);
+
+/// The same as [`WATCH_WAIT`] while there is no live peer that could have read newer changes.
+const WATCH_WAIT_ALONE: Millis = Millis::new(1_000);
+
+/// The delay between a change and the next watch. Changes within it are returned by one call.
+const WATCH_BATCH_DELAY: Millis = Millis::new(60);
+
+/// The interval at which an instance checks whether it has to read the store itself.
+const READER_CHECK_INTERVAL: Millis = Millis::new(300);
+
+/// The backoff after the first failure. It doubles with each further one.
+const MIN_BACKOFF: Millis = Millis::new(100);
+
+/// The longest backoff.
+const MAX_BACKOFF: Millis = Millis::new(800);
+
+/// What to do next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Fetch a peer's copy of the store. Decide again as soon as it is applied.
+    Copy(CopySource),
+    /// Decide again at this time, or as soon as a peer knows something newer.
+    Wait(Timestamp),
+    /// Read the whole list of backend servers and the configuration from the store.
+    ReadAll,
+    /// Call the store for the changes after a position.
+    Watch {
+        /// The position.
+        after: StorePosition,
+        /// How long the store may wait for a first change.
+        wait: Millis,
+    },
+}
+
+/// The state of one instance's reading of the store.
+#[derive(Clone, Copy, Debug)]
+pub struct StoreReader {
+    /// The position from which a watch continues. `None` if everything has to be read.
+    position: Option<StorePosition>,
+    /// Whether the last call to the store failed.
+    store_lost: bool,
+    /// Whether peers read the store for this instance.
+    follows_peers: bool,
+    backoff: Millis,
+    /// The time of the next call to the store.
+    next_call: Timestamp,
+}
+
+impl Default for StoreReader {
+    fn default() -> Self {
+        Self {
+            position: None,
+            store_lost: false,
+            follows_peers: false,
+            backoff: MIN_BACKOFF,
+            next_call: Timestamp::ORIGIN,
+        }
+    }
+}
+
+impl StoreReader {
+    /// Decide what to do next.
+    pub fn next(&mut self, now: Timestamp, gateway: &mut Gateway) -> Step {
+        if !self.store_lost && self.position.is_some() && !gateway.is_reader(now) {
+            return self.follow_peers(now, gateway);
+        }
+        if self.follows_peers {
+            self.follows_peers = false;
+            tracing::info!("this instance reads the store");
+        }
+        if now < self.next_call {
+            return match gateway.copy_source(now) {
+                Some(source) if self.store_lost => Step::Copy(source),
+                Some(_) | None => Step::Wait(self.next_call),
+            };
+        }
+        match self.position {
+            Some(after) if !self.store_lost => Step::Watch {
+                after,
+                wait: if gateway.fleet().live_peers(now).next().is_some() {
+                    WATCH_WAIT
+                } else {
+                    WATCH_WAIT_ALONE
+                },
+            },
+            // After an outage, the whole list is read, because entries may have expired in the
+            // meantime.
+            Some(_) | None => Step::ReadAll,
+        }
+    }
+
+    fn follow_peers(&mut self, now: Timestamp, gateway: &mut Gateway) -> Step {
+        if !self.follows_peers {
+            self.follows_peers = true;
+            tracing::info!("peers read the store for this instance");
+            gateway.set_reads_store(false);
+        }
+        // Copies of peers may be newer than the last watch of this instance, so a watch continues
+        // after the newest copy.
+        self.position = Some(gateway.store_position());
+        match gateway.copy_source(now) {
+            Some(source) => Step::Copy(source),
+            None => Step::Wait(now + READER_CHECK_INTERVAL),
+        }
+    }
+
+    /// Return whether peers read the store for this instance.
+    pub fn follows_peers(&self) -> bool {
+        self.follows_peers
+    }
+
+    /// Apply what was read from the store: all backend servers at `position` or later, and the
+    /// configuration, if there is one.
+    pub fn on_read_all(
+        &mut self,
+        now: Timestamp,
+        gateway: &mut Gateway,
+        position: StorePosition,
+        servers: Vec<StoreItem>,
+        configuration: Option<StoreItem>,
+    ) {
+        if let Some(item) = configuration {
+            gateway.on_store_item(now, item);
+        }
+        if self.store_lost {
+            gateway.on_store_recovered(now);
+        }
+        gateway.on_store_list(now, position, servers);
+        if self.store_lost {
+            self.store_lost = false;
+            tracing::info!(
+                dependency = "store",
+                store_era = position.era,
+                store_revision = position.revision,
+                "a dependency was regained"
+            );
+        }
+        self.on_answer(gateway, position);
+    }
+
+    /// Apply the answer to a watch: the changes up to `position`.
+    pub fn on_changes(
+        &mut self,
+        now: Timestamp,
+        gateway: &mut Gateway,
+        position: StorePosition,
+        items: Vec<StoreItem>,
+    ) {
+        if !items.is_empty() {
+            self.next_call = now + WATCH_BATCH_DELAY;
+        }
+        for item in items {
+            gateway.on_store_item(now, item);
+        }
+        let position = self.position.map_or(position, |after| after.max(position));
+        self.on_answer(gateway, position);
+    }
+
+    fn on_answer(&mut self, gateway: &mut Gateway, position: StorePosition) {
+        self.position = Some(position);
+        self.backoff = MIN_BACKOFF;
+        gateway.on_store_position(position);
+        gateway.set_reads_store(true);
+    }
+
+    /// Record that the store no longer has the history after the position of the last watch.
+    pub fn on_history_lost(&mut self) {
+        let after = self.position.unwrap_or_default();
+        tracing::info!(
+            store_era = after.era,
+            after = after.revision,
+            "the store no longer has the history after this revision; reading everything"
+        );
+        self.position = None;
+    }
+
+    /// Record that a call to the store failed. `jitter` from 0 to 1 spreads the next calls of
+    /// several instances.
+    pub fn on_failure(&mut self, now: Timestamp, gateway: &mut Gateway, error: &str, jitter: f64) {
+        gateway.set_reads_store(false);
+        if !self.store_lost {
+            self.store_lost = true;
+            let position = gateway.store_position();
+            tracing::warn!(
+                dependency = "store",
+                error,
+                store_era = position.era,
+                store_revision = position.revision,
+                "a dependency was lost"
+            );
+        }
+        let wait = self.backoff.get() as f64 * (1.0 + jitter) / 2.0;
+        self.next_call = now + Millis::new(wait as u64);
+        self.backoff = self.backoff.saturating_mul(2).min(MAX_BACKOFF);
+    }
+}
--- a/crates/oleanderpass_gateway/tests/common/fleet.rs
+++ b/crates/oleanderpass_gateway/tests/common/fleet.rs
@@ -339,7 +339,7 @@
         let list = (0..self.engines.len()).filter(|engine| self.engines[*engine].up);
         let list = list.map(|engine| {
             let entry = self.announcement(engine);
-            (entry.id.clone(), self.revision, Some(entry))
+            (entry.id.clone(), self.revision.into(), Some(entry))
         });
         gateway.on_list(now, self.revision, list.collect());
         for peer in 0..self.gateways.len() {
--- a/crates/oleanderpass_gateway/tests/common/mod.rs
+++ b/crates/oleanderpass_gateway/tests/common/mod.rs
@@ -146,7 +146,7 @@
         let id = format!("e{number}");
         list.push((
             id.parse().unwrap(),
-            5,
+            5.into(),
             Some(server(&id, "engines", 1, number)),
         ));
     }
@@ -154,7 +154,7 @@
         let id = format!("p{number}");
         list.push((
             id.parse().unwrap(),
-            5,
+            5.into(),
             Some(server(&id, "plain", 1, 200 + number)),
         ));
     }
--- a/crates/oleanderpass_gateway/tests/registry.rs
+++ b/crates/oleanderpass_gateway/tests/registry.rs
@@ -26,7 +26,7 @@
     let list = servers
         .iter()
         .zip(1..)
-        .map(|(name, number)| (id(name), 5, Some(server(name, "engines", 1, number))))
+        .map(|(name, number)| (id(name), 5.into(), Some(server(name, "engines", 1, number))))
         .collect();
     registry.apply_list(at(0), 10, list);
     registry
@@ -117,7 +117,7 @@
     registry.apply_list(
         at(0),
         12,
-        vec![(id("a"), 5, Some(server("a", "engines", 1, 1)))],
+        vec![(id("a"), 5.into(), Some(server("a", "engines", 1, 1)))],
     );
     assert_eq!(usable(&registry, at(0)).len(), 2);
     let mut changes = Vec::new();
--- a/crates/oleanderpass_gateway_io/src/daemon.rs
+++ b/crates/oleanderpass_gateway_io/src/daemon.rs
@@ -31,7 +31,6 @@
 use crate::peer;
 use crate::settings::Settings;
 use crate::store;
-use crate::store::LocalCopy;
 
 /// The margin between the end of a stopping process and the time at which the platform kills it.
 const STOP_MARGIN: Millis = Millis::new(400);
@@ -87,7 +86,6 @@
         gateway: RefCell::new(gateway),
         pool: RefCell::new(Pool::default()),
         metrics: Metrics::new()?,
-        store_copy: RefCell::new(LocalCopy::default()),
         peer_socket,
         load_changed: Notify::new(),
         store_behind: Notify::new(),
--- a/crates/oleanderpass_gateway_io/src/instance.rs
+++ b/crates/oleanderpass_gateway_io/src/instance.rs
@@ -15,7 +15,6 @@
 use crate::connection::Pool;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
-use crate::store::LocalCopy;
 
 /// How far the instance is in its shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,13 +34,11 @@
     pub(crate) gateway: RefCell<Gateway>,
     pub(crate) pool: RefCell<Pool>,
     pub(crate) metrics: Metrics,
-    /// What was read from the platform's store, for peers that don't read it themselves.
-    pub(crate) store_copy: RefCell<LocalCopy>,
     /// The socket for datagrams to and from peers.
     pub(crate) peer_socket: UdpSocket,
     /// Notified when the load of this instance changed, so that a bulletin may be due.
     pub(crate) load_changed: Notify,
-    /// Notified when a peer has read a newer revision of the store than this instance.
+    /// Notified when a peer knows something newer of the store than this instance.
     pub(crate) store_behind: Notify,
     /// Changed by the task that stops the instance.
     pub(crate) shutdown: watch::Sender<ShutdownPhase>,
--- a/crates/oleanderpass_gateway_io/src/internal_http.rs
+++ b/crates/oleanderpass_gateway_io/src/internal_http.rs
@@ -14,6 +14,7 @@
 use hyper_util::rt::TokioIo;
 use oleanderpass_platform::READINESS_PATH;
 use oleanderpass_types::clock::Millis;
+use prost::Message;
 use tokio::net::TcpListener;
 
 use crate::clock::sleep_until;
@@ -22,7 +23,7 @@
 const METRICS_PATH: &str = "/metrics";
 const STATUS_PATH: &str = "/status";
 
-/// The path of the copy of the platform's store, for peers. The query is the revision after which
+/// The path of the copy of the platform's store, for peers. The query is the position after which
 /// they want changes.
 pub(crate) const STORE_COPY_PATH: &str = "/store";
 
@@ -68,12 +69,13 @@
         },
         STATUS_PATH => (StatusCode::OK, status(instance).into()),
         STORE_COPY_PATH => {
-            // Without a revision, the peer gets everything.
+            // Without a position, the peer gets everything.
             let after = req.uri().query().and_then(|query| query.parse().ok());
-            (
-                StatusCode::OK,
-                instance.store_copy.borrow().encode(after.unwrap_or(0)),
-            )
+            let changes = instance
+                .gateway
+                .borrow()
+                .store_changes(after.unwrap_or_default());
+            (StatusCode::OK, changes.encode_to_vec().into())
         }
         _ => (StatusCode::NOT_FOUND, Bytes::new()),
     };
@@ -91,10 +93,11 @@
         .configuration()
         .map_or(0, |config| config.version.get());
     let mut text = format!(
-        "instance: {}\nready: {}\nconfig_version: {version}\nstore_revision: {}\npeers: {}\n",
+        "instance: {}\nready: {}\nconfig_version: {version}\nstore_era: {}\nstore_revision: {}\npeers: {}\n",
         instance.settings.instance,
         gateway.is_ready(),
-        gateway.store_revision(),
+        gateway.store_position().era,
+        gateway.store_position().revision,
         gateway.fleet().live_peers(now).count(),
     );
     for (part, last_crash) in gateway.crashes().refused_parts() {
--- a/crates/oleanderpass_gateway_io/src/peer.rs
+++ b/crates/oleanderpass_gateway_io/src/peer.rs
@@ -12,6 +12,7 @@
 use http_body_util::Full;
 use http_body_util::Limited;
 use oleanderpass_gateway::peers::MIN_BULLETIN_INTERVAL;
+use oleanderpass_gateway::store::StorePosition;
 use oleanderpass_membership::packet::MAX_DATAGRAM_BYTES;
 use oleanderpass_proto::peer::Packet;
 use oleanderpass_proto::peer::StoreCopy;
@@ -59,7 +60,7 @@
         let behind = {
             let mut gateway = instance.gateway.borrow_mut();
             gateway.on_packet(instance.now(), source, &packet, &mut out);
-            gateway.newest_peer_revision(instance.now()) > gateway.store_revision()
+            gateway.is_behind(instance.now())
         };
         instance.send_packets(out);
         if behind {
@@ -100,12 +101,13 @@
     }
 }
 
-/// Fetch what changed in a peer's copy of the store after a revision. 0 fetches everything.
+/// Fetch what changed in a peer's copy of the store after a position. The default fetches
+/// everything.
 ///
 /// # Errors
 ///
 /// Return why the copy could not be fetched.
-pub(crate) async fn fetch_copy(addr: SocketAddr, after: u64) -> Result<StoreCopy> {
+pub(crate) async fn fetch_copy(addr: SocketAddr, after: StorePosition) -> Result<StoreCopy> {
     let read = async {
         let mut connection = connection::open(addr).await?;
         let req = Request::get(format!("{STORE_COPY_PATH}?{after}"))
