Add a failing test of a store that is restored from a copy of itself

The test plays a fleet of 8 or 295 instances with a store that goes away, comes back from a copy some seconds old with the next era, and gives out revisions again; some instances start, stand still or are cut off. It checks that each confirmed version and each entry of a server is in force in time and that no version goes back.

--- a/crates/oleanderpass_gateway/tests/common/fleet.rs
+++ b/crates/oleanderpass_gateway/tests/common/fleet.rs
@@ -162,14 +162,14 @@
     pub(crate) told: BTreeMap<(usize, usize), u64>,
 }
 
-fn addr_of(instance: usize) -> SocketAddr {
+pub(crate) fn addr_of(instance: usize) -> SocketAddr {
     SocketAddr::from((
         [10, 1, (instance / 250) as u8, (instance % 250) as u8],
         7_340,
     ))
 }
 
-fn name_of(instance: usize) -> String {
+pub(crate) fn name_of(instance: usize) -> String {
     format!("edge-{instance}")
 }
 
@@ -581,7 +581,7 @@
 }
 
 /// Return a packet that tells of the instance that sends it.
-fn hello(instance: usize, incarnation: u64) -> Packet {
+pub(crate) fn hello(instance: usize, incarnation: u64) -> Packet {
     let update = MemberUpdate {
         instance: name_of(instance),
         incarnation,
--- a/crates/oleanderpass_gateway/tests/common/mod.rs
+++ b/crates/oleanderpass_gateway/tests/common/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, reason = "each test file uses only some of the items")]
 
 pub(crate) mod fleet;
+pub(crate) mod store;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- /dev/null
+++ b/crates/oleanderpass_gateway/tests/common/store.rs
@@ -0,0 +1,769 @@
+//! Simulate a fleet of gateways that read the platform's store, in virtual time.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use oleanderpass_gateway::backend::AnnouncedState;
+use oleanderpass_gateway::backend::Announcement;
+use oleanderpass_gateway::gateway::Bounds;
+use oleanderpass_gateway::gateway::Gateway;
+use oleanderpass_gateway::registry::Standing;
+use oleanderpass_gateway::store::Content;
+use oleanderpass_gateway::store::CopySource;
+use oleanderpass_gateway::store::StoreItem;
+use oleanderpass_gateway::store::StorePosition;
+use oleanderpass_gateway::store_reader::Step;
+use oleanderpass_gateway::store_reader::StoreReader;
+use oleanderpass_membership::membership::Identity;
+use oleanderpass_proto::peer::Packet;
+use oleanderpass_types::id::Incarnation;
+use smol_str::SmolStr;
+
+use super::KEY;
+use super::at;
+use super::configuration;
+use super::fleet::CONTACT_MS;
+use super::fleet::Fault;
+use super::fleet::addr_of;
+use super::fleet::hello;
+use super::fleet::name_of;
+use super::server;
+
+/// The one-way delay of datagrams, in milliseconds.
+const DELAY_MS: u64 = 1;
+/// The time that the store or a peer takes to answer a call, in milliseconds.
+const CALL_MS: u64 = 4;
+/// The timeouts and pauses of the calls, in milliseconds.
+const READ_TIMEOUT_MS: u64 = 800;
+const WATCH_MARGIN_MS: u64 = 700;
+const BEHIND_GRACE_MS: u64 = 250;
+const COPY_PAUSE_MS: u64 = 100;
+/// The time within which a confirmed change is in force, in milliseconds.
+pub(crate) const APPLY_MS: u64 = 2_000;
+/// The time after which a leaving server gets no more work, in milliseconds.
+pub(crate) const DRAIN_MS: u64 = 2_000;
+
+/// What is written into the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Write {
+    Configuration(u64),
+    Server(Announcement),
+    Removal(SmolStr),
+}
+
+impl Write {
+    fn key(&self) -> SmolStr {
+        match self {
+            Self::Configuration(_) => "config".into(),
+            Self::Server(entry) => entry.id.as_str().into(),
+            Self::Removal(key) => key.clone(),
+        }
+    }
+
+    fn value(&self) -> Option<Bytes> {
+        match self {
+            Self::Configuration(version) => Some(format!("{version}").into()),
+            Self::Server(entry) => {
+                let number = match entry.addr {
+                    SocketAddr::V4(addr) => addr.ip().octets()[3],
+                    SocketAddr::V6(_) => 0,
+                };
+                let (incarnation, state) = (entry.incarnation, entry.state);
+                Some(format!("{incarnation} {number} {state}").into())
+            }
+            Self::Removal(_) => None,
+        }
+    }
+}
+
+/// Decode an item from its undecoded value.
+fn decode(key: &str, position: StorePosition, value: Option<Bytes>) -> StoreItem {
+    let text = value
+        .as_ref()
+        .map(|value| String::from_utf8(value.to_vec()).unwrap());
+    let words: Vec<&str> = text.iter().flat_map(|text| text.split(' ')).collect();
+    let content = match (key, &words[..]) {
+        ("config", [version]) => {
+            let version = version.parse().unwrap();
+            Content::Configuration(Some(configuration(version, &[KEY])))
+        }
+        ("config", _) => Content::Configuration(None),
+        (id, [incarnation, number, state]) => {
+            let (incarnation, number) = (incarnation.parse().unwrap(), number.parse().unwrap());
+            let mut entry = server(id, "engines", incarnation, number);
+            if *state == "draining" {
+                entry.state = AnnouncedState::Draining;
+            }
+            Content::Server(entry.id.clone(), Some(entry))
+        }
+        (id, _) => Content::Server(id.parse().unwrap(), None),
+    };
+    StoreItem {
+        key: key.into(),
+        position,
+        value,
+        content,
+    }
+}
+
+/// How the store responds to calls while it is away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Outage {
+    /// Connections are reset.
+    Reset,
+    /// Calls get no answer. Those that wait never get one.
+    Silent,
+}
+
+#[derive(Clone, Debug)]
+enum Reply {
+    All(StorePosition, Vec<StoreItem>),
+    Changes(StorePosition, Vec<StoreItem>),
+    HistoryLost,
+    Failed,
+    Copy(StorePosition, bool, Vec<StoreItem>),
+    CopyFailed,
+}
+
+#[derive(Debug)]
+enum Event {
+    Tick(usize),
+    Deliver {
+        from: usize,
+        to: usize,
+        packet: Rc<Packet>,
+    },
+    /// An instance decides, unless it has done so since.
+    Decide(usize, u64),
+    Answer(usize, u64, Reply),
+    /// An instance was behind its peers a short time ago.
+    Behind(usize, u64),
+    Fault(usize, Fault),
+    Write(Write),
+    Down(Outage),
+    /// The store is back. It has lost what it acknowledged within the last milliseconds before
+    /// the outage, if it was restored from a copy.
+    Up(Option<u64>),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Doing {
+    Waiting,
+    Watching(StorePosition),
+    Calling,
+}
+
+struct Instance {
+    gateway: Option<Gateway>,
+    reader: StoreReader,
+    doing: Doing,
+    /// The number of the current step. Events of earlier steps are ignored.
+    step: u64,
+    incarnation: u64,
+    frozen_until: u64,
+    cut_until: u64,
+    calm_since: u64,
+}
+
+/// The history of the store since its era began, and all writes that operators and servers know.
+struct Store {
+    outage: Option<Outage>,
+    down_at: u64,
+    position: StorePosition,
+    /// Watches from before this revision are refused.
+    history_start: u64,
+    changes: Vec<(u64, u64, Write)>,
+    /// When each write was first acknowledged.
+    acknowledged: Vec<(u64, Write)>,
+}
+
+impl Store {
+    /// Return the present items, each with the revision of its last change.
+    fn items(&self) -> BTreeMap<SmolStr, (u64, Write)> {
+        let mut items = BTreeMap::new();
+        for (_, revision, write) in &self.changes {
+            match write {
+                Write::Removal(key) => {
+                    items.remove(key);
+                }
+                Write::Configuration(_) | Write::Server(_) => {
+                    items.insert(write.key(), (*revision, write.clone()));
+                }
+            }
+        }
+        items
+    }
+
+    fn append(&mut self, now: u64, write: Write) {
+        self.position.revision += 1;
+        self.changes.push((now, self.position.revision, write));
+    }
+
+    fn item(&self, revision: u64, write: &Write) -> StoreItem {
+        let position = StorePosition::new(self.position.era, revision);
+        decode(&write.key(), position, write.value())
+    }
+
+    fn read_all(&self) -> Reply {
+        let items = self.items();
+        let items = items
+            .values()
+            .map(|(revision, write)| self.item(*revision, write));
+        Reply::All(self.position, items.collect())
+    }
+
+    /// Return the answer to a watch, or `None` if nothing has changed since `after`.
+    fn watch(&self, after: u64) -> Option<Reply> {
+        if after < self.history_start || after > self.position.revision {
+            return Some(Reply::HistoryLost);
+        }
+        let items: Vec<StoreItem> = self
+            .changes
+            .iter()
+            .filter(|(_, revision, _)| *revision > after)
+            .map(|(_, revision, write)| self.item(*revision, write))
+            .collect();
+        (!items.is_empty()).then(|| Reply::Changes(self.position, items))
+    }
+
+    /// Go back to the state of the time `copied`, and write again what was written since.
+    fn restore(&mut self, now: u64, copied: u64) {
+        self.changes.retain(|(at, ..)| *at <= copied);
+        let last = self.changes.last();
+        self.position.revision = last.map_or(0, |(_, revision, _)| *revision);
+        self.position.era += 1;
+        let mut wanted = BTreeMap::new();
+        for (_, write) in &self.acknowledged {
+            wanted.insert(write.key(), write.clone());
+        }
+        for (key, write) in wanted {
+            let stored = self.items().get(&key).map(|(_, write)| write.clone());
+            let is_lost = match &write {
+                Write::Removal(_) => stored.is_some(),
+                Write::Configuration(_) | Write::Server(_) => stored.as_ref() != Some(&write),
+            };
+            if is_lost {
+                self.append(now, write);
+            }
+        }
+    }
+}
+
+/// A broken promise.
+#[derive(Clone, Debug)]
+pub(crate) struct Violation {
+    pub(crate) at: u64,
+    pub(crate) instance: usize,
+    pub(crate) what: String,
+}
+
+/// Gateways, a store and the events between them.
+pub(crate) struct StoreFleet {
+    now: u64,
+    queue: BTreeMap<(u64, u64), Event>,
+    pushed: u64,
+    instances: Vec<Instance>,
+    store: Store,
+    /// When the store last changed between being there and away. Instances count as in touch only
+    /// some time after.
+    store_calm_since: u64,
+    /// What was broken, as found by the checks after each tick.
+    pub(crate) violations: Vec<Violation>,
+    /// The number of calls to the store.
+    pub(crate) store_calls: u64,
+    /// The number of copies that instances fetched from peers.
+    pub(crate) copies: u64,
+    seen: Vec<u64>,
+}
+
+impl StoreFleet {
+    /// Create a fleet of running instances before a store that holds these writes.
+    pub(crate) fn new(instances: usize, absent: &[usize], writes: Vec<Write>) -> Self {
+        let mut fleet = Self {
+            now: 0,
+            queue: BTreeMap::new(),
+            pushed: 0,
+            instances: Vec::new(),
+            store: Store {
+                outage: None,
+                down_at: 0,
+                position: StorePosition::new(1, 0),
+                history_start: 0,
+                changes: Vec::new(),
+                acknowledged: Vec::new(),
+            },
+            store_calm_since: 0,
+            violations: Vec::new(),
+            store_calls: 0,
+            copies: 0,
+            seen: vec![0; instances],
+        };
+        for write in writes {
+            fleet.store.acknowledged.push((0, write.clone()));
+            fleet.store.append(0, write);
+        }
+        for number in 0..instances {
+            fleet.instances.push(Instance {
+                gateway: None,
+                reader: StoreReader::default(),
+                doing: Doing::Waiting,
+                step: 0,
+                incarnation: 0,
+                frozen_until: 0,
+                cut_until: 0,
+                calm_since: 0,
+            });
+            // The ticks of the instances are spread over the tick interval.
+            fleet.push(number as u64 % 100, Event::Tick(number));
+        }
+        for number in (0..instances).filter(|number| !absent.contains(number)) {
+            fleet.start(number);
+        }
+        fleet
+    }
+
+    /// Let something be written, or written as soon as the store is back.
+    pub(crate) fn write(&mut self, at: u64, write: Write) {
+        self.push(at, Event::Write(write));
+    }
+
+    /// Let the store be away for some time.
+    pub(crate) fn outage(&mut self, at: u64, ms: u64, outage: Outage) {
+        self.push(at, Event::Down(outage));
+        self.push(at + ms, Event::Up(None));
+    }
+
+    /// Let the store be away for `ms` and come back from a copy that is `age_ms` old.
+    pub(crate) fn restore(&mut self, at: u64, ms: u64, age_ms: u64) {
+        self.push(at, Event::Down(Outage::Reset));
+        self.push(at + ms, Event::Up(Some(age_ms)));
+    }
+
+    /// Let a fault happen to an instance.
+    pub(crate) fn fault(&mut self, at: u64, instance: usize, fault: Fault) {
+        self.push(at, Event::Fault(instance, fault));
+    }
+
+    /// Play until `end`, in milliseconds from the start.
+    pub(crate) fn run(&mut self, end: u64) {
+        while let Some(entry) = self.queue.first_entry() {
+            if entry.key().0 > end {
+                break;
+            }
+            let ((now, _), event) = entry.remove_entry();
+            self.now = now;
+            self.handle(event);
+        }
+        self.now = end;
+    }
+
+    fn push(&mut self, at: u64, event: Event) {
+        self.pushed += 1;
+        self.queue.insert((at, self.pushed), event);
+    }
+
+    fn handle(&mut self, event: Event) {
+        let instance = match &event {
+            Event::Tick(instance)
+            | Event::Decide(instance, _)
+            | Event::Answer(instance, ..)
+            | Event::Behind(instance, _) => Some(*instance),
+            Event::Deliver { to, .. } => Some(*to),
+            Event::Fault(..) | Event::Write(_) | Event::Down(_) | Event::Up(_) => None,
+        };
+        if let Some(wake) = instance.map(|instance| self.instances[instance].frozen_until)
+            && wake > self.now
+        {
+            self.push(wake, event);
+            return;
+        }
+        match event {
+            Event::Tick(instance) => self.tick(instance),
+            Event::Deliver { from, to, packet } => self.deliver(from, to, &packet),
+            Event::Decide(instance, step) if self.instances[instance].step == step => {
+                self.decide(instance);
+            }
+            Event::Answer(instance, step, reply) if self.instances[instance].step == step => {
+                self.answer(instance, reply);
+            }
+            Event::Behind(instance, step) if self.instances[instance].step == step => {
+                let now = at(self.now);
+                let behind = self.instances[instance].gateway.as_ref();
+                if behind.is_some_and(|gateway| gateway.is_behind(now)) {
+                    self.answer(instance, Reply::Failed);
+                }
+            }
+            Event::Decide(..) | Event::Answer(..) | Event::Behind(..) => {}
+            Event::Fault(instance, fault) => self.apply(instance, fault),
+            Event::Write(write) => self.put(write),
+            Event::Down(outage) => self.go_down(outage),
+            Event::Up(age) => self.come_back(age),
+        }
+    }
+
+    fn apply(&mut self, number: usize, fault: Fault) {
+        let now = self.now;
+        let instance = &mut self.instances[number];
+        match fault {
+            Fault::Start => self.start(number),
+            Fault::Freeze(ms) => {
+                instance.frozen_until = now + ms;
+                instance.calm_since = now + ms;
+            }
+            Fault::Cut(ms) => {
+                instance.cut_until = now + ms;
+                instance.calm_since = now + ms;
+            }
+        }
+    }
+
+    fn start(&mut self, number: usize) {
+        let now = at(self.now);
+        let instance = &mut self.instances[number];
+        instance.incarnation += 1;
+        instance.step += 1;
+        instance.doing = Doing::Waiting;
+        instance.reader = StoreReader::default();
+        instance.calm_since = if self.now == 0 { 0 } else { self.now };
+        self.seen[number] = 0;
+        let identity = Identity {
+            id: name_of(number).parse().unwrap(),
+            incarnation: Incarnation::new(instance.incarnation),
+            zone: format!("zone-{}", number % 3).parse().unwrap(),
+            addr: addr_of(number),
+        };
+        let bounds = Bounds {
+            retry_ratio: 0.2,
+            retry_slack: 102,
+        };
+        let mut gateway = Gateway::new(now, identity, Vec::new(), bounds, number as u64);
+        let own_incarnation = instance.incarnation;
+        for peer in 0..self.instances.len() {
+            let incarnation = self.instances[peer].incarnation;
+            if let Some(known) = &mut self.instances[peer].gateway
+                && peer != number
+            {
+                let own = hello(number, own_incarnation);
+                known.on_packet(now, addr_of(number), &own, &mut Vec::new());
+                let other = hello(peer, incarnation);
+                gateway.on_packet(now, addr_of(peer), &other, &mut Vec::new());
+            }
+        }
+        self.instances[number].gateway = Some(gateway);
+        let step = self.instances[number].step;
+        self.push(self.now, Event::Decide(number, step));
+    }
+
+    fn tick(&mut self, number: usize) {
+        let mut out = Vec::new();
+        if let Some(gateway) = &mut self.instances[number].gateway {
+            gateway.on_tick(at(self.now), &mut out);
+        }
+        self.post(number, out);
+        self.check(number);
+        self.push(self.now + 100, Event::Tick(number));
+    }
+
+    fn post(&mut self, from: usize, packets: Vec<(SocketAddr, Packet)>) {
+        for (to, packet) in packets {
+            let SocketAddr::V4(to) = to else { continue };
+            let octets = to.ip().octets();
+            let to = usize::from(octets[2]) * 250 + usize::from(octets[3]);
+            let packet = Rc::new(packet);
+            self.push(self.now + DELAY_MS, Event::Deliver { from, to, packet });
+        }
+    }
+
+    fn is_cut(&self, number: usize) -> bool {
+        self.instances[number].cut_until > self.now
+    }
+
+    fn deliver(&mut self, from: usize, to: usize, packet: &Packet) {
+        if self.is_cut(from) || self.is_cut(to) {
+            return;
+        }
+        let now = at(self.now);
+        let mut out = Vec::new();
+        let instance = &mut self.instances[to];
+        let mut behind = false;
+        if let Some(gateway) = &mut instance.gateway {
+            gateway.on_packet(now, addr_of(from), packet, &mut out);
+            behind = gateway.is_behind(now);
+        }
+        let (doing, step) = (instance.doing, instance.step);
+        self.post(to, out);
+        match doing {
+            Doing::Waiting if behind => self.push(self.now, Event::Decide(to, step)),
+            Doing::Watching(_) if behind => {
+                self.push(self.now + BEHIND_GRACE_MS, Event::Behind(to, step));
+            }
+            Doing::Waiting | Doing::Watching(_) | Doing::Calling => {}
+        }
+    }
+
+    /// Begin the next step of an instance.
+    fn decide(&mut self, number: usize) {
+        let now = at(self.now);
+        let cut = self.is_cut(number);
+        let instance = &mut self.instances[number];
+        let Some(gateway) = &mut instance.gateway else {
+            return;
+        };
+        let next = instance.reader.next(now, gateway);
+        instance.step += 1;
+        let step = instance.step;
+        instance.doing = match next {
+            Step::Wait(_) => Doing::Waiting,
+            Step::Watch { after, .. } => Doing::Watching(after),
+            Step::Copy(_) | Step::ReadAll => Doing::Calling,
+        };
+        let mut out = Vec::new();
+        gateway.send_bulletin(now, &mut out);
+        self.post(number, out);
+        match next {
+            Step::Wait(until) => {
+                let wait = now.until(until).get();
+                self.push(self.now + wait, Event::Decide(number, step));
+            }
+            Step::Copy(source) => self.copy(number, step, source),
+            Step::ReadAll => {
+                self.store_calls += 2;
+                let (delay, reply) = match self.store.outage {
+                    _ if cut => (READ_TIMEOUT_MS, Reply::Failed),
+                    Some(Outage::Silent) => (READ_TIMEOUT_MS, Reply::Failed),
+                    Some(Outage::Reset) => (1, Reply::Failed),
+                    None => (2 * CALL_MS, self.store.read_all()),
+                };
+                self.push(self.now + delay, Event::Answer(number, step, reply));
+            }
+            Step::Watch { after, wait } => {
+                self.store_calls += 1;
+                let timeout = wait.get() + WATCH_MARGIN_MS;
+                self.push(
+                    self.now + timeout,
+                    Event::Answer(number, step, Reply::Failed),
+                );
+                if self.store.outage == Some(Outage::Reset) && !cut {
+                    self.push(self.now + 1, Event::Answer(number, step, Reply::Failed));
+                } else if self.store.outage.is_none() && !cut {
+                    let empty = Reply::Changes(after, Vec::new());
+                    self.push(self.now + wait.get(), Event::Answer(number, step, empty));
+                    self.answer_watch(number);
+                }
+            }
+        }
+    }
+
+    fn copy(&mut self, number: usize, step: u64, source: CopySource) {
+        self.copies += 1;
+        let peer = (0..self.instances.len()).find(|peer| addr_of(*peer) == source.addr);
+        let reachable = peer.filter(|peer| {
+            let frozen = self.instances[*peer].frozen_until > self.now;
+            !frozen && !self.is_cut(*peer) && !self.is_cut(number)
+        });
+        let gateway = reachable.and_then(|peer| self.instances[peer].gateway.as_ref());
+        let (delay, reply) = match gateway {
+            Some(gateway) => {
+                let copy = gateway.store_changes(source.after);
+                let position = StorePosition::new(copy.era, copy.revision);
+                let items = copy.items.into_iter().map(|raw| {
+                    let position = StorePosition::new(raw.era, raw.revision);
+                    let value = (!raw.removed).then(|| raw.value.into());
+                    decode(&raw.key, position, value)
+                });
+                let reply = Reply::Copy(position, copy.partial, items.collect());
+                (CALL_MS, reply)
+            }
+            None => (READ_TIMEOUT_MS, Reply::CopyFailed),
+        };
+        self.push(self.now + delay, Event::Answer(number, step, reply));
+    }
+
+    /// Answer the watch of an instance if there is something to answer.
+    fn answer_watch(&mut self, number: usize) {
+        let instance = &self.instances[number];
+        let Doing::Watching(after) = instance.doing else {
+            return;
+        };
+        let step = instance.step;
+        if self.store.outage.is_none()
+            && !self.is_cut(number)
+            && let Some(reply) = self.store.watch(after.revision)
+        {
+            self.push(self.now + CALL_MS, Event::Answer(number, step, reply));
+        }
+    }
+
+    fn answer(&mut self, number: usize, reply: Reply) {
+        let now = at(self.now);
+        let lost = self.is_cut(number) && matches!(reply, Reply::All(..) | Reply::Changes(..));
+        let instance = &mut self.instances[number];
+        let Some(gateway) = &mut instance.gateway else {
+            return;
+        };
+        if lost && matches!(instance.doing, Doing::Watching(_)) {
+            // The connection is dead from now on; the call ends by its timeout.
+            return;
+        }
+        let mut pause = 0;
+        match reply {
+            _ if lost => instance.reader.on_failure(now, gateway, "cut", 0.5),
+            Reply::All(position, items) => {
+                let (servers, others): (Vec<_>, Vec<_>) = items
+                    .into_iter()
+                    .partition(|item| matches!(item.content, Content::Server(..)));
+                let configuration = others.into_iter().next();
+                instance
+                    .reader
+                    .on_read_all(now, gateway, position, servers, configuration);
+            }
+            Reply::Changes(position, items) => {
+                instance.reader.on_changes(now, gateway, position, items);
+            }
+            Reply::HistoryLost => instance.reader.on_history_lost(),
+            Reply::Failed => {
+                let jitter = (number % 7) as f64 / 7.0;
+                instance.reader.on_failure(now, gateway, "failed", jitter);
+            }
+            Reply::Copy(position, partial, items) => {
+                gateway.on_peer_copy(now, position, partial, items);
+            }
+            Reply::CopyFailed => pause = COPY_PAUSE_MS,
+        }
+        if pause > 0 {
+            let step = instance.step;
+            self.push(self.now + pause, Event::Decide(number, step));
+        } else {
+            self.decide(number);
+        }
+    }
+
+    fn put(&mut self, write: Write) {
+        if self.store.outage.is_some() {
+            // Operators and servers try again until the store acknowledges.
+            self.push(self.now + 50, Event::Write(write));
+            return;
+        }
+        self.store.acknowledged.push((self.now, write.clone()));
+        self.store.append(self.now, write);
+        for number in 0..self.instances.len() {
+            self.answer_watch(number);
+        }
+    }
+
+    fn go_down(&mut self, outage: Outage) {
+        self.store.outage = Some(outage);
+        self.store.down_at = self.now;
+        for number in 0..self.instances.len() {
+            let instance = &mut self.instances[number];
+            if !matches!(instance.doing, Doing::Watching(_)) {
+                continue;
+            }
+            let step = instance.step;
+            match outage {
+                Outage::Reset => {
+                    self.push(self.now + 1, Event::Answer(number, step, Reply::Failed));
+                }
+                Outage::Silent => {
+                    // Only the timeout ends the call now.
+                    instance.doing = Doing::Calling;
+                    self.queue.retain(|_, event| {
+                        let answers = matches!(event, Event::Answer(to, of, Reply::Changes(..))
+                            if *to == number && *of == step);
+                        !answers
+                    });
+                }
+            }
+        }
+    }
+
+    fn come_back(&mut self, age: Option<u64>) {
+        self.store.outage = None;
+        self.store_calm_since = self.now;
+        if let Some(age) = age {
+            let copied = self.store.down_at.saturating_sub(age);
+            self.store.restore(self.now, copied);
+        }
+        for number in 0..self.instances.len() {
+            self.answer_watch(number);
+        }
+    }
+
+    /// Check one instance against what was acknowledged long enough ago.
+    fn check(&mut self, number: usize) {
+        let instance = &self.instances[number];
+        let Some(gateway) = &instance.gateway else {
+            return;
+        };
+        let version = gateway
+            .configuration()
+            .map_or(0, |config| config.version.get());
+        let mut broken = Vec::new();
+        if version < self.seen[number] {
+            broken.push(format!("version {version} after {}", self.seen[number]));
+        }
+        let seen = version.max(self.seen[number]);
+        let calm = instance.calm_since == 0 || self.now >= instance.calm_since + CONTACT_MS;
+        let store_calm = self.store.outage.is_none()
+            && (self.store_calm_since == 0 || self.now >= self.store_calm_since + CONTACT_MS);
+        if calm && store_calm {
+            let due = |at: u64, bound: u64| at + bound <= self.now;
+            let wanted = self
+                .store
+                .acknowledged
+                .iter()
+                .filter(|(at, _)| due(*at, APPLY_MS));
+            let wanted = wanted.filter_map(|(_, write)| match write {
+                Write::Configuration(version) => Some(*version),
+                Write::Server(_) | Write::Removal(_) => None,
+            });
+            let wanted = wanted.max().unwrap_or(0);
+            if version < wanted {
+                broken.push(format!("version {version} where {wanted} is confirmed"));
+            }
+            for (_, backend) in gateway.registry().iter() {
+                let entry = &backend.announcement;
+                let leaves = self.store.acknowledged.iter().any(|(at, write)| {
+                    due(*at, DRAIN_MS)
+                        && match write {
+                            Write::Server(other) => {
+                                other.key() == entry.key()
+                                    && other.state == AnnouncedState::Draining
+                            }
+                            Write::Removal(id) => entry.id.as_str() == id.as_str(),
+                            Write::Configuration(_) => false,
+                        }
+                });
+                if leaves && backend.standing == Standing::Ready {
+                    broken.push(format!("{} is used, which has left", entry.id));
+                }
+            }
+            let mut latest = BTreeMap::new();
+            for (at, write) in &self.store.acknowledged {
+                latest.insert(write.key(), (*at, write));
+            }
+            for (at, write) in latest.into_values() {
+                if let Write::Server(entry) = write
+                    && entry.state == AnnouncedState::Ready
+                    && due(at, APPLY_MS)
+                    && gateway
+                        .registry()
+                        .get(entry.key())
+                        .is_none_or(|backend| backend.standing != Standing::Ready)
+                {
+                    broken.push(format!("{} is ready and not used", entry.id));
+                }
+            }
+        }
+        self.seen[number] = seen;
+        for what in broken {
+            self.violations.push(Violation {
+                at: self.now,
+                instance: number,
+                what,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/oleanderpass_gateway/tests/restored_store.rs
@@ -0,0 +1,99 @@
+//! Test that confirmed changes come into force when the store is restored from a copy of itself.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+mod common;
+
+use oleanderpass_gateway::backend::AnnouncedState;
+use oleanderpass_gateway::backend::Announcement;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use test_case::test_case;
+
+use crate::common::fleet::Fault;
+use crate::common::server;
+use crate::common::store::StoreFleet;
+use crate::common::store::Write;
+
+fn engine(number: u8) -> Announcement {
+    server(&format!("e{number}"), "engines", 1, number)
+}
+
+fn fleet(instances: usize, absent: &[usize]) -> StoreFleet {
+    let mut writes = vec![Write::Configuration(1)];
+    writes.extend((0..6).map(|number| Write::Server(engine(number))));
+    StoreFleet::new(instances, absent, writes)
+}
+
+fn check(fleet: &StoreFleet) {
+    let found = fleet.violations.iter().take(5);
+    let found: Vec<String> = found.map(|v| format!("{v:?}")).collect();
+    assert!(
+        found.is_empty(),
+        "{} violations: {found:#?}",
+        fleet.violations.len()
+    );
+}
+
+/// Guards against an instance that takes itself for up to date, because it read a higher revision
+/// before the store was restored than its peers have read since.
+#[test_case(8, 9_000)]
+#[test_case(8, 500)]
+#[test_case(295, 6_000)]
+fn change_after_a_restore_comes_into_force(instances: usize, age_ms: u64) {
+    let mut fleet = fleet(instances, &[]);
+    for (at, version) in [(1_000, 3), (2_000, 4), (3_000, 6)] {
+        fleet.write(at, Write::Configuration(version));
+    }
+    fleet.restore(4_000, 500, age_ms);
+    fleet.write(5_500, Write::Configuration(9));
+    fleet.write(6_000, Write::Configuration(11));
+    let mut leaving = engine(2);
+    leaving.state = AnnouncedState::Draining;
+    fleet.write(6_200, Write::Server(leaving));
+    fleet.run(11_000);
+    check(&fleet);
+}
+
+/// Guards against the same around instances that start, stand still or are cut off, and over
+/// several restores.
+#[test_case(8, 1)]
+#[test_case(8, 2)]
+#[test_case(8, 3)]
+#[test_case(8, 4)]
+#[test_case(8, 5)]
+#[test_case(8, 6)]
+#[test_case(295, 7)]
+fn changes_come_into_force_around_disturbed_instances(instances: usize, seed: u64) {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut fleet = fleet(instances, &[1]);
+    let end = if instances > 100 { 13_000 } else { 30_000 };
+    let mut at = 500;
+    let mut version = 1;
+    while at < end - 4_000 {
+        at += rng.random_range(50..2_500);
+        version += rng.random_range(1..4);
+        fleet.write(at, Write::Configuration(version));
+    }
+    let mut at = 2_000;
+    while at < end - 4_000 {
+        at += rng.random_range(500..4_000);
+        let (ms, age_ms) = (rng.random_range(50..3_000), rng.random_range(50..12_000));
+        fleet.restore(at, ms, age_ms);
+        at += ms;
+        for _ in 0..instances / 4 {
+            let instance = rng.random_range(0..instances);
+            let fault = match rng.random_range(0..3) {
+                0 => Fault::Start,
+                1 => Fault::Freeze(rng.random_range(100..3_000)),
+                _ => Fault::Cut(rng.random_range(100..3_000)),
+            };
+            let at = at.saturating_sub(rng.random_range(0..2_000));
+            fleet.fault(at, instance, fault);
+        }
+        at += 4_000;
+    }
+    fleet.run(end);
+    check(&fleet);
+}
