Order positions in the store by its era first

Cause: instances ordered what they knew of the store by its revision alone and kept the highest. A store that is restored from an older copy gives out revisions again. An instance that follows its peers, and had read revision 22, took itself for up to date while its peers read 21, 22 and 23 of the next history. A watch could go on in the wrong history in the same way. The class of fault: a number that orders events is compared beyond the history it belongs to.

A position now is an era and a revision, and any position of a later era is newer: in bulletins, copies for peers, the list of servers and the watch. A watch whose answer is of another era counts as one whose history is lost, and a list that spans two eras is read again.

--- a/crates/oleanderpass_gateway/src/store.rs
+++ b/crates/oleanderpass_gateway/src/store.rs
@@ -23,8 +23,8 @@
 /// A position in the history of the store.
 ///
 /// A store that is restored from an older copy of itself starts another history, in which it gives
-/// out revisions again. It then raises its era by one.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+/// out revisions again. It then raises its era by one, so any position of a later era is newer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct StorePosition {
     /// The number of the history, or 0 if the store doesn't number them.
     pub era: u64,
@@ -39,18 +39,6 @@
     }
 }
 
-impl PartialOrd for StorePosition {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for StorePosition {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        self.revision.cmp(&other.revision)
-    }
-}
-
 impl From<u64> for StorePosition {
     /// Return the position of a revision of a store that doesn't number its histories.
     fn from(revision: u64) -> Self {
--- a/crates/oleanderpass_gateway/src/store_reader.rs
+++ b/crates/oleanderpass_gateway/src/store_reader.rs
@@ -160,6 +160,11 @@
         position: StorePosition,
         items: Vec<StoreItem>,
     ) {
+        if self.position.is_some_and(|after| after.era != position.era) {
+            // The changes belong to a history that has the revision of the watch by chance.
+            self.on_history_lost();
+            return;
+        }
         if !items.is_empty() {
             self.next_call = now + WATCH_BATCH_DELAY;
         }
--- a/crates/oleanderpass_gateway_io/src/store.rs
+++ b/crates/oleanderpass_gateway_io/src/store.rs
@@ -100,7 +100,9 @@
         let page = store::decode_page(&answer.body)?;
         // The pages together are not a snapshot. The watch starts at the position of the first
         // page, and so returns what changed while the others were read.
-        first_position.get_or_insert(StorePosition::new(answer.era, page.revision));
+        let position = StorePosition::new(answer.era, page.revision);
+        let first = first_position.get_or_insert(position);
+        check_era(first.era, answer.era)?;
         after = page.items.last().map(|item| item.key.clone());
         let items = page.items.into_iter().map(|item| decode(answer.era, item));
         servers.extend(items.filter(|item| matches!(item.content, Content::Server(..))));
@@ -111,6 +113,7 @@
     let position = first_position.unwrap_or_default();
     let path = store::configuration_path();
     let answer = call_store(instance, connection, "configuration", &path, READ_TIMEOUT).await?;
+    check_era(position.era, answer.era)?;
     let configuration = if answer.status == StatusCode::NOT_FOUND {
         None
     } else {
@@ -128,6 +131,15 @@
     Ok(())
 }
 
+/// Return an error if the store was restored between two answers.
+fn check_era(first: u64, second: u64) -> Result<()> {
+    if first == second {
+        Ok(())
+    } else {
+        bail!("the store was restored while it was read")
+    }
+}
+
 /// Wait for changes after a position and apply them.
 async fn watch(
     instance: &SharedInstance,
