Take a newer configuration from peers than a restored store has

An instance that starts while the store holds an older configuration, because the operators have not yet written the newest one again, put the older one in force although all its peers had the newest.

Cause: peers were asked only if they had read further in the store; a version can be newer at the same position. The copy for peers also took over the older configuration. Now an instance is behind also if a live peer has a newer version, and fetches it; an older or invalid configuration stays out of the copy and is logged. What a peer had read counts only until it starts again. A copy that brings nothing new is fetched at most every 100 ms from the same peer.

Two new tests, three cases with 8 and 295 instances: red before (59 findings for the first two; version 1 where 5 is expected for the third), all pass now. The simulated store also lets operators and servers write again later.

--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -440,9 +440,25 @@
         self.store.advance(position);
     }
 
-    /// Apply a changed or removed item of the store. The configuration stays in force if the new
-    /// one is invalid or was removed.
+    /// Apply a changed or removed item of the store. The configuration stays in force, and in the
+    /// copy for peers, if the new one is older or invalid or was removed.
     pub fn on_store_item(&mut self, now: Timestamp, item: StoreItem) {
+        if let Content::Configuration(config) = &item.content {
+            let in_force = self.config_version();
+            if config
+                .as_ref()
+                .is_none_or(|config| config.version.get() < in_force)
+            {
+                tracing::info!(
+                    version = config.as_ref().map(|config| config.version.get()),
+                    in_force,
+                    store_era = item.position.era,
+                    store_revision = item.position.revision,
+                    "a configuration was passed over"
+                );
+                return;
+            }
+        }
         self.store.apply(&item);
         match item.content {
             Content::Configuration(Some(config)) => {
@@ -503,30 +519,54 @@
 
     /// Return whether a live peer knows something newer of the store than this instance.
     pub fn is_behind(&self, now: Timestamp) -> bool {
-        let own = self.store_position();
+        let own = (self.store_position(), self.config_version());
         let mut live = self.fleet.live_peers(now);
-        live.any(|(_, peer)| peer.store_position > own)
+        live.any(|(_, peer)| peer.store_position > own.0 || peer.config_version > own.1)
     }
 
     /// Return where to fetch the newest copy of the store, if a live peer has a newer one than this
     /// instance. Without a configuration, any live peer's copy will do.
     pub fn copy_source(&self, now: Timestamp) -> Option<CopySource> {
         let own = self.store_position();
-        let has_configuration = self.config.is_some();
-        let live = self.fleet.live_peers(now);
-        let source = live
-            .filter(|(_, peer)| peer.store_position > own || !has_configuration)
-            .max_by_key(|(_, peer)| peer.store_position)?;
+        let live = self.fleet.live_peers(now).map(|(_, peer)| peer);
+        let newest = live.max_by_key(|peer| peer.store_position)?;
+        if self.config.is_none() {
+            return Some(CopySource {
+                addr: newest.addr,
+                after: StorePosition::default(),
+            });
+        }
+        if newest.store_position > own {
+            return Some(CopySource {
+                addr: newest.addr,
+                after: own,
+            });
+        }
+        self.configuration_source(now)
+    }
+
+    /// Return where to fetch a newer configuration than the store has, or `None` if it has the
+    /// newest one. A store that was restored from a copy has an older one until operators write the
+    /// newest again.
+    pub fn configuration_source(&self, now: Timestamp) -> Option<CopySource> {
+        let own = self.store_position();
+        let live = self.fleet.live_peers(now).map(|(_, peer)| peer);
+        let newest = live
+            .filter(|peer| peer.store_position <= own)
+            .max_by_key(|peer| peer.config_version)
+            .filter(|peer| peer.config_version > self.config_version())?;
         Some(CopySource {
-            addr: source.1.addr,
-            after: if has_configuration {
-                own
-            } else {
-                StorePosition::default()
-            },
+            addr: newest.addr,
+            after: StorePosition::default(),
         })
     }
 
+    /// Return the version of the configuration in force, or 0 before the first one was read.
+    fn config_version(&self) -> u64 {
+        let config = self.config.as_ref();
+        config.map_or(0, |config| config.version.get())
+    }
+
     /// Record whether this instance reads the store itself and can reach it.
     pub fn set_reads_store(&mut self, reads: bool) {
         self.bulletin_pending |= reads != self.reads_store;
@@ -694,7 +734,7 @@
         let mut bulletin = Bulletin {
             store_era: self.store_position().era,
             store_revision: self.store_position().revision,
-            config_version: self.config.as_ref().map_or(0, |c| c.version.get()),
+            config_version: self.config_version(),
             leaving: leaving.map(|(_, key)| key.0).collect(),
             unreachable: self
                 .health
--- a/crates/oleanderpass_gateway/src/peers.rs
+++ b/crates/oleanderpass_gateway/src/peers.rs
@@ -196,6 +196,11 @@
             config_version: 0,
             reads_store: false,
         });
+        if packet.incarnation > peer.incarnation {
+            // It has started again and knows only what it has read since.
+            peer.store_position = StorePosition::default();
+            peer.config_version = 0;
+        }
         peer.incarnation = packet.incarnation;
         peer.addr = source;
         peer.zone = zone;
--- a/crates/oleanderpass_gateway/src/store_reader.rs
+++ b/crates/oleanderpass_gateway/src/store_reader.rs
@@ -22,6 +22,10 @@
 /// The interval at which an instance checks whether it has to read the store itself.
 const READER_CHECK_INTERVAL: Millis = Millis::new(300);
 
+/// The shortest interval between two copies from the same peer of which the first brought nothing
+/// new.
+const COPY_INTERVAL: Millis = Millis::new(100);
+
 /// The backoff after the first failure. It doubles with each further one.
 const MIN_BACKOFF: Millis = Millis::new(100);
 
@@ -46,6 +50,15 @@
     },
 }
 
+/// The copy that was fetched last.
+#[derive(Clone, Copy, Debug)]
+struct LastCopy {
+    at: Timestamp,
+    source: CopySource,
+    /// The position of this instance before it.
+    position: StorePosition,
+}
+
 /// The state of one instance's reading of the store.
 #[derive(Clone, Copy, Debug)]
 pub struct StoreReader {
@@ -58,6 +71,7 @@
     backoff: Millis,
     /// The time of the next call to the store.
     next_call: Timestamp,
+    last_copy: Option<LastCopy>,
 }
 
 impl Default for StoreReader {
@@ -68,6 +82,7 @@
             follows_peers: false,
             backoff: MIN_BACKOFF,
             next_call: Timestamp::ORIGIN,
+            last_copy: None,
         }
     }
 }
@@ -82,11 +97,16 @@
             self.follows_peers = false;
             tracing::info!("this instance reads the store");
         }
+        let source = if self.store_lost && now < self.next_call {
+            gateway.copy_source(now)
+        } else {
+            gateway.configuration_source(now)
+        };
+        if let Some(source) = source.filter(|source| self.may_copy(now, gateway, source)) {
+            return self.copy(now, gateway, source);
+        }
         if now < self.next_call {
-            return match gateway.copy_source(now) {
-                Some(source) if self.store_lost => Step::Copy(source),
-                Some(_) | None => Step::Wait(self.next_call),
-            };
+            return Step::Wait(self.next_call);
         }
         match self.position {
             Some(after) if !self.store_lost => Step::Watch {
@@ -113,11 +133,29 @@
         // after the newest copy.
         self.position = Some(gateway.store_position());
         match gateway.copy_source(now) {
-            Some(source) => Step::Copy(source),
+            Some(source) if self.may_copy(now, gateway, &source) => self.copy(now, gateway, source),
+            Some(_) => Step::Wait(now + COPY_INTERVAL),
             None => Step::Wait(now + READER_CHECK_INTERVAL),
         }
     }
 
+    /// Return whether a peer's copy may hold more than the last one that was fetched.
+    fn may_copy(&self, now: Timestamp, gateway: &Gateway, source: &CopySource) -> bool {
+        self.last_copy.is_none_or(|last| {
+            let same = (last.source, last.position) == (*source, gateway.store_position());
+            !same || now.since(last.at) >= COPY_INTERVAL
+        })
+    }
+
+    fn copy(&mut self, now: Timestamp, gateway: &Gateway, source: CopySource) -> Step {
+        self.last_copy = Some(LastCopy {
+            at: now,
+            source,
+            position: gateway.store_position(),
+        });
+        Step::Copy(source)
+    }
+
     /// Return whether peers read the store for this instance.
     pub fn follows_peers(&self) -> bool {
         self.follows_peers
--- a/crates/oleanderpass_gateway/tests/common/store.rs
+++ b/crates/oleanderpass_gateway/tests/common/store.rs
@@ -117,6 +117,13 @@
     Silent,
 }
 
+/// Who writes into the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Writer {
+    Operator,
+    Servers,
+}
+
 #[derive(Clone, Debug)]
 enum Reply {
     All(StorePosition, Vec<StoreItem>),
@@ -146,6 +153,8 @@
     /// The store is back. It has lost what it acknowledged within the last milliseconds before
     /// the outage, if it was restored from a copy.
     Up(Option<u64>),
+    /// Operators or servers write again what the store has lost.
+    WriteAgain(Writer),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -228,29 +237,48 @@
         (!items.is_empty()).then(|| Reply::Changes(self.position, items))
     }
 
-    /// Go back to the state of the time `copied`, and write again what was written since.
-    fn restore(&mut self, now: u64, copied: u64) {
+    /// Go back to the state of the time `copied`.
+    fn restore(&mut self, copied: u64) {
         self.changes.retain(|(at, ..)| *at <= copied);
         let last = self.changes.last();
         self.position.revision = last.map_or(0, |(_, revision, _)| *revision);
         self.position.era += 1;
+    }
+
+    /// Return the last acknowledged writes that the store has lost.
+    fn lost(&self, writer: Writer) -> Vec<Write> {
         let mut wanted = BTreeMap::new();
         for (_, write) in &self.acknowledged {
-            wanted.insert(write.key(), write.clone());
+            wanted.insert(write.key(), write);
         }
+        let mut lost = Vec::new();
         for (key, write) in wanted {
             let stored = self.items().get(&key).map(|(_, write)| write.clone());
-            let is_lost = match &write {
-                Write::Removal(_) => stored.is_some(),
-                Write::Configuration(_) | Write::Server(_) => stored.as_ref() != Some(&write),
+            let (by, is_lost) = match &write {
+                Write::Removal(_) => (Writer::Servers, stored.is_some()),
+                Write::Server(_) => (Writer::Servers, stored.as_ref() != Some(write)),
+                Write::Configuration(_) => (Writer::Operator, stored.as_ref() != Some(write)),
             };
-            if is_lost {
-                self.append(now, write);
+            if by == writer && is_lost {
+                lost.push(write.clone());
             }
         }
+        lost
     }
 }
 
+/// An outage of the store after which it comes back from a copy. All times are in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Restore {
+    pub(crate) ms: u64,
+    /// The age of the copy at the start of the outage.
+    pub(crate) age_ms: u64,
+    /// The time after the return at which operators write again what was lost.
+    pub(crate) operator_ms: u64,
+    /// The same for backend servers.
+    pub(crate) servers_ms: u64,
+}
+
 /// A broken promise.
 #[derive(Clone, Debug)]
 pub(crate) struct Violation {
@@ -335,10 +363,17 @@
         self.push(at + ms, Event::Up(None));
     }
 
-    /// Let the store be away for `ms` and come back from a copy that is `age_ms` old.
-    pub(crate) fn restore(&mut self, at: u64, ms: u64, age_ms: u64) {
+    /// Let the store be away and come back from a copy.
+    pub(crate) fn restore(&mut self, at: u64, restore: Restore) {
         self.push(at, Event::Down(Outage::Reset));
-        self.push(at + ms, Event::Up(Some(age_ms)));
+        let back = at + restore.ms;
+        self.push(back, Event::Up(Some(restore.age_ms)));
+        for (writer, delay) in [
+            (Writer::Operator, restore.operator_ms),
+            (Writer::Servers, restore.servers_ms),
+        ] {
+            self.push(back + delay, Event::WriteAgain(writer));
+        }
     }
 
     /// Let a fault happen to an instance.
@@ -359,6 +394,13 @@
         self.now = end;
     }
 
+    /// Return the version in force at an instance, or 0 if there is none.
+    pub(crate) fn version(&self, number: usize) -> u64 {
+        let gateway = self.instances[number].gateway.as_ref();
+        let config = gateway.and_then(Gateway::configuration);
+        config.map_or(0, |config| config.version.get())
+    }
+
     fn push(&mut self, at: u64, event: Event) {
         self.pushed += 1;
         self.queue.insert((at, self.pushed), event);
@@ -371,7 +413,11 @@
             | Event::Answer(instance, ..)
             | Event::Behind(instance, _) => Some(*instance),
             Event::Deliver { to, .. } => Some(*to),
-            Event::Fault(..) | Event::Write(_) | Event::Down(_) | Event::Up(_) => None,
+            Event::Fault(..)
+            | Event::Write(_)
+            | Event::WriteAgain(_)
+            | Event::Down(_)
+            | Event::Up(_) => None,
         };
         if let Some(wake) = instance.map(|instance| self.instances[instance].frozen_until)
             && wake > self.now
@@ -397,7 +443,21 @@
             }
             Event::Decide(..) | Event::Answer(..) | Event::Behind(..) => {}
             Event::Fault(instance, fault) => self.apply(instance, fault),
-            Event::Write(write) => self.put(write),
+            Event::Write(write) => {
+                if self.store.outage.is_some() {
+                    // Operators and servers try again until the store acknowledges.
+                    self.push(self.now + 50, Event::Write(write));
+                } else {
+                    self.store.acknowledged.push((self.now, write.clone()));
+                    self.put([write]);
+                }
+            }
+            Event::WriteAgain(writer) => {
+                if self.store.outage.is_none() {
+                    let lost = self.store.lost(writer);
+                    self.put(lost);
+                }
+            }
             Event::Down(outage) => self.go_down(outage),
             Event::Up(age) => self.come_back(age),
         }
@@ -640,14 +700,10 @@
         }
     }
 
-    fn put(&mut self, write: Write) {
-        if self.store.outage.is_some() {
-            // Operators and servers try again until the store acknowledges.
-            self.push(self.now + 50, Event::Write(write));
-            return;
+    fn put(&mut self, writes: impl IntoIterator<Item = Write>) {
+        for write in writes {
+            self.store.append(self.now, write);
         }
-        self.store.acknowledged.push((self.now, write.clone()));
-        self.store.append(self.now, write);
         for number in 0..self.instances.len() {
             self.answer_watch(number);
         }
@@ -684,7 +740,7 @@
         self.store_calm_since = self.now;
         if let Some(age) = age {
             let copied = self.store.down_at.saturating_sub(age);
-            self.store.restore(self.now, copied);
+            self.store.restore(copied);
         }
         for number in 0..self.instances.len() {
             self.answer_watch(number);
@@ -723,27 +779,25 @@
             if version < wanted {
                 broken.push(format!("version {version} where {wanted} is confirmed"));
             }
+            let mut latest = BTreeMap::new();
+            for (at, write) in &self.store.acknowledged {
+                latest.insert(write.key(), (*at, write));
+            }
             for (_, backend) in gateway.registry().iter() {
                 let entry = &backend.announcement;
-                let leaves = self.store.acknowledged.iter().any(|(at, write)| {
+                let drains = self.store.acknowledged.iter().any(|(at, write)| {
                     due(*at, DRAIN_MS)
-                        && match write {
-                            Write::Server(other) => {
-                                other.key() == entry.key()
-                                    && other.state == AnnouncedState::Draining
-                            }
-                            Write::Removal(id) => entry.id.as_str() == id.as_str(),
-                            Write::Configuration(_) => false,
-                        }
+                        && matches!(write, Write::Server(other)
+                            if other.key() == entry.key()
+                                && other.state == AnnouncedState::Draining)
+                });
+                let is_gone = latest.get(entry.id.as_str()).is_some_and(|(at, write)| {
+                    due(*at, DRAIN_MS) && matches!(write, Write::Removal(_))
                 });
-                if leaves && backend.standing == Standing::Ready {
+                if (drains || is_gone) && backend.standing == Standing::Ready {
                     broken.push(format!("{} is used, which has left", entry.id));
                 }
             }
-            let mut latest = BTreeMap::new();
-            for (at, write) in &self.store.acknowledged {
-                latest.insert(write.key(), (*at, write));
-            }
             for (at, write) in latest.into_values() {
                 if let Write::Server(entry) = write
                     && entry.state == AnnouncedState::Ready
--- a/crates/oleanderpass_gateway/tests/restored_store.rs
+++ b/crates/oleanderpass_gateway/tests/restored_store.rs
@@ -13,6 +13,8 @@
 
 use crate::common::fleet::Fault;
 use crate::common::server;
+use crate::common::store::Outage;
+use crate::common::store::Restore;
 use crate::common::store::StoreFleet;
 use crate::common::store::Write;
 
@@ -26,6 +28,16 @@
     StoreFleet::new(instances, absent, writes)
 }
 
+/// Return a restore after which what was lost is written again within a few hundred milliseconds.
+fn restore(ms: u64, age_ms: u64) -> Restore {
+    Restore {
+        ms,
+        age_ms,
+        operator_ms: 100,
+        servers_ms: 300,
+    }
+}
+
 fn check(fleet: &StoreFleet) {
     let found = fleet.violations.iter().take(5);
     let found: Vec<String> = found.map(|v| format!("{v:?}")).collect();
@@ -46,7 +58,7 @@
     for (at, version) in [(1_000, 3), (2_000, 4), (3_000, 6)] {
         fleet.write(at, Write::Configuration(version));
     }
-    fleet.restore(4_000, 500, age_ms);
+    fleet.restore(4_000, restore(500, age_ms));
     fleet.write(5_500, Write::Configuration(9));
     fleet.write(6_000, Write::Configuration(11));
     let mut leaving = engine(2);
@@ -80,7 +92,12 @@
     while at < end - 4_000 {
         at += rng.random_range(500..4_000);
         let (ms, age_ms) = (rng.random_range(50..3_000), rng.random_range(50..12_000));
-        fleet.restore(at, ms, age_ms);
+        let restore = Restore {
+            operator_ms: rng.random_range(0..3_000),
+            servers_ms: rng.random_range(0..1_500),
+            ..restore(ms, age_ms)
+        };
+        fleet.restore(at, restore);
         at += ms;
         for _ in 0..instances / 4 {
             let instance = rng.random_range(0..instances);
@@ -97,3 +114,40 @@
     fleet.run(end);
     check(&fleet);
 }
+
+/// Guards against an instance that starts with an older version than its peers have, because the
+/// operators have not yet written again what the store lost.
+#[test_case(8)]
+#[test_case(295)]
+fn starting_instance_takes_the_version_of_its_peers(instances: usize) {
+    let mut fleet = fleet(instances, &[]);
+    fleet.write(1_000, Write::Configuration(5));
+    let restore = Restore {
+        operator_ms: 30_000,
+        ..restore(500, 5_000)
+    };
+    fleet.restore(2_000, restore);
+    for instance in [0, 4, 5] {
+        fleet.fault(3_000 + 10 * instance as u64, instance, Fault::Start);
+    }
+    fleet.run(8_000);
+    check(&fleet);
+}
+
+/// Guards against handing an older version to an instance that can't reach the store.
+#[test]
+fn copy_for_peers_keeps_the_newest_version() {
+    let mut fleet = fleet(8, &[]);
+    fleet.write(1_000, Write::Configuration(5));
+    let slow = Restore {
+        operator_ms: 30_000,
+        ..restore(500, 5_000)
+    };
+    fleet.restore(2_000, slow);
+    fleet.outage(5_000, 2_000, Outage::Reset);
+    fleet.fault(5_500, 3, Fault::Start);
+    fleet.run(6_500);
+    assert_eq!(fleet.version(3), 5, "the copy has an older version");
+    fleet.run(12_000);
+    check(&fleet);
+}
