Don't list servers again that left before the store was restored

Cause: the list forgot an incarnation as soon as it was removed, so a copy from before made it a new server. The list now remembers departed incarnations for ten minutes. In a later era, one that drained is never listed again; one whose address or id belongs to another is listed again only by a second write; one that vanished is a last resort until its entry would have expired, if it has not by then, it is ready. A whole list is applied in the order of its writes, so a reused address goes to the last one. The first reading of a later era counts as a recovery of the store for instances that follow their peers too, so servers whose entries were lost serve until they are written again.

Three new tests of the list alone.

--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -499,7 +499,8 @@
         let (servers, others) = items
             .into_iter()
             .partition(|item| !partial && matches!(item.content, Content::Server(..)));
-        let others: Vec<StoreItem> = others;
+        let mut others: Vec<StoreItem> = others;
+        others.sort_by_key(|item| item.position);
         for item in others {
             self.on_store_item(now, item);
         }
@@ -643,7 +644,7 @@
                     self.server_limits.remove(change.key);
                 }
                 ChangeKind::Vanished => self.on_server_gone(now, change.key),
-                ChangeKind::Listed => {}
+                ChangeKind::Listed | ChangeKind::Unconfirmed => {}
             }
         }
     }
--- a/crates/oleanderpass_gateway/src/registry.rs
+++ b/crates/oleanderpass_gateway/src/registry.rs
@@ -28,6 +28,14 @@
 /// are still ignored. They arrive within seconds.
 const TOMBSTONE_LIFETIME: Millis = Millis::from_secs(60);
 
+/// The time for which an incarnation that is gone is remembered, so that no copy of the store from
+/// before lists it again. It is longer than the age of such a copy.
+const DEPARTED_LIFETIME: Millis = Millis::from_secs(600);
+
+/// The time after a restore of the store in which the entry of a server that no longer writes
+/// expires. It is three heartbeats and some delay.
+const STALE_ENTRY_LIFETIME: Millis = Millis::new(5_000);
+
 /// Whether a server may get new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[strum(serialize_all = "snake_case")]
@@ -36,6 +44,9 @@
     Ready,
     /// Gets new work only if no ready server can run the request, and only until this time.
     LastResort(Timestamp),
+    /// Gets new work only if no ready server can run the request. It is ready at this time if its
+    /// entry, which was removed once, has not expired by then.
+    Unconfirmed(Timestamp),
     /// Gets no new work and finishes the requests that it runs.
     Leaving,
 }
@@ -68,6 +79,8 @@
 pub enum ChangeKind {
     /// The server, or a new incarnation of it, is listed.
     Listed,
+    /// The server is listed again by a store that was restored from a copy.
+    Unconfirmed,
     /// The server drains and gets no new work.
     Draining,
     /// The server is no longer listed. It serves as a last resort for a short time.
@@ -80,6 +93,26 @@
 /// usable server.
 pub type ListEntry = Option<Announcement>;
 
+/// An incarnation that is no longer listed.
+#[derive(Clone, Copy, Debug)]
+struct Departed {
+    at: Timestamp,
+    /// The era of the store in which it departed, or in which a copy from before listed it last.
+    era: u64,
+    departure: Departure,
+}
+
+/// How an incarnation left the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Departure {
+    /// It drained and gets no new work any more.
+    Drained,
+    /// Another server has its address, or another incarnation its id.
+    Replaced,
+    /// Its entry was removed.
+    Vanished,
+}
+
 /// The list of backend servers.
 #[derive(Debug, Default)]
 pub struct Registry {
@@ -88,6 +121,10 @@
     positions: IndexMap<BackendServerId, (StorePosition, Option<BackendKey>)>,
     /// When each entry was removed.
     tombstones: Vec<(Timestamp, BackendServerId)>,
+    /// Incarnations that were listed and no longer are.
+    departed: IndexMap<BackendKey, Departed>,
+    /// The latest era of the store, or 0 before anything was read.
+    era: u64,
     /// When the store last recovered from an outage.
     store_recovered: Option<Timestamp>,
     /// Whether a whole list has been read.
@@ -126,6 +163,7 @@
                 && match backend.standing {
                     Standing::Ready => true,
                     Standing::LastResort(until) => now < until,
+                    Standing::Unconfirmed(_) => true,
                     Standing::Leaving => false,
                 }
         })
@@ -140,7 +178,11 @@
         list: Vec<(BackendServerId, StorePosition, ListEntry)>,
     ) -> Vec<Change> {
         let position = position.into();
+        self.enter_era(now, position);
         let mut changes = Vec::new();
+        let mut list = list;
+        // Where several entries have the same address, the one that was written last is right.
+        list.sort_by_key(|(_, changed, _)| *changed);
         let listed: Vec<BackendServerId> = list.iter().map(|(id, _, _)| id.clone()).collect();
         for (id, changed, entry) in list {
             self.apply_entry(now, id, changed, entry, &mut changes);
@@ -169,30 +211,51 @@
         changes: &mut Vec<Change>,
     ) {
         let position = position.into();
+        self.enter_era(now, position);
         let known = self.positions.get(&id).copied();
         if known.is_some_and(|(at, _)| at >= position) {
             return;
         }
         let Some(announcement) = entry else {
-            self.remove_backend(
-                known.and_then(|(_, key)| key),
-                &id,
-                ChangeKind::Removed,
-                changes,
-            );
+            if let Some((_, Some(key))) = known {
+                self.remove(key, &id, changes);
+            }
             self.positions.insert(id, (position, None));
             return;
         };
         let key = announcement.key();
+        let listed_before = self.departed.get(&key).copied();
+        // The first entry of a later era may be one from before the departure.
+        let may_be_stale = listed_before.is_some_and(|departed| departed.era < position.era);
+        let departure = listed_before.map(|departed| departed.departure);
+        if let Some(departed) = self.departed.get_mut(&key) {
+            departed.era = position.era;
+        }
+        if departure == Some(Departure::Drained)
+            || (departure == Some(Departure::Replaced) && may_be_stale)
+        {
+            let listed = known.and_then(|(_, key)| key);
+            self.positions.insert(id, (position, listed));
+            return;
+        }
         let previous = known
             .and_then(|(_, key)| key)
             .filter(|previous| *previous != key);
-        self.remove_backend(previous, &id, ChangeKind::Removed, changes);
-        self.remove_address_holder(&announcement, changes);
+        if let Some(previous) = previous {
+            self.depart(now, previous, Departure::Replaced);
+            self.remove(previous, &id, changes);
+        }
+        self.remove_address_holder(now, &announcement, changes);
         let standing = match announcement.state {
-            AnnouncedState::Ready => Standing::Ready,
             AnnouncedState::Draining => Standing::Leaving,
+            AnnouncedState::Ready if may_be_stale => {
+                Standing::Unconfirmed(now + STALE_ENTRY_LIFETIME)
+            }
+            AnnouncedState::Ready => Standing::Ready,
         };
+        if !may_be_stale {
+            self.departed.shift_remove(&key);
+        }
         let before = self.backends.get(&key).map(|backend| backend.standing);
         // An incarnation that has begun to drain never gets new work again.
         let standing = if before == Some(Standing::Leaving) {
@@ -203,6 +266,7 @@
         if before != Some(standing) {
             let kind = match standing {
                 Standing::Leaving => ChangeKind::Draining,
+                Standing::Unconfirmed(_) => ChangeKind::Unconfirmed,
                 Standing::Ready | Standing::LastResort(_) => ChangeKind::Listed,
             };
             changes.push(Change {
@@ -236,6 +300,7 @@
         changes: &mut Vec<Change>,
     ) {
         let position = position.into();
+        self.enter_era(now, position);
         let Some((at, key)) = self.positions.get(&id).copied() else {
             return;
         };
@@ -247,13 +312,18 @@
         let Some(key) = key else {
             return;
         };
-        let Some(backend) = self.backends.get_mut(&key) else {
+        let Some(backend) = self.backends.get(&key) else {
             return;
         };
-        if backend.standing == Standing::Leaving {
-            self.remove_backend(Some(key), &id, ChangeKind::Removed, changes);
+        let stays = matches!(backend.standing, Standing::Ready | Standing::LastResort(_));
+        self.depart(now, key, Departure::Vanished);
+        if !stays {
+            self.remove(key, &id, changes);
             return;
         }
+        let Some(backend) = self.backends.get_mut(&key) else {
+            return;
+        };
         let recovered = self.store_recovered.map(|at| at + RECOVERY_GRACE);
         let until = (now + VANISHED_GRACE).max(recovered.unwrap_or(now));
         backend.standing = Standing::LastResort(until);
@@ -275,7 +345,8 @@
         }
     }
 
-    /// Remove last resorts and tombstones that have expired.
+    /// Remove last resorts and tombstones that have expired, and confirm servers whose entries have
+    /// not.
     pub fn tick(&mut self, now: Timestamp, changes: &mut Vec<Change>) {
         let expired: Vec<(BackendKey, BackendServerId)> = self
             .iter()
@@ -283,8 +354,22 @@
             .map(|(key, backend)| (key, backend.announcement.id.clone()))
             .collect();
         for (key, id) in expired {
-            self.remove_backend(Some(key), &id, ChangeKind::Removed, changes);
+            self.remove(key, &id, changes);
+        }
+        for (key, backend) in &mut self.backends {
+            if matches!(backend.standing, Standing::Unconfirmed(until) if until <= now) {
+                backend.standing = Standing::Ready;
+                backend.since = now;
+                self.departed.shift_remove(key);
+                changes.push(Change {
+                    id: backend.announcement.id.clone(),
+                    key: *key,
+                    kind: ChangeKind::Listed,
+                });
+            }
         }
+        self.departed
+            .retain(|_, departed| now.since(departed.at) < DEPARTED_LIFETIME);
         let old = |at: Timestamp| now.since(at) >= TOMBSTONE_LIFETIME;
         let (gone, kept) = self.tombstones.drain(..).partition(|(at, _)| old(*at));
         self.tombstones = kept;
@@ -300,31 +385,60 @@
         }
     }
 
+    /// Note the era of what is read. A restored store is like one that recovered: entries that it
+    /// has lost are written again.
+    fn enter_era(&mut self, now: Timestamp, position: StorePosition) {
+        if position.era > self.era {
+            if self.era > 0 {
+                self.store_recovered = Some(now);
+            }
+            self.era = position.era;
+        }
+    }
+
     /// Remove another server with the address of `new`, because addresses are reused.
-    fn remove_address_holder(&mut self, new: &Announcement, changes: &mut Vec<Change>) {
+    fn remove_address_holder(
+        &mut self,
+        now: Timestamp,
+        new: &Announcement,
+        changes: &mut Vec<Change>,
+    ) {
         let holder = self
             .iter()
             .find(|(key, b)| b.announcement.addr == new.addr && *key != new.key())
             .map(|(key, backend)| (key, backend.announcement.id.clone()));
         if let Some((key, id)) = holder {
-            self.remove_backend(Some(key), &id, ChangeKind::Removed, changes);
+            self.depart(now, key, Departure::Replaced);
+            self.remove(key, &id, changes);
         }
     }
 
-    /// Remove the server with this key, if there is one, and report the change.
-    fn remove_backend(
-        &mut self,
-        key: Option<BackendKey>,
-        id: &BackendServerId,
-        kind: ChangeKind,
-        changes: &mut Vec<Change>,
-    ) {
-        let Some(key) = key else {
-            return;
+    /// Remember that an incarnation is no longer listed.
+    fn depart(&mut self, now: Timestamp, key: BackendKey, departure: Departure) {
+        let drained = self
+            .backends
+            .get(&key)
+            .is_some_and(|backend| backend.standing == Standing::Leaving);
+        let departed = Departed {
+            at: now,
+            era: self.era,
+            departure: if drained {
+                Departure::Drained
+            } else {
+                departure
+            },
         };
+        self.departed.insert(key, departed);
+    }
+
+    /// Remove the server with this key, if there is one, and report the change.
+    fn remove(&mut self, key: BackendKey, id: &BackendServerId, changes: &mut Vec<Change>) {
         if self.backends.shift_remove(&key).is_some() {
-            let id = id.clone();
-            changes.push(Change { id, key, kind });
+            changes.push(Change {
+                id: id.clone(),
+                key,
+                kind: ChangeKind::Removed,
+            });
         }
     }
 }
--- a/crates/oleanderpass_gateway/tests/registry.rs
+++ b/crates/oleanderpass_gateway/tests/registry.rs
@@ -10,6 +10,7 @@
 use oleanderpass_gateway::registry::Registry;
 use oleanderpass_gateway::registry::Standing;
 use oleanderpass_gateway::registry::VANISHED_GRACE;
+use oleanderpass_gateway::store::StorePosition;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::clock::Timestamp;
 use oleanderpass_types::id::BackendServerId;
@@ -145,3 +146,57 @@
     update(&mut registry, at(10), 20, server("a", "engines", 1, 1));
     assert_eq!(usable(&registry, at(10)), ["b"]);
 }
+
+fn restored(registry: &mut Registry, now: Timestamp, list: &[(&str, u64, Announcement)]) {
+    let list = list.iter().map(|(name, revision, entry)| {
+        let position = StorePosition::new(2, *revision);
+        (id(name), position, Some(entry.clone()))
+    });
+    registry.apply_list(now, StorePosition::new(2, 9), list.collect());
+}
+
+/// Guards against new work for a server that drained, because the store was restored from a copy
+/// from before.
+#[test]
+fn drained_server_is_not_listed_again_by_an_older_copy() {
+    let mut registry = listed(&["a", "b"]);
+    let mut draining = server("a", "engines", 1, 1);
+    draining.state = AnnouncedState::Draining;
+    update(&mut registry, at(0), 20, draining);
+    let mut changes = Vec::new();
+    registry.apply_removal(at(2_000), id("a"), 21, &mut changes);
+    let list = [
+        ("a", 5, server("a", "engines", 1, 1)),
+        ("b", 6, server("b", "engines", 1, 2)),
+    ];
+    restored(&mut registry, at(60_000), &list);
+    assert_eq!(usable(&registry, at(60_000)), ["b"]);
+}
+
+/// Guards against dropping a server for the one that had its address before, because a restored
+/// list has both.
+#[test]
+fn latest_entry_of_an_address_counts_in_a_restored_list() {
+    let mut registry = listed(&["b"]);
+    let list = [
+        ("new", 8, server("new", "engines", 1, 3)),
+        ("old", 7, server("old", "plain", 1, 3)),
+    ];
+    restored(&mut registry, at(0), &list);
+    assert!(usable(&registry, at(0)).contains(&"new".to_owned()));
+}
+
+/// Guards against an empty list after a restore from a copy from before the servers started.
+#[test]
+fn entries_lost_by_a_restore_serve_until_they_can_be_listed_again() {
+    let mut registry = Registry::default();
+    let list = vec![(
+        id("a"),
+        StorePosition::new(1, 20),
+        Some(server("a", "engines", 1, 1)),
+    )];
+    registry.apply_list(at(0), StorePosition::new(1, 20), list);
+    restored(&mut registry, at(5_000), &[]);
+    assert_eq!(usable(&registry, at(6_900)), ["a"]);
+    assert!(usable(&registry, at(5_000) + RECOVERY_GRACE).is_empty());
+}
--- a/crates/oleanderpass_gateway/tests/restored_store.rs
+++ b/crates/oleanderpass_gateway/tests/restored_store.rs
@@ -151,3 +151,53 @@
     fleet.run(12_000);
     check(&fleet);
 }
+
+/// Guards against new work for a server that has left, because a copy from before lists it again.
+#[test_case(8, true; "announced")]
+#[test_case(8, false; "unannounced")]
+#[test_case(295, false; "unannounced, large fleet")]
+fn server_that_has_left_is_not_used_again(instances: usize, announced: bool) {
+    let mut fleet = fleet(instances, &[]);
+    if announced {
+        let mut leaving = engine(2);
+        leaving.state = AnnouncedState::Draining;
+        fleet.write(1_500, Write::Server(leaving));
+    }
+    fleet.write(3_000, Write::Removal("e2".into()));
+    let restore = Restore {
+        servers_ms: 3_600,
+        ..restore(500, 4_000)
+    };
+    fleet.restore(4_500, restore);
+    fleet.run(11_000);
+    check(&fleet);
+}
+
+/// Guards against losing a server for good whose entry had expired before the restore, although it
+/// lives and goes on writing.
+#[test]
+fn server_that_lives_is_used_again() {
+    let mut fleet = fleet(8, &[]);
+    fleet.write(3_000, Write::Removal("e2".into()));
+    fleet.restore(4_500, restore(500, 4_000));
+    fleet.write(6_500, Write::Server(engine(2)));
+    fleet.run(20_000);
+    check(&fleet);
+}
+
+/// Guards against dropping a server for one that had its address before, because a copy from before
+/// lists that one again.
+#[test]
+fn reused_address_stays_with_the_new_server() {
+    let mut fleet = fleet(8, &[]);
+    fleet.write(1_500, Write::Removal("e2".into()));
+    fleet.write(3_500, Write::Server(server("a9", "engines", 5, 2)));
+    let restore = Restore {
+        servers_ms: 3_600,
+        ..restore(500, 4_000)
+    };
+    fleet.restore(4_500, restore);
+    fleet.write(5_900, Write::Server(server("a9", "engines", 5, 2)));
+    fleet.run(12_000);
+    check(&fleet);
+}
