Add a failing test of instances without links to the back ends, and log the loss

An instance now notes whether connections to back ends can be opened and logs when it loses and regains its links (reach). With that, the log of one instance tells lost links from back ends that are down for one request. How to connect is decided in one place; the decision is still always the direct way.

The simulated fleet cuts instances off from all servers, with connections that hang, are reset, or live on while new ones are refused, with 8 and 295 instances, few requests, and peers that start, stand still or are cut off.

--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -55,6 +55,8 @@
 use crate::placement::Plan;
 use crate::placement::place_call;
 use crate::placement::place_generation;
+use crate::reach::Reach;
+use crate::reach::Way;
 use crate::registry::Change;
 use crate::registry::ChangeKind;
 use crate::registry::ListEntry;
@@ -78,6 +80,9 @@
 /// The number of attempts that failed because of a helper after which the request ends.
 const MAX_HELPER_FAILURES: u32 = 3;
 
+/// The most peers that are tried for one connection to a server.
+const MAX_RELAYS: usize = 3;
+
 /// The fraction of the published retry budget that is used. Instances count their retries
 /// separately, and the margin keeps their total below the budget.
 const BUDGET_SHARE: f64 = 0.9;
@@ -309,6 +314,7 @@
     fleet: Fleet,
     crashes: CrashTracker,
     server_limits: ServerLimits,
+    reach: Reach,
     budget: RetryBudget,
     /// The number of attempts so far, which numbers the next one.
     attempts: u64,
@@ -347,6 +353,7 @@
             health: IndexMap::new(),
             crashes: CrashTracker::default(),
             server_limits: ServerLimits::default(),
+            reach: Reach::default(),
             budget: RetryBudget::default(),
             attempts: 0,
             store: LocalCopy::default(),
@@ -642,6 +649,7 @@
                     self.on_server_gone(now, change.key);
                     self.health.swap_remove(&change.key);
                     self.server_limits.remove(change.key);
+                    self.reach.remove(change.key);
                 }
                 ChangeKind::Vanished => self.on_server_gone(now, change.key),
                 ChangeKind::Listed | ChangeKind::Unconfirmed => {}
@@ -745,6 +753,7 @@
                 .map(|(key, _)| key.0)
                 .collect(),
             reads_store: self.reads_store,
+            isolated: self.reach.is_isolated(),
             cleared,
             long_read_ms_per_s: (self.load.own_long_prompt_load(now) * MS_PER_S) as u32,
             ..Bulletin::default()
@@ -1230,6 +1239,59 @@
         self.bulletin_pending |= self.crashes.on_answer_goes_on(now, first, parts);
     }
 
+    /// Return how to connect to a server.
+    pub fn way(&self, key: BackendKey) -> Way {
+        self.reach.way(key)
+    }
+
+    /// Return what is known of this instance's links to backend servers.
+    pub fn reach(&self) -> &Reach {
+        &self.reach
+    }
+
+    /// Return the server that has an address.
+    pub fn server_at(&self, addr: SocketAddr) -> Option<BackendKey> {
+        let mut servers = self.registry.iter();
+        let holder = servers.find(|(_, backend)| backend.announcement.addr == addr);
+        holder.map(|(key, _)| key)
+    }
+
+    /// Return the addresses of the peers to try in turn for a connection to a server. Different
+    /// servers have different ones first, so that peers share the load.
+    pub fn relays(&self, now: Timestamp, key: BackendKey) -> Vec<SocketAddr> {
+        let live = self.fleet.live_peers(now);
+        let mut relays: Vec<(u64, SocketAddr)> = live
+            .filter(|(_, peer)| !peer.isolated)
+            .map(|(id, peer)| (weight(key.0, node_key(id.as_str())), peer.addr))
+            .collect();
+        relays.sort_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+        let relays = relays.into_iter().map(|(_, addr)| addr);
+        relays.take(MAX_RELAYS).collect()
+    }
+
+    /// Record that a direct connection to a server was opened.
+    pub fn on_opened(&mut self, now: Timestamp, key: BackendKey) {
+        self.bulletin_pending |= self.reach.is_isolated();
+        self.reach.on_opened(now, key);
+    }
+
+    /// Record that no direct connection to a server could be opened. Whether the server is gone is
+    /// known once peers have tried too.
+    pub fn on_open_failed(&mut self, now: Timestamp, key: BackendKey, error: &str) {
+        self.reach.on_failed(now, key, error);
+    }
+
+    /// Record that a peer reached a server to which a direct connection, begun at `tried`, failed.
+    pub fn on_reached_by_peer(&mut self, key: BackendKey, tried: Timestamp) {
+        self.reach.on_reached_by_peer(key, tried);
+        self.bulletin_pending |= self.reach.is_isolated();
+    }
+
+    /// Return whether a direct connection has to be tried beside one through a peer.
+    pub fn probe_is_due(&mut self, now: Timestamp) -> bool {
+        self.reach.probe_is_due(now)
+    }
+
     /// Record that no connection to a server can be opened, that another server has its address, or
     /// that it is no longer listed.
     pub fn on_server_gone(&mut self, now: Timestamp, key: BackendKey) {
--- a/crates/oleanderpass_gateway/src/lib.rs
+++ b/crates/oleanderpass_gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod peers;
 pub mod placement;
 pub mod pools;
+pub mod reach;
 pub mod registry;
 pub mod reservation;
 pub mod retry_after;
--- a/crates/oleanderpass_gateway/tests/common/fleet.rs
+++ b/crates/oleanderpass_gateway/tests/common/fleet.rs
@@ -12,6 +12,7 @@
 use oleanderpass_gateway::gateway::Next;
 use oleanderpass_gateway::gateway::Request;
 use oleanderpass_gateway::gateway::RequestSpec;
+use oleanderpass_gateway::reach::Way;
 use oleanderpass_membership::membership::Identity;
 use oleanderpass_proto::peer::MemberState;
 use oleanderpass_proto::peer::MemberUpdate;
@@ -40,6 +41,12 @@
 const EVENT_MS: u64 = 100;
 /// The number of events of a stream.
 const EVENTS: u32 = 6;
+/// The time after which a silent attempt is given up, in milliseconds.
+const SILENCE_MS: u64 = 1_200;
+/// The timeout for a connection to a server, in milliseconds.
+const CONNECT_MS: u64 = 250;
+/// The time in which a peer connects to a server, in milliseconds.
+const RELAY_MS: u64 = 5;
 /// The time until a crashed server is back, in milliseconds.
 pub(crate) const RESTART_MS: u64 = 3_000;
 /// The time until an instance notices that a server is gone, in milliseconds.
@@ -65,6 +72,29 @@
     Freeze(u64),
     /// It exchanges no datagrams with others for so many milliseconds.
     Cut(u64),
+    /// It is cut off from all servers for so many milliseconds.
+    CutFromServers(u64, Links),
+}
+
+/// What becomes of the connections to servers from which an instance is cut off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Links {
+    /// Open connections go silent, and new ones are not answered.
+    Hang,
+    /// Open connections are reset, and new ones are not answered.
+    Reset,
+    /// Open connections live on, and new ones are refused.
+    Refuse,
+}
+
+/// The result of opening a connection.
+#[derive(Clone, Copy, Debug)]
+enum Opened {
+    Yes,
+    /// It fails at once, because the server is gone.
+    No,
+    /// It fails after so many milliseconds.
+    After(u64),
 }
 
 #[derive(Debug)]
@@ -86,6 +116,23 @@
         events: u32,
     },
     Gone(usize, BackendKey),
+    /// No connection to the server of a run could be opened.
+    NotOpened {
+        run: usize,
+        tried: u64,
+    },
+    /// A peer reached a server that an instance could not reach.
+    Reached {
+        instance: usize,
+        key: BackendKey,
+        tried: u64,
+    },
+    /// An attempt has seen nothing of its server for too long.
+    Silent {
+        run: usize,
+        attempt: u32,
+        end: AttemptEnd,
+    },
     Crash(usize),
     Return(usize),
     Limit(usize, Option<RequestRate>),
@@ -115,6 +162,10 @@
     pub(crate) began_at_first: bool,
     /// Whether its instance had been without disturbance for [`CONTACT_MS`].
     pub(crate) in_touch: bool,
+    /// Whether it has a complete answer.
+    pub(crate) served: bool,
+    /// Whether its instance had been cut off from all servers for [`CONTACT_MS`] and still was.
+    pub(crate) from_cut: bool,
 }
 
 struct Run {
@@ -122,15 +173,29 @@
     instance: usize,
     req: Request,
     attempt: Option<Attempt>,
+    /// An attempt whose connection is being opened.
+    opening: Option<Attempt>,
     server: usize,
     attempts: u32,
     arrived: u64,
     in_touch: bool,
     began_at_first: bool,
+    served: bool,
+    from_cut: bool,
+    /// Whether its attempt goes through a peer.
+    relayed: bool,
     /// Whether its instance ended before it.
     lost: bool,
 }
 
+/// A time without links to servers.
+#[derive(Clone, Copy, Debug)]
+struct ServerCut {
+    from: u64,
+    until: u64,
+    links: Links,
+}
+
 struct Server {
     up: bool,
     incarnation: u64,
@@ -149,6 +214,7 @@
     incarnations: Vec<u64>,
     frozen_until: Vec<u64>,
     cut_until: Vec<u64>,
+    server_cuts: Vec<Option<ServerCut>>,
     calm_since: Vec<u64>,
     engines: Vec<Server>,
     runs: Vec<Run>,
@@ -185,6 +251,7 @@
             incarnations: vec![0; instances],
             frozen_until: vec![0; instances],
             cut_until: vec![0; instances],
+            server_cuts: vec![None; instances],
             calm_since: vec![0; instances],
             engines: (0..engines)
                 .map(|_| Server {
@@ -247,6 +314,8 @@
             at: run.arrived,
             began_at_first: run.began_at_first,
             in_touch: run.in_touch,
+            served: run.served,
+            from_cut: run.from_cut,
         })
     }
 
@@ -259,7 +328,11 @@
         let instance = match &event {
             Event::Tick(instance) | Event::Gone(instance, _) => Some(*instance),
             Event::Deliver { to, .. } => Some(*to),
-            Event::Resume(run) | Event::Progress { run, .. } => Some(self.runs[*run].instance),
+            Event::Resume(run)
+            | Event::Progress { run, .. }
+            | Event::NotOpened { run, .. }
+            | Event::Silent { run, .. } => Some(self.runs[*run].instance),
+            Event::Reached { instance, .. } => Some(*instance),
             Event::Arrive(_)
             | Event::Fault(..)
             | Event::Crash(_)
@@ -288,6 +361,17 @@
                     gateway.on_server_gone(at(self.now), key);
                 }
             }
+            Event::NotOpened { run, tried } => self.not_opened(run, tried),
+            Event::Reached {
+                instance,
+                key,
+                tried,
+            } => {
+                if let Some(gateway) = &mut self.gateways[instance] {
+                    gateway.on_reached_by_peer(key, at(tried));
+                }
+            }
+            Event::Silent { run, attempt, end } => self.end_run(run, attempt, end),
             Event::Crash(server) => self.crash(server),
             Event::Limit(server, limit) => self.engines[server].limit = limit,
             Event::Return(server) => self.restart_server(server),
@@ -308,6 +392,10 @@
                 self.cut_until[instance] = self.now + ms;
                 self.now + ms
             }
+            Fault::CutFromServers(ms, links) => {
+                self.cut_from_servers(instance, ms, links);
+                return;
+            }
         };
         self.calm_since[instance] = end;
     }
@@ -315,6 +403,7 @@
     fn start(&mut self, instance: usize) {
         for run in self.runs.iter_mut().filter(|run| run.instance == instance) {
             run.attempt = None;
+            run.opening = None;
             run.lost = true;
         }
         for engine in &mut self.engines {
@@ -424,11 +513,17 @@
             instance,
             req,
             attempt: None,
+            opening: None,
             server: 0,
             attempts: 0,
             arrived: self.now,
             in_touch: self.is_in_touch(instance),
             began_at_first: false,
+            served: false,
+            relayed: false,
+            from_cut: self
+                .server_cut(instance)
+                .is_some_and(|cut| self.now >= cut.from + CONTACT_MS && self.is_in_touch(instance)),
             lost: false,
         });
         self.drive(self.runs.len() - 1);
@@ -442,15 +537,15 @@
     /// Carry out the decisions on a run that has no attempt in flight.
     fn drive(&mut self, number: usize) {
         let now = at(self.now);
-        let run = &mut self.runs[number];
-        let instance = run.instance;
-        let Some(gateway) = &mut self.gateways[instance] else {
-            return;
-        };
-        if run.lost {
+        let instance = self.runs[number].instance;
+        if self.runs[number].lost {
             return;
         }
         loop {
+            let run = &mut self.runs[number];
+            let Some(gateway) = &mut self.gateways[instance] else {
+                return;
+            };
             let attempt = match gateway.next(now, &mut run.req) {
                 Next::Send(attempt) => *attempt,
                 Next::Wait(at) => {
@@ -466,12 +561,27 @@
                 continue;
             }
             let server: usize = attempt.primary.id.as_str()[1..].parse().unwrap();
-            let engine = &mut self.engines[server];
-            if !engine.up || engine.incarnation != attempt.primary.incarnation.get() {
-                let end = AttemptEnd::NotSent;
-                gateway.on_attempt_end(now, &mut run.req, &attempt, end);
-                continue;
+            let opened = self.open(instance, &attempt);
+            let run = &mut self.runs[number];
+            let Some(gateway) = &mut self.gateways[instance] else {
+                return;
+            };
+            match opened {
+                Opened::Yes => {}
+                Opened::No => {
+                    let end = AttemptEnd::NotSent;
+                    gateway.on_attempt_end(now, &mut run.req, &attempt, end);
+                    continue;
+                }
+                Opened::After(ms) => {
+                    run.opening = Some(attempt);
+                    let tried = self.now;
+                    self.push(self.now + ms, Event::NotOpened { run: number, tried });
+                    return;
+                }
             }
+            run.relayed = gateway.way(attempt.plan.primary) == Way::Relayed;
+            let engine = &mut self.engines[server];
             gateway.on_sent(&mut run.req, &attempt);
             engine.runs.push(number);
             run.server = server;
@@ -501,6 +611,135 @@
         }
     }
 
+    fn server_cut(&self, instance: usize) -> Option<ServerCut> {
+        self.server_cuts[instance].filter(|cut| self.now < cut.until)
+    }
+
+    fn cut_from_servers(&mut self, instance: usize, ms: u64, links: Links) {
+        self.server_cuts[instance] = Some(ServerCut {
+            from: self.now,
+            until: self.now + ms,
+            links,
+        });
+        let (delay, end) = match links {
+            Links::Hang => (SILENCE_MS, AttemptEnd::Silent),
+            Links::Reset => (0, AttemptEnd::Broken),
+            Links::Refuse => return,
+        };
+        for (number, run) in self.runs.iter().enumerate() {
+            if run.instance == instance && run.attempt.is_some() {
+                let event = Event::Silent {
+                    run: number,
+                    attempt: run.attempts,
+                    end,
+                };
+                self.pushed += 1;
+                self.queue.insert((self.now + delay, self.pushed), event);
+            }
+        }
+    }
+
+    /// Open a connection for an attempt.
+    fn open(&mut self, instance: usize, attempt: &Attempt) -> Opened {
+        let now = at(self.now);
+        let key = attempt.plan.primary;
+        let lives = self.lives(attempt);
+        let cut = self.server_cut(instance);
+        let Some(gateway) = &mut self.gateways[instance] else {
+            return Opened::No;
+        };
+        let way = gateway.way(key);
+        if way == Way::Relayed && gateway.probe_is_due(now) && cut.is_none() && lives {
+            gateway.on_opened(now, key);
+        }
+        if way == Way::Relayed && lives {
+            let relays = gateway.relays(now, key);
+            if relays.iter().any(|addr| self.can_relay(instance, *addr)) {
+                return Opened::Yes;
+            }
+        }
+        match cut.map(|cut| cut.links) {
+            Some(Links::Hang | Links::Reset) => Opened::After(CONNECT_MS),
+            Some(Links::Refuse) => Opened::After(DELAY_MS),
+            None if lives => {
+                if let Some(gateway) = &mut self.gateways[instance] {
+                    gateway.on_opened(now, key);
+                }
+                Opened::Yes
+            }
+            None => Opened::No,
+        }
+    }
+
+    /// Return whether the server of an attempt runs.
+    fn lives(&self, attempt: &Attempt) -> bool {
+        let server: usize = attempt.primary.id.as_str()[1..].parse().unwrap();
+        let engine = &self.engines[server];
+        engine.up && engine.incarnation == attempt.primary.incarnation.get()
+    }
+
+    /// Return whether a peer can connect an instance to servers.
+    fn can_relay(&self, instance: usize, peer: SocketAddr) -> bool {
+        let peer = (0..self.gateways.len()).find(|number| addr_of(*number) == peer);
+        peer.is_some_and(|peer| {
+            self.gateways[peer].is_some()
+                && self.frozen_until[peer] <= self.now
+                && self.cut_until[peer] <= self.now
+                && self.cut_until[instance] <= self.now
+                && self.server_cut(peer).is_none()
+        })
+    }
+
+    /// End an attempt whose connection could not be opened, and ask peers whether they reach its
+    /// server.
+    fn not_opened(&mut self, number: usize, tried: u64) {
+        let now = at(self.now);
+        let instance = self.runs[number].instance;
+        let Some(attempt) = self.runs[number].opening.take() else {
+            return;
+        };
+        let key = attempt.plan.primary;
+        let lives = self.lives(&attempt);
+        let Some(gateway) = &mut self.gateways[instance] else {
+            return;
+        };
+        gateway.on_open_failed(now, key, "cut");
+        let end = AttemptEnd::NotSent;
+        gateway.on_attempt_end(now, &mut self.runs[number].req, &attempt, end);
+        let relays = gateway.relays(now, key);
+        let reached = lives && relays.iter().any(|addr| self.can_relay(instance, *addr));
+        let event = if reached {
+            Event::Reached {
+                instance,
+                key,
+                tried,
+            }
+        } else {
+            Event::Gone(instance, key)
+        };
+        self.push(self.now + RELAY_MS, event);
+        self.drive(number);
+    }
+
+    /// End an attempt without an answer, unless it is over.
+    fn end_run(&mut self, number: usize, attempt: u32, end: AttemptEnd) {
+        let now = at(self.now);
+        let run = &mut self.runs[number];
+        if run.attempts != attempt {
+            return;
+        }
+        let Some(current) = run.attempt.take() else {
+            return;
+        };
+        self.engines[run.server]
+            .runs
+            .retain(|other| *other != number);
+        if let Some(gateway) = &mut self.gateways[run.instance] {
+            gateway.on_attempt_end(now, &mut run.req, &current, end);
+        }
+        self.drive(number);
+    }
+
     /// Let the server of an attempt send an event, unless the attempt is over.
     fn progress(&mut self, number: usize, attempt: u32, events: u32) {
         let now = at(self.now);
@@ -508,6 +747,11 @@
         if run.attempts != attempt || run.attempt.is_none() {
             return;
         }
+        let hangs = self.server_cuts[run.instance]
+            .is_some_and(|cut| cut.links == Links::Hang && self.now < cut.until);
+        if hangs && !run.relayed {
+            return;
+        }
         if run.call.crashes {
             let server = run.server;
             self.crash(server);
@@ -531,6 +775,7 @@
         if events == EVENTS {
             gateway.on_attempt_end(now, &mut run.req, current, AttemptEnd::Completed);
             run.attempt = None;
+            run.served = true;
             self.engines[run.server]
                 .runs
                 .retain(|other| *other != number);
--- a/crates/oleanderpass_gateway/tests/common/store.rs
+++ b/crates/oleanderpass_gateway/tests/common/store.rs
@@ -472,6 +472,7 @@
                 instance.frozen_until = now + ms;
                 instance.calm_since = now + ms;
             }
+            Fault::CutFromServers(..) => {}
             Fault::Cut(ms) => {
                 instance.cut_until = now + ms;
                 instance.calm_since = now + ms;
--- a/crates/oleanderpass_gateway_io/src/attempt.rs
+++ b/crates/oleanderpass_gateway_io/src/attempt.rs
@@ -306,7 +306,14 @@
         }
     }
     instance.metrics.connections.inc();
-    connection::open(attempt.primary.addr).await
+    let key = attempt.plan.primary;
+    let opened = connection::open(attempt.primary.addr).await;
+    let mut gateway = instance.gateway.borrow_mut();
+    match &opened {
+        Ok(_) => gateway.on_opened(instance.now(), key),
+        Err(error) => gateway.on_open_failed(instance.now(), key, &format!("{error:#}")),
+    }
+    opened
 }
 
 /// The result of an attempt whose answer was sent to the caller.
