Connect to back ends through peers while an instance's own links are cut

Cause: an instance used its own links only. Leaving the rotation would not have helped the callers that stay connected, nor a zone whose instances are all cut. The class of fault: what one instance can't do is taken for what the fleet can't do. The same cause elsewhere: a server that one instance could not reach counted as crashed; now it does only if peers don't reach it either. Orders, reports and checks of reservations go the same way.

When a direct connection fails, a peer is asked to connect to the server (CONNECT on the peer port). If it does, that server is connected to through peers from then on; if no direct connection was opened meanwhile, all servers are. A direct one is tried every 500 ms beside it. Peers connect to listed servers only, never through another peer, not while they stop, and reset a tunnel unless the server ended its connection in order, so that an answer that was cut never looks whole. The sender still decides, so at most once, limits and deadlines hold as before.

--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -753,7 +753,7 @@
                 .map(|(key, _)| key.0)
                 .collect(),
             reads_store: self.reads_store,
-            isolated: self.reach.is_isolated(),
+            relays: !self.reach.is_isolated() && self.drain.is_none(),
             cleared,
             long_read_ms_per_s: (self.load.own_long_prompt_load(now) * MS_PER_S) as u32,
             ..Bulletin::default()
@@ -1261,7 +1261,7 @@
     pub fn relays(&self, now: Timestamp, key: BackendKey) -> Vec<SocketAddr> {
         let live = self.fleet.live_peers(now);
         let mut relays: Vec<(u64, SocketAddr)> = live
-            .filter(|(_, peer)| !peer.isolated)
+            .filter(|(_, peer)| peer.relays && !self.reach.avoids_relay(now, peer.addr))
             .map(|(id, peer)| (weight(key.0, node_key(id.as_str())), peer.addr))
             .collect();
         relays.sort_by_key(|(weight, _)| std::cmp::Reverse(*weight));
@@ -1269,6 +1269,11 @@
         relays.take(MAX_RELAYS).collect()
     }
 
+    /// Record that a peer did not answer a request for a connection.
+    pub fn on_relay_failed(&mut self, now: Timestamp, peer: SocketAddr) {
+        self.reach.on_relay_failed(now, peer);
+    }
+
     /// Record that a direct connection to a server was opened.
     pub fn on_opened(&mut self, now: Timestamp, key: BackendKey) {
         self.bulletin_pending |= self.reach.is_isolated();
@@ -1342,7 +1347,8 @@
             | AttemptEnd::HelperFailed
             | AttemptEnd::Cancelled => None,
         };
-        if matches!(end, AttemptEnd::NotSent | AttemptEnd::WrongServer) {
+        // A server that could not be reached is gone only if peers can't reach it either.
+        if end == AttemptEnd::WrongServer {
             self.on_server_gone(now, attempt.plan.primary);
         }
         if let Some(observation) = observation {
--- a/crates/oleanderpass_gateway/src/peers.rs
+++ b/crates/oleanderpass_gateway/src/peers.rs
@@ -77,8 +77,8 @@
     pub config_version: u64,
     /// Whether the peer reads the store itself and can reach it.
     pub reads_store: bool,
-    /// Whether the peer can't reach backend servers that its peers reach.
-    pub isolated: bool,
+    /// Whether the peer connects this instance to backend servers.
+    pub relays: bool,
 }
 
 /// The decoded bulletin of a peer.
@@ -197,7 +197,7 @@
             store_position: StorePosition::default(),
             config_version: 0,
             reads_store: false,
-            isolated: false,
+            relays: false,
         });
         if packet.incarnation > peer.incarnation {
             // It has started again and knows only what it has read since.
@@ -209,7 +209,7 @@
         peer.zone = zone;
         peer.last_heard = now;
         peer.reads_store = bulletin.reads_store;
-        peer.isolated = bulletin.isolated;
+        peer.relays = bulletin.relays;
         let position = StorePosition::new(bulletin.store_era, bulletin.store_revision);
         peer.store_position = peer.store_position.max(position);
         peer.config_version = peer.config_version.max(bulletin.config_version);
--- a/crates/oleanderpass_gateway/src/reach.rs
+++ b/crates/oleanderpass_gateway/src/reach.rs
@@ -1,6 +1,9 @@
 //! Choose how to connect to backend servers: directly, or through a peer while the links between
 //! this instance and servers that live are cut.
 
+use std::net::SocketAddr;
+
+use indexmap::IndexMap;
 use indexmap::IndexSet;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::clock::Timestamp;
@@ -15,6 +18,9 @@
 /// The interval at which a direct connection is tried while peers are used instead.
 const PROBE_INTERVAL: Millis = Millis::new(500);
 
+/// The time for which a peer that did not answer is not asked for connections.
+const RELAY_PAUSE: Millis = Millis::new(1_000);
+
 /// How to connect to a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[strum(serialize_all = "snake_case")]
@@ -37,12 +43,18 @@
     /// Whether a peer reached a server when this instance could reach none.
     isolated: bool,
     last_probe: Option<Timestamp>,
+    /// When peers last did not answer a request for a connection.
+    failed_relays: IndexMap<SocketAddr, Timestamp>,
 }
 
 impl Reach {
     /// Return how to connect to a server.
-    pub fn way(&self, _key: BackendKey) -> Way {
-        Way::Direct
+    pub fn way(&self, key: BackendKey) -> Way {
+        if self.isolated || self.cut.contains(&key) {
+            Way::Relayed
+        } else {
+            Way::Direct
+        }
     }
 
     /// Return whether all links to servers count as cut.
@@ -104,6 +116,19 @@
         due
     }
 
+    /// Record that a peer did not answer a request for a connection.
+    pub fn on_relay_failed(&mut self, now: Timestamp, peer: SocketAddr) {
+        self.failed_relays
+            .retain(|_, at| now.since(*at) < RELAY_PAUSE);
+        self.failed_relays.insert(peer, now);
+    }
+
+    /// Return whether a peer is not asked for connections, because it did not answer lately.
+    pub fn avoids_relay(&self, now: Timestamp, peer: SocketAddr) -> bool {
+        let failed = self.failed_relays.get(&peer);
+        failed.is_some_and(|at| now.since(*at) < RELAY_PAUSE)
+    }
+
     /// Forget a server that was removed.
     pub fn remove(&mut self, key: BackendKey) {
         self.failed.swap_remove(&key);
--- a/crates/oleanderpass_gateway_io/src/attempt.rs
+++ b/crates/oleanderpass_gateway_io/src/attempt.rs
@@ -27,14 +27,13 @@
 use crate::body::CallerBody;
 use crate::body::StreamChunk;
 use crate::clock::sleep_until;
-use crate::connection;
 use crate::connection::Connection;
 use crate::events::EventSplitter;
 use crate::exchange::Exchange;
 use crate::exchange::Reply;
 use crate::exchange::build_answer;
-use crate::instance::SharedInstance;
 use crate::metrics::prompt_length_label;
+use crate::reach;
 use crate::reservation;
 use crate::reservation::Reservation;
 
@@ -100,8 +99,12 @@
             self.attempt,
             end,
         );
-        if end == AttemptEnd::Broken {
-            check_reachable(instance.clone(), self.attempt);
+        if matches!(end, AttemptEnd::Broken | AttemptEnd::Silent) {
+            reach::check(
+                instance.clone(),
+                self.attempt.plan.primary,
+                self.attempt.primary.addr,
+            );
         }
         let label = end.to_string();
         instance.metrics.attempts.with_label_values(&[&label]).inc();
@@ -225,7 +228,7 @@
         biased;
         result = sending => result,
         // The primary server is gone or has ended the request, so no answer will come.
-        () = reservation::keep(&reservations, attempt.primary.addr, event_count) => {
+        () = reservation::keep(&reservations, &exchange.instance, attempt.primary.addr, event_count) => {
             Err(AttemptEnd::Silent)
         }
     };
@@ -249,25 +252,6 @@
     }
 }
 
-/// Check in the background whether a server whose connection broke still accepts connections, and
-/// report it to the gateway if it doesn't.
-fn check_reachable(instance: SharedInstance, attempt: &Attempt) {
-    let (key, addr) = (attempt.plan.primary, attempt.primary.addr);
-    tokio::task::spawn_local(async move {
-        if let Err(error) = connection::open(addr).await {
-            tracing::info!(
-                server = %addr,
-                error = format!("{error:#}"),
-                "a backend server accepts no connections"
-            );
-            instance
-                .gateway
-                .borrow_mut()
-                .on_server_gone(instance.now(), key);
-        }
-    });
-}
-
 /// Reserve memory on the helpers as the plan of the attempt requires, with `None` for a helper that
 /// needs no reservation. Return `None` if a helper doesn't grant its reservation.
 async fn reserve_on_helpers(
@@ -297,23 +281,17 @@
     // then be lost, so it gets a new connection.
     let may_repeat = exchange.req.borrow().admission.route.kind.may_repeat();
     if may_repeat {
+        let way = instance.gateway.borrow().way(attempt.plan.primary);
         let pooled = instance
             .pool
             .borrow_mut()
-            .acquire(instance.now(), attempt.plan.primary);
+            .acquire(instance.now(), attempt.plan.primary, way);
         if let Some(connection) = pooled {
             return Ok(connection);
         }
     }
     instance.metrics.connections.inc();
-    let key = attempt.plan.primary;
-    let opened = connection::open(attempt.primary.addr).await;
-    let mut gateway = instance.gateway.borrow_mut();
-    match &opened {
-        Ok(_) => gateway.on_opened(instance.now(), key),
-        Err(error) => gateway.on_open_failed(instance.now(), key, &format!("{error:#}")),
-    }
-    opened
+    reach::open(instance, attempt.plan.primary, attempt.primary.addr).await
 }
 
 /// The result of an attempt whose answer was sent to the caller.
--- a/crates/oleanderpass_gateway_io/src/connection.rs
+++ b/crates/oleanderpass_gateway_io/src/connection.rs
@@ -17,13 +17,18 @@
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
 use oleanderpass_gateway::backend::BackendKey;
+use oleanderpass_gateway::reach::Way;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::clock::Timestamp;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
 use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::instance::SharedInstance;
+use crate::reach;
+
 /// The timeout for opening a connection. Backend servers accept one within about a millisecond, and
 /// a lost first packet is sent again only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -55,6 +60,8 @@
     pub(crate) sender: SendRequest<Full<Bytes>>,
     /// Whether it has carried a request before.
     pub(crate) reused: bool,
+    /// Whether it leads through a peer.
+    way: Way,
     /// The task that drives the connection.
     task: AbortHandle,
 }
@@ -71,16 +78,36 @@
 ///
 /// Return the cause if no connection can be opened in time.
 pub(crate) async fn open(addr: SocketAddr) -> Result<Connection> {
+    let stream = connect(addr).await?;
+    handshake(addr, TokioIo::new(stream), Way::Direct).await
+}
+
+/// Open a socket to an address.
+///
+/// # Errors
+///
+/// Return the cause if it can't be opened in time.
+pub(crate) async fn connect(addr: SocketAddr) -> Result<TcpStream> {
     let socket = TcpSocket::new_v4().wrap_err("create a socket")?;
     socket.set_nodelay(true).wrap_err("set TCP_NODELAY")?;
     enable_keepalive(&socket).wrap_err("set the keep-alive")?;
-    let stream = tokio::time::timeout(CONNECT_TIMEOUT, socket.connect(addr))
+    tokio::time::timeout(CONNECT_TIMEOUT, socket.connect(addr))
         .await
         .wrap_err_with(|| format!("connect to {addr}: timeout"))?
-        .wrap_err_with(|| format!("connect to {addr}"))?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
-        .await
-        .wrap_err("HTTP handshake")?;
+        .wrap_err_with(|| format!("connect to {addr}"))
+}
+
+/// Begin to speak HTTP/1.1 to the server at `addr` on an open stream.
+///
+/// # Errors
+///
+/// Return the cause if the stream has ended.
+pub(crate) async fn handshake(
+    addr: SocketAddr,
+    stream: impl hyper::rt::Read + hyper::rt::Write + Unpin + 'static,
+    way: Way,
+) -> Result<Connection> {
+    let (sender, connection) = http1::handshake(stream).await.wrap_err("HTTP handshake")?;
     let task = tokio::task::spawn_local(async move {
         if let Err(error) = connection.await {
             tracing::debug!(%addr, %error, "a connection ended");
@@ -89,17 +116,23 @@
     Ok(Connection {
         sender,
         reused: false,
+        way,
         task: task.abort_handle(),
     })
 }
 
-/// Send a request on a new connection. Return the HTTP status and the body of the answer.
+/// Send a request to a backend server on a new connection. Return the HTTP status and the body of
+/// the answer.
 ///
 /// # Errors
 ///
 /// Return the cause if there is no whole answer, or if its body is longer than [`MAX_CALL_ANSWER`].
-pub(crate) async fn call(addr: SocketAddr, req: Request<Full<Bytes>>) -> Result<(u16, Bytes)> {
-    let mut connection = open(addr).await?;
+pub(crate) async fn call(
+    instance: &SharedInstance,
+    addr: SocketAddr,
+    req: Request<Full<Bytes>>,
+) -> Result<(u16, Bytes)> {
+    let mut connection = reach::open_addr(instance, addr).await?;
     let answer = connection
         .sender
         .send_request(req)
@@ -137,10 +170,19 @@
 }
 
 impl Pool {
-    /// Return the idle connection that was used last, if it is still usable.
-    pub(crate) fn acquire(&mut self, now: Timestamp, key: BackendKey) -> Option<Connection> {
+    /// Return the idle connection that was used last, if it is still usable. Connections that
+    /// lead another way than new ones do are closed.
+    pub(crate) fn acquire(
+        &mut self,
+        now: Timestamp,
+        key: BackendKey,
+        way: Way,
+    ) -> Option<Connection> {
         let idle = self.idle.get_mut(&key)?;
-        idle.retain(|idle| now < idle.expires_at && !idle.connection.sender.is_closed());
+        idle.retain(|idle| {
+            let connection = &idle.connection;
+            now < idle.expires_at && connection.way == way && !connection.sender.is_closed()
+        });
         let mut connection = idle.pop()?.connection;
         connection.reused = true;
         connection.sender.is_ready().then_some(connection)
--- a/crates/oleanderpass_gateway_io/src/daemon.rs
+++ b/crates/oleanderpass_gateway_io/src/daemon.rs
@@ -7,6 +7,7 @@
 
 use eyre::Result;
 use eyre::WrapErr;
+use indexmap::IndexSet;
 use oleanderpass_gateway::drain::ADMIT_ALL_TIME;
 use oleanderpass_gateway::gateway::Gateway;
 use oleanderpass_membership::membership::Identity;
@@ -27,6 +28,7 @@
 use crate::instance::SharedInstance;
 use crate::instance::ShutdownPhase;
 use crate::internal_http;
+use crate::internal_http::Tunnels;
 use crate::metrics::Metrics;
 use crate::peer;
 use crate::settings::Settings;
@@ -86,6 +88,8 @@
         gateway: RefCell::new(gateway),
         pool: RefCell::new(Pool::default()),
         metrics: Metrics::new()?,
+        checked_servers: RefCell::new(IndexSet::new()),
+        open_tunnels: Cell::new(0),
         peer_socket,
         load_changed: Notify::new(),
         store_behind: Notify::new(),
@@ -98,9 +102,21 @@
         caller_listener,
         open_connections.clone(),
     ));
-    tokio::task::spawn_local(internal_http::run(instance.clone(), readiness_listener));
-    tokio::task::spawn_local(internal_http::run(instance.clone(), metrics_listener));
-    tokio::task::spawn_local(internal_http::run(instance.clone(), peer_listener));
+    tokio::task::spawn_local(internal_http::run(
+        instance.clone(),
+        readiness_listener,
+        Tunnels::Refused,
+    ));
+    tokio::task::spawn_local(internal_http::run(
+        instance.clone(),
+        metrics_listener,
+        Tunnels::Refused,
+    ));
+    tokio::task::spawn_local(internal_http::run(
+        instance.clone(),
+        peer_listener,
+        Tunnels::Accepted,
+    ));
     tokio::task::spawn_local(peer::receive(instance.clone()));
     tokio::task::spawn_local(peer::tick(instance.clone()));
     tokio::task::spawn_local(peer::send_bulletins(instance.clone()));
@@ -163,7 +179,8 @@
     );
     sleep_until((began + ADMIT_ALL_TIME).min(end)).await;
     instance.shutdown.send_replace(ShutdownPhase::Closing);
-    while open_connections.get() > 0 && instance.now() < end {
+    let is_busy = || open_connections.get() > 0 || instance.open_tunnels.get() > 0;
+    while is_busy() && instance.now() < end {
         sleep_until(instance.now() + STOP_POLL).await;
     }
     tracing::info!(
--- a/crates/oleanderpass_gateway_io/src/instance.rs
+++ b/crates/oleanderpass_gateway_io/src/instance.rs
@@ -1,9 +1,12 @@
 //! Define the state that the tasks of an entry instance share.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use indexmap::IndexSet;
+use oleanderpass_gateway::backend::BackendKey;
 use oleanderpass_gateway::gateway::Gateway;
 use oleanderpass_proto::peer::Packet;
 use oleanderpass_types::clock::Timestamp;
@@ -34,6 +37,10 @@
     pub(crate) gateway: RefCell<Gateway>,
     pub(crate) pool: RefCell<Pool>,
     pub(crate) metrics: Metrics,
+    /// The servers that peers are asked to connect to, to see whether they are gone.
+    pub(crate) checked_servers: RefCell<IndexSet<BackendKey>>,
+    /// The number of open tunnels to servers for peers.
+    pub(crate) open_tunnels: Cell<usize>,
     /// The socket for datagrams to and from peers.
     pub(crate) peer_socket: UdpSocket,
     /// Notified when the load of this instance changed, so that a bulletin may be due.
--- a/crates/oleanderpass_gateway_io/src/internal_http.rs
+++ b/crates/oleanderpass_gateway_io/src/internal_http.rs
@@ -1,5 +1,5 @@
 //! Serve the internal HTTP endpoints: readiness for the balancer, metrics and status for operators,
-//! and the copy of the store for peers.
+//! and the copy of the store and tunnels to backend servers for peers.
 
 use std::convert::Infallible;
 
@@ -19,6 +19,7 @@
 
 use crate::clock::sleep_until;
 use crate::instance::SharedInstance;
+use crate::relay;
 
 const METRICS_PATH: &str = "/metrics";
 const STATUS_PATH: &str = "/status";
@@ -30,8 +31,17 @@
 /// The pause after a failure to accept a connection.
 const ACCEPT_PAUSE: Millis = Millis::new(10);
 
+/// Whether a listener accepts requests for tunnels to backend servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Tunnels {
+    /// It does, as it is for peers.
+    Accepted,
+    /// It doesn't.
+    Refused,
+}
+
 /// Serve all internal endpoints on a listener until the process ends.
-pub(crate) async fn run(instance: SharedInstance, listener: TcpListener) {
+pub(crate) async fn run(instance: SharedInstance, listener: TcpListener, tunnels: Tunnels) {
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -44,11 +54,18 @@
         let instance = instance.clone();
         tokio::task::spawn_local(async move {
             let service = service_fn(|req| {
-                let answer = answer(&instance, &req);
-                async move { Ok::<_, Infallible>(answer) }
+                let instance = instance.clone();
+                async move {
+                    let answer = if tunnels == Tunnels::Accepted && relay::is_connect(&req) {
+                        relay::serve(&instance, req).await
+                    } else {
+                        answer(&instance, &req)
+                    };
+                    Ok::<_, Infallible>(answer)
+                }
             });
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = connection.await {
+            if let Err(error) = connection.with_upgrades().await {
                 tracing::debug!(%error, "a connection ended");
             }
         });
--- a/crates/oleanderpass_gateway_io/src/lib.rs
+++ b/crates/oleanderpass_gateway_io/src/lib.rs
@@ -18,5 +18,7 @@
 mod internal_http;
 mod metrics;
 mod peer;
+mod reach;
+mod relay;
 mod reservation;
 mod store;
--- a/crates/oleanderpass_gateway_io/src/metrics.rs
+++ b/crates/oleanderpass_gateway_io/src/metrics.rs
@@ -37,6 +37,8 @@
     pub(crate) request_time: HistogramVec,
     /// Attempts to open a connection to a backend server for a request.
     pub(crate) connections: IntCounter,
+    /// Connections to backend servers that were opened through a peer.
+    pub(crate) relayed_connections: IntCounter,
     /// Datagrams to peers that could not be sent.
     pub(crate) lost_datagrams: IntCounter,
     /// Requests from callers whose answer has not begun.
@@ -78,6 +80,10 @@
                 "Time from the request to the end of its answer.",
                 &["kind"],
             )?,
+            relayed_connections: IntCounter::new(
+                "oleanderpass_relayed_connections_total",
+                "Connections to backend servers that were opened through a peer.",
+            )?,
             connections: IntCounter::new(
                 "oleanderpass_backend_connections_total",
                 "Connections opened to backend servers.",
@@ -97,6 +103,7 @@
         registry.register(Box::new(metrics.first_event.clone()))?;
         registry.register(Box::new(metrics.request_time.clone()))?;
         registry.register(Box::new(metrics.connections.clone()))?;
+        registry.register(Box::new(metrics.relayed_connections.clone()))?;
         registry.register(Box::new(metrics.lost_datagrams.clone()))?;
         registry.register(Box::new(metrics.in_flight.clone()))?;
         Ok(metrics)
--- a/crates/oleanderpass_gateway_io/src/reservation.rs
+++ b/crates/oleanderpass_gateway_io/src/reservation.rs
@@ -21,6 +21,7 @@
 
 use crate::connection;
 use crate::instance::SharedInstance;
+use crate::reach;
 
 /// The timeout for an order, from opening the connection to the end of the answer.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
@@ -87,18 +88,20 @@
         let evidence = match primary {
             PrimaryState::Active => Evidence::PrimaryActive,
             PrimaryState::Unreachable => Evidence::PrimaryUnreachable,
-            PrimaryState::Reachable => match read_state(self.addr, &self.id).await {
-                Ok(state) => Evidence::Reported(state),
-                Err(error) => {
-                    tracing::info!(
-                        server = %self.addr,
-                        reservation = %self.id,
-                        error = format!("{error:#}"),
-                        "could not read the state of a reservation"
-                    );
-                    Evidence::NoReport
+            PrimaryState::Reachable => {
+                match read_state(&self.instance, self.addr, &self.id).await {
+                    Ok(state) => Evidence::Reported(state),
+                    Err(error) => {
+                        tracing::info!(
+                            server = %self.addr,
+                            reservation = %self.id,
+                            error = format!("{error:#}"),
+                            "could not read the state of a reservation"
+                        );
+                        Evidence::NoReport
+                    }
                 }
-            },
+            }
         };
         let renews = (self.usage.borrow_mut()).renews(self.instance.now(), evidence);
         if !renews {
@@ -143,6 +146,7 @@
 /// has sent. Never return if there are no reservations.
 pub(crate) async fn keep(
     reservations: &[Option<Reservation>],
+    instance: &SharedInstance,
     primary: SocketAddr,
     event_count: impl Fn() -> u64,
 ) {
@@ -156,7 +160,7 @@
         let count = event_count();
         let state = if std::mem::replace(&mut last_count, count) != count {
             PrimaryState::Active
-        } else if let Err(error) = connection::open(primary).await {
+        } else if let Err(error) = reach::open_addr(instance, primary).await {
             tracing::info!(
                 server = %primary,
                 error = format!("{error:#}"),
@@ -175,11 +179,15 @@
 }
 
 /// Read the state of a reservation from the report of its engine.
-async fn read_state(addr: SocketAddr, id: &str) -> Result<ReservationState> {
+async fn read_state(
+    instance: &SharedInstance,
+    addr: SocketAddr,
+    id: &str,
+) -> Result<ReservationState> {
     let request = Request::get(report::PATH)
         .header(http::header::HOST, addr.to_string())
         .body(Full::new(Bytes::new()))?;
-    let call = connection::call(addr, request);
+    let call = connection::call(instance, addr, request);
     let (_, body) = tokio::time::timeout(ORDER_TIMEOUT, call)
         .await
         .wrap_err("read a report")??;
@@ -218,7 +226,7 @@
     operation: &str,
     order: Bytes,
 ) -> bool {
-    let result = tokio::time::timeout(ORDER_TIMEOUT, post_order(addr, order)).await;
+    let result = tokio::time::timeout(ORDER_TIMEOUT, post_order(instance, addr, order)).await;
     let (confirmed, label) = match result {
         Ok(Ok(200)) => (true, "done"),
         Ok(Ok(status)) => {
@@ -243,12 +251,12 @@
 }
 
 /// Send an order on a new connection. Return the HTTP status of the answer.
-async fn post_order(addr: SocketAddr, order: Bytes) -> Result<u16> {
+async fn post_order(instance: &SharedInstance, addr: SocketAddr, order: Bytes) -> Result<u16> {
     let req = Request::post(order::PATH)
         .header(http::header::HOST, addr.to_string())
         .header(http::header::CONTENT_TYPE, "application/json")
         .body(Full::new(order))?;
-    let (status, _) = connection::call(addr, req)
+    let (status, _) = connection::call(instance, addr, req)
         .await
         .wrap_err("send an order")?;
     Ok(status)
