--- a/crates/oleanderpass/tests/soak/fleet.rs
+++ b/crates/oleanderpass/tests/soak/fleet.rs
@@ -228,6 +228,11 @@
     /// Publish the next version of the configuration, with the current API keys.
     pub(crate) fn publish_configuration(&mut self) {
         self.version += 1;
+        self.publish_again();
+    }
+
+    /// Publish the version of the configuration that was published last.
+    pub(crate) fn publish_again(&self) {
         let keys: Vec<&str> = self.api_keys.iter().map(String::as_str).collect();
         self.store
             .put_configuration(&configuration(self.version, &keys));
--- a/crates/oleanderpass/tests/soak/run.rs
+++ b/crates/oleanderpass/tests/soak/run.rs
@@ -11,6 +11,7 @@
 use std::time::Instant;
 
 use oleanderpass_platform_stand_in::caller::Call;
+use oleanderpass_platform_stand_in::store::Mode as StoreMode;
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use rustix::process::Signal;
@@ -35,6 +36,10 @@
 /// The time within which reserved memory must be free again. Source: the published bound.
 const RELEASE_BOUND: Duration = Duration::from_secs(4);
 
+/// How long the store is away before it is restored from a copy, and the time after its return at
+/// which what it lost is written again.
+const RESTORE_TIME: Duration = Duration::from_millis(500);
+
 /// The share of requests that must be served once the faults are over.
 const SERVED_PERCENT: usize = 95;
 
@@ -107,6 +112,7 @@
     fleet.wait_until_ready().await;
     check_configuration(&mut fleet, &mut violations).await;
     back_ends::check(&mut fleet, &mut rng, &mut violations).await;
+    check_restored_store(&mut fleet, &mut violations).await;
     check_recovery(&fleet, &mut violations).await;
     check_planned_stop(&mut fleet, &records, &mut violations).await;
     tokio::time::sleep(RELEASE_BOUND).await;
@@ -211,6 +217,34 @@
     }
 }
 
+/// Check that changes come into force when the store is restored from a copy, beside an instance
+/// that starts and one that stands still.
+async fn check_restored_store(fleet: &mut Fleet, violations: &mut Vec<String>) {
+    let backup = fleet.store.back_up();
+    for key in ["key-lost-1", "key-lost-2"] {
+        fleet.api_keys = vec![key.to_owned()];
+        fleet.publish_configuration();
+    }
+    tokio::time::sleep(CONFIG_BOUND).await;
+    fleet.store.set_mode(StoreMode::Reset);
+    fleet.instances[0].signal(Signal::KILL);
+    fleet.instances[0].wait_for_exit().await;
+    fleet.instances[1].signal(Signal::STOP);
+    tokio::time::sleep(RESTORE_TIME).await;
+    fleet.store.restore(&backup);
+    fleet.store.set_mode(StoreMode::Up);
+    fleet.instances[0].spawn();
+    fleet.instances[1].signal(Signal::CONT);
+    // Operators and servers notice the loss and write again.
+    tokio::time::sleep(RESTORE_TIME).await;
+    for index in 0..fleet.servers.len() {
+        fleet.announce(index, "ready");
+    }
+    fleet.publish_again();
+    fleet.wait_until_ready().await;
+    check_configuration(fleet, violations).await;
+}
+
 /// Check that enough requests are served once the faults are over.
 async fn check_recovery(fleet: &Fleet, violations: &mut Vec<String>) {
     let mut served = 0;
