Add a failing test of a store that falls silent

The simulated store goes silent for 0.05 to 9 s with calls that hang for good, in fleets of 8, 60 and 295 instances, at random moments and beside instances that start, stand still or are cut off.

--- a/crates/oleanderpass_gateway/tests/common/store.rs
+++ b/crates/oleanderpass_gateway/tests/common/store.rs
@@ -170,6 +170,8 @@
     doing: Doing,
     /// The number of the current step. Events of earlier steps are ignored.
     step: u64,
+    /// Whether the connection of the current call is open and dead.
+    hangs: bool,
     incarnation: u64,
     frozen_until: u64,
     cut_until: u64,
@@ -338,6 +340,7 @@
                 reader: StoreReader::default(),
                 doing: Doing::Waiting,
                 step: 0,
+                hangs: false,
                 incarnation: 0,
                 frozen_until: 0,
                 cut_until: 0,
@@ -574,6 +577,7 @@
         };
         let next = instance.reader.next(now, gateway);
         instance.step += 1;
+        instance.hangs = false;
         let step = instance.step;
         instance.doing = match next {
             Step::Wait(_) => Doing::Waiting,
@@ -602,6 +606,7 @@
             Step::Watch { after, wait } => {
                 self.store_calls += 1;
                 let timeout = wait.get() + WATCH_MARGIN_MS;
+                self.instances[number].hangs = cut || self.store.outage == Some(Outage::Silent);
                 self.push(
                     self.now + timeout,
                     Event::Answer(number, step, Reply::Failed),
@@ -651,6 +656,7 @@
         let step = instance.step;
         if self.store.outage.is_none()
             && !self.is_cut(number)
+            && !instance.hangs
             && let Some(reply) = self.store.watch(after.revision)
         {
             self.push(self.now + CALL_MS, Event::Answer(number, step, reply));
@@ -664,8 +670,10 @@
         let Some(gateway) = &mut instance.gateway else {
             return;
         };
-        if lost && matches!(instance.doing, Doing::Watching(_)) {
+        let answers = matches!(reply, Reply::All(..) | Reply::Changes(..));
+        if (lost && matches!(instance.doing, Doing::Watching(_))) || (answers && instance.hangs) {
             // The connection is dead from now on; the call ends by its timeout.
+            instance.hangs = true;
             return;
         }
         let mut pause = 0;
@@ -723,15 +731,7 @@
                 Outage::Reset => {
                     self.push(self.now + 1, Event::Answer(number, step, Reply::Failed));
                 }
-                Outage::Silent => {
-                    // Only the timeout ends the call now.
-                    instance.doing = Doing::Calling;
-                    self.queue.retain(|_, event| {
-                        let answers = matches!(event, Event::Answer(to, of, Reply::Changes(..))
-                            if *to == number && *of == step);
-                        !answers
-                    });
-                }
+                Outage::Silent => instance.hangs = true,
             }
         }
     }
