Notice a silent store within the time in which changes must be in force

A key that was revoked just after a silence of the store was accepted for 4.3 s, where ConfigApplyMs allows 2 s.

Cause: all watches that were in flight when the store fell silent waited for their timeout of 8.7 s. Nothing ended them sooner, because an instance looked for silence only by comparing itself with its peers, and no peer had read more. The class of fault: what a call of many seconds would show is judged only when it ends, or by instances that wait for the same call.

The first reader of all live instances, by hash, now waits 1 s at a time in place of 8, and its call fails 0.5 s later. What it reads next shows the others that they are behind, which ends their watches within 250 ms. An instance that becomes the first reader begins a new watch at once if its own is older.

--- a/crates/oleanderpass_gateway/src/peers.rs
+++ b/crates/oleanderpass_gateway/src/peers.rs
@@ -169,6 +169,15 @@
         before.count() < READERS_PER_ZONE
     }
 
+    /// Return whether this instance, if it reads the store, is the one of the live instances that
+    /// notices soonest when the store falls silent.
+    pub fn is_first_reader(&self, now: Timestamp) -> bool {
+        let own = (node_key(self.identity.id.as_str()), &self.identity.id);
+        self.live_peers(now)
+            .filter(|(_, peer)| peer.reads_store)
+            .all(|(id, _)| (node_key(id.as_str()), id) > own)
+    }
+
     /// Handle a datagram. Return its bulletin, if it has one from a peer.
     pub fn on_packet(
         &mut self,
--- a/crates/oleanderpass_gateway/src/store_reader.rs
+++ b/crates/oleanderpass_gateway/src/store_reader.rs
@@ -9,18 +9,23 @@
 use crate::store::StoreItem;
 use crate::store::StorePosition;
 
-/// How long the store keeps a watch call waiting for changes. If the connection has gone silent,
-/// the call fails only after this time, or earlier if peers have read newer changes.
+/// How long the store keeps a watch call waiting for changes. If the store has gone silent, the
+/// call fails only after this time, or earlier if peers have read newer changes.
 const WATCH_WAIT: Millis = Millis::new(8_000);
 
-/// The same as [`WATCH_WAIT`] while there is no live peer that could have read newer changes.
-const WATCH_WAIT_ALONE: Millis = Millis::new(1_000);
+/// The same as [`WATCH_WAIT`] for the first reader of all live instances. Its peers notice by what
+/// it reads that their own watches are silent, so it has to notice within the time in which a
+/// change must be in force.
+const FIRST_WATCH_WAIT: Millis = Millis::new(1_000);
+
+/// How much longer than its wait a watch call may take before it times out.
+const WATCH_MARGIN: Millis = Millis::new(500);
 
 /// The delay between a change and the next watch. Changes within it are returned by one call.
 const WATCH_BATCH_DELAY: Millis = Millis::new(60);
 
-/// The interval at which an instance checks whether it has to read the store itself.
-const READER_CHECK_INTERVAL: Millis = Millis::new(300);
+/// The interval at which an instance checks whether it has to read the store itself, or sooner.
+pub const READER_CHECK_INTERVAL: Millis = Millis::new(300);
 
 /// The shortest interval between two copies from the same peer of which the first brought nothing
 /// new.
@@ -47,6 +52,8 @@
         after: StorePosition,
         /// How long the store may wait for a first change.
         wait: Millis,
+        /// The timeout of the call.
+        timeout: Millis,
     },
 }
 
@@ -72,6 +79,8 @@
     /// The time of the next call to the store.
     next_call: Timestamp,
     last_copy: Option<LastCopy>,
+    /// When the last watch began.
+    watch_began: Timestamp,
 }
 
 impl Default for StoreReader {
@@ -83,6 +92,7 @@
             backoff: MIN_BACKOFF,
             next_call: Timestamp::ORIGIN,
             last_copy: None,
+            watch_began: Timestamp::ORIGIN,
         }
     }
 }
@@ -109,14 +119,19 @@
             return Step::Wait(self.next_call);
         }
         match self.position {
-            Some(after) if !self.store_lost => Step::Watch {
-                after,
-                wait: if gateway.fleet().live_peers(now).next().is_some() {
-                    WATCH_WAIT
+            Some(after) if !self.store_lost => {
+                let wait = if gateway.fleet().is_first_reader(now) {
+                    FIRST_WATCH_WAIT
                 } else {
-                    WATCH_WAIT_ALONE
-                },
-            },
+                    WATCH_WAIT
+                };
+                self.watch_began = now;
+                Step::Watch {
+                    after,
+                    wait,
+                    timeout: wait + WATCH_MARGIN,
+                }
+            }
             // After an outage, the whole list is read, because entries may have expired in the
             // meantime.
             Some(_) | None => Step::ReadAll,
@@ -156,6 +171,13 @@
         Step::Copy(source)
     }
 
+    /// Return whether the watch in flight is given up for a shorter one, because the instance has
+    /// become the first reader since it began.
+    pub fn renews_watch(&self, now: Timestamp, gateway: &Gateway) -> bool {
+        now.since(self.watch_began) >= FIRST_WATCH_WAIT + WATCH_MARGIN
+            && gateway.fleet().is_first_reader(now)
+    }
+
     /// Return whether peers read the store for this instance.
     pub fn follows_peers(&self) -> bool {
         self.follows_peers
--- a/crates/oleanderpass_gateway/tests/common/store.rs
+++ b/crates/oleanderpass_gateway/tests/common/store.rs
@@ -37,7 +37,7 @@
 const CALL_MS: u64 = 4;
 /// The timeouts and pauses of the calls, in milliseconds.
 const READ_TIMEOUT_MS: u64 = 800;
-const WATCH_MARGIN_MS: u64 = 700;
+const WATCH_CHECK_MS: u64 = 300;
 const BEHIND_GRACE_MS: u64 = 250;
 const COPY_PAUSE_MS: u64 = 100;
 /// The time within which a confirmed change is in force, in milliseconds.
@@ -145,6 +145,8 @@
     /// An instance decides, unless it has done so since.
     Decide(usize, u64),
     Answer(usize, u64, Reply),
+    /// An instance checks whether its watch has to be a shorter one.
+    Renew(usize, u64),
     /// An instance was behind its peers a short time ago.
     Behind(usize, u64),
     Fault(usize, Fault),
@@ -414,6 +416,7 @@
             Event::Tick(instance)
             | Event::Decide(instance, _)
             | Event::Answer(instance, ..)
+            | Event::Renew(instance, _)
             | Event::Behind(instance, _) => Some(*instance),
             Event::Deliver { to, .. } => Some(*to),
             Event::Fault(..)
@@ -444,7 +447,17 @@
                     self.answer(instance, Reply::Failed);
                 }
             }
-            Event::Decide(..) | Event::Answer(..) | Event::Behind(..) => {}
+            Event::Renew(number, step) if self.instances[number].step == step => {
+                let now = at(self.now);
+                let instance = &self.instances[number];
+                let gateway = instance.gateway.as_ref();
+                if gateway.is_some_and(|gateway| instance.reader.renews_watch(now, gateway)) {
+                    self.decide(number);
+                } else {
+                    self.push(self.now + WATCH_CHECK_MS, Event::Renew(number, step));
+                }
+            }
+            Event::Decide(..) | Event::Answer(..) | Event::Renew(..) | Event::Behind(..) => {}
             Event::Fault(instance, fault) => self.apply(instance, fault),
             Event::Write(write) => {
                 if self.store.outage.is_some() {
@@ -603,12 +616,16 @@
                 };
                 self.push(self.now + delay, Event::Answer(number, step, reply));
             }
-            Step::Watch { after, wait } => {
+            Step::Watch {
+                after,
+                wait,
+                timeout,
+            } => {
                 self.store_calls += 1;
-                let timeout = wait.get() + WATCH_MARGIN_MS;
+                self.push(self.now + WATCH_CHECK_MS, Event::Renew(number, step));
                 self.instances[number].hangs = cut || self.store.outage == Some(Outage::Silent);
                 self.push(
-                    self.now + timeout,
+                    self.now + timeout.get(),
                     Event::Answer(number, step, Reply::Failed),
                 );
                 if self.store.outage == Some(Outage::Reset) && !cut {
--- a/crates/oleanderpass_gateway_io/src/store.rs
+++ b/crates/oleanderpass_gateway_io/src/store.rs
@@ -14,6 +14,7 @@
 use oleanderpass_gateway::store::CopySource;
 use oleanderpass_gateway::store::StoreItem;
 use oleanderpass_gateway::store::StorePosition;
+use oleanderpass_gateway::store_reader::READER_CHECK_INTERVAL;
 use oleanderpass_gateway::store_reader::Step;
 use oleanderpass_gateway::store_reader::StoreReader;
 use oleanderpass_platform::announcement;
@@ -32,9 +33,6 @@
 use crate::instance::SharedInstance;
 use crate::peer;
 
-/// How much longer than its wait a watch call may take before it times out.
-const WATCH_MARGIN: Duration = Duration::from_millis(700);
-
 /// The timeout for a read call.
 const READ_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -68,8 +66,13 @@
                 continue;
             }
             Step::ReadAll => read_all(&instance, &mut connection, &mut reader).await,
-            Step::Watch { after, wait } => {
-                watch(&instance, &mut connection, &mut reader, after, wait).await
+            Step::Watch {
+                after,
+                wait,
+                timeout,
+            } => {
+                let path = store::changes_path(after.revision, wait);
+                watch(&instance, &mut connection, &mut reader, &path, timeout).await
             }
         };
         if let Err(error) = result {
@@ -140,19 +143,22 @@
     }
 }
 
-/// Wait for changes after a position and apply them.
+/// Call the store for changes and apply them.
 async fn watch(
     instance: &SharedInstance,
     connection: &mut Option<Connection>,
     reader: &mut StoreReader,
-    after: StorePosition,
-    wait: Millis,
+    path: &str,
+    timeout: Millis,
 ) -> Result<()> {
-    let path = store::changes_path(after.revision, wait);
-    let timeout = Duration::from(wait) + WATCH_MARGIN;
-    let answered = call_store(instance, connection, "watch", &path, timeout);
+    let answered = call_store(instance, connection, "watch", path, timeout.into());
     let answer = tokio::select! {
         answer = answered => answer?,
+        () = until_renewed(instance, reader) => {
+            // The next watch needs a connection of its own.
+            *connection = None;
+            return Ok(());
+        }
         () = until_behind(instance) => bail!("peers have read newer changes; the watch is silent"),
     };
     if answer.status.as_u16() == store::HISTORY_LOST {
@@ -168,6 +174,13 @@
     Ok(())
 }
 
+/// Wait until the watch in flight has to be given up for a shorter one.
+async fn until_renewed(instance: &SharedInstance, reader: &StoreReader) {
+    while !reader.renews_watch(instance.now(), &instance.gateway.borrow()) {
+        tokio::time::sleep(READER_CHECK_INTERVAL.into()).await;
+    }
+}
+
 /// Wait until peers have been ahead of this instance for [`BEHIND_GRACE`].
 async fn until_behind(instance: &SharedInstance) {
     loop {
