Log why no server has room for a request, and count answers by prompt length

A request refused for want of capacity had the same log line whether servers, their rate limits, memory or time were missing, and no metric showed that only the largest prompts were refused.

--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -274,6 +274,20 @@
     Rejected(Rejection),
 }
 
+/// What a request lacks that no server may get now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "snake_case")]
+enum Shortage {
+    /// No server of the service is known.
+    Servers,
+    /// The limits on the request rates of all servers are used up.
+    Rate,
+    /// The engines lack the memory for the prompt.
+    Memory,
+    /// The first event is expected after the caller gives up.
+    Time,
+}
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[strum(serialize_all = "snake_case")]
@@ -879,6 +893,7 @@
             if is_retry {
                 self.budget.refund();
             }
+            self.log_shortage(now, req, Shortage::Time, plan.behind_all_ms);
             return self.refuse(now, req, Millis::new(plan.behind_all_ms as u64));
         }
         let is_long = plan.part_ms > 0.0 && !req.is_short();
@@ -943,6 +958,14 @@
             Allowance::Unlimited | Allowance::Now | Allowance::Never => None,
         });
         let Some(wait) = waits.min() else {
+            let usable = self.registry.usable(now, &req.admission.service).count();
+            let allowed = self.candidates(now, &req.admission.service).len();
+            let shortage = match (usable, allowed) {
+                (0, _) => Shortage::Servers,
+                (_, 0) => Shortage::Rate,
+                _ => Shortage::Memory,
+            };
+            self.log_shortage(now, req, shortage, 0.0);
             return self.end_request(now, req, Cause::NoCapacity);
         };
         let route = &req.admission.route;
@@ -954,6 +977,7 @@
         if now + wait <= latest {
             return Next::Wait(now + wait);
         }
+        self.log_shortage(now, req, Shortage::Rate, wait.get() as f64);
         self.end_after(now, req, Cause::NoCapacity, wait)
     }
 
@@ -1006,6 +1030,34 @@
         }
     }
 
+    /// Log why a request is refused, with the memory of the engines as this instance knows it.
+    fn log_shortage(&self, now: Timestamp, req: &Request, shortage: Shortage, expected_ms: f64) {
+        let service = &req.admission.service;
+        let config = self.config.as_ref();
+        let engine = config.and_then(|config| config.engine(service));
+        let capacity = engine.map_or(Tokens::ZERO, |engine| engine.memory);
+        let candidates = self.candidates(now, service);
+        let free = candidates
+            .iter()
+            .map(|c| capacity.saturating_sub(c.load.memory).get());
+        tracing::info!(
+            request = %req.spec.id,
+            %shortage,
+            prompt_tokens = req.spec.prompt.get(),
+            max_output_tokens = req.spec.max_output.get(),
+            servers = candidates.len(),
+            avoided = candidates.iter().filter(|c| c.avoided).count(),
+            capacity_tokens = capacity.get(),
+            free_tokens = free.clone().sum::<u64>(),
+            largest_free_tokens = free.max(),
+            long_prompt_load = self.load.long_prompt_load(now),
+            tight_writers = candidates.iter().map(|c| c.load.tight_writers).sum::<u32>(),
+            expected_ms = expected_ms as u64,
+            waited_ms = now.since(req.spec.received).get(),
+            "no server has room for a request"
+        );
+    }
+
     /// Choose the servers of the next attempt. Servers that were not tried are preferred.
     fn place(&mut self, now: Timestamp, req: &Request) -> Option<Plan> {
         let service = &req.admission.service;
@@ -1088,6 +1140,8 @@
             limit_per_s = self.server_limits.get(plan.primary).map(|(rate, _)| rate.per_second()),
             in_flight = load.in_flight,
             unread_ms = load.unread_ms as u64,
+            memory_tokens = load.memory.get(),
+            own_memory_tokens = plan.memory.get(),
             tight_writers = load.tight_writers,
             helpers = plan.helpers.len(),
             backlog_ms = plan.backlog_ms as u64,
--- a/crates/oleanderpass_gateway_io/src/exchange.rs
+++ b/crates/oleanderpass_gateway_io/src/exchange.rs
@@ -27,6 +27,7 @@
 use crate::body::StreamChunk;
 use crate::clock::sleep_until;
 use crate::instance::SharedInstance;
+use crate::metrics::prompt_length_label;
 
 /// The `Retry-After` of an answer to a request that came before the instance had read its
 /// configuration and the list of backend servers. An instance reads them within this time.
@@ -189,6 +190,10 @@
             .answers
             .with_label_values(&[kind.as_str(), &status.to_string(), cause])
             .inc();
+        metrics
+            .answers_by_prompt
+            .with_label_values(&[prompt_length_label(req.spec.prompt), cause])
+            .inc();
         metrics
             .request_time
             .with_label_values(&[kind.as_str()])
--- a/crates/oleanderpass_gateway_io/src/metrics.rs
+++ b/crates/oleanderpass_gateway_io/src/metrics.rs
@@ -25,6 +25,8 @@
     /// Answers to callers, by kind of route, status and cause. Kind and status are `none` for a
     /// request that was not admitted.
     pub(crate) answers: IntCounterVec,
+    /// Answers to callers, by prompt length and cause.
+    pub(crate) answers_by_prompt: IntCounterVec,
     /// Attempts, by how they ended.
     pub(crate) attempts: IntCounterVec,
     /// Calls to the platform's store, by call and result: the HTTP status, or `failed`.
@@ -59,6 +61,11 @@
                 "Answers to callers.",
                 &["kind", "status", "cause"],
             )?,
+            answers_by_prompt: counter_vec(
+                "answers_by_prompt_total",
+                "Answers to callers by the length of the prompt.",
+                &["prompt", "cause"],
+            )?,
             attempts: counter_vec("attempts_total", "Attempts by their end.", &["end"])?,
             store_calls: counter_vec(
                 "store_calls_total",
@@ -97,6 +104,7 @@
         };
         let registry = &metrics.registry;
         registry.register(Box::new(metrics.answers.clone()))?;
+        registry.register(Box::new(metrics.answers_by_prompt.clone()))?;
         registry.register(Box::new(metrics.attempts.clone()))?;
         registry.register(Box::new(metrics.store_calls.clone()))?;
         registry.register(Box::new(metrics.orders.clone()))?;
