Add a failing test of the largest prompts under a burst

Simulated gateways before engines with limited memory, in virtual time, with 8 and 295 instances, under losses of servers, replacements and restarts of instances while long prompts come in a burst.

--- a/crates/oleanderpass_gateway/tests/common/mod.rs
+++ b/crates/oleanderpass_gateway/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 #![allow(dead_code, reason = "each test file uses only some of the items")]
 
+pub(crate) mod engines;
 pub(crate) mod fleet;
 pub(crate) mod store;
 
@@ -82,13 +83,34 @@
 }
 
 pub(crate) fn configuration(version: u64, keys: &[&str]) -> Configuration {
+    configuration_with(version, keys, engine())
+}
+
+/// Return the route of long prompts.
+fn review_route() -> Route {
+    Route {
+        timeout: Millis::new(15_000),
+        objective: Millis::new(3_000),
+        gap: Some(Millis::new(1_000)),
+        ..route("review", RouteKind::ResumableStream, "engines")
+    }
+}
+
+/// Return a configuration whose engines have these properties.
+pub(crate) fn configuration_with(
+    version: u64,
+    keys: &[&str],
+    engine: EngineModel,
+) -> Configuration {
     let holder = Rc::new(Organisation {
         id: "opticians".parse().unwrap(),
         priority: None,
     });
     let mut services = IndexMap::new();
-    let model = Some(engine());
-    services.insert("engines".parse().unwrap(), Service { engine: model });
+    let model = Service {
+        engine: Some(engine),
+    };
+    services.insert("engines".parse().unwrap(), model);
     services.insert("plain".parse().unwrap(), Service { engine: None });
     Configuration::new(
         Generation::new(version),
@@ -101,6 +123,7 @@
         services,
         [
             route("chat", RouteKind::ResumableStream, "engines"),
+            review_route(),
             route("look", RouteKind::Idempotent, "plain"),
             route("order", RouteKind::NonIdempotent, "plain"),
         ],
