Pass over a server whose address another one has

Cause: entries of servers that had been cut off were listed again while other servers had their addresses. A 421 was no sign against the server that is listed, so it stayed the one with the least load and got the next request, at each instance again. The class of fault: a server that refuses quickly looks idle. Requests of all sizes spent their two attempts there; 60 were refused in the two seconds after the entries came back.

A 421 now counts like a connection that fails: the server is passed over for half a second or more, and peers hear of it. The test is red before.

--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -1393,11 +1393,11 @@
         let observation = match end {
             AttemptEnd::Completed => Some(Observation::Success),
             AttemptEnd::Failed | AttemptEnd::Broken => Some(Observation::Error),
-            AttemptEnd::NotSent => Some(Observation::Unreachable),
+            // Another server has the address, so the one that is listed can't be reached there.
+            AttemptEnd::NotSent | AttemptEnd::WrongServer => Some(Observation::Unreachable),
             AttemptEnd::Silent => Some(Observation::Silent),
             AttemptEnd::StaleConnection
             | AttemptEnd::Refused
-            | AttemptEnd::WrongServer
             | AttemptEnd::HelperFailed
             | AttemptEnd::Cancelled => None,
         };
--- a/crates/oleanderpass_gateway/tests/common/engines.rs
+++ b/crates/oleanderpass_gateway/tests/common/engines.rs
@@ -100,7 +100,7 @@
     /// A caller tries its request.
     Try(usize),
     Resume(usize),
-    FirstEvent {
+    Began {
         run: usize,
         attempt: u32,
     },
@@ -319,7 +319,7 @@
             }
             Event::Try(asked) => self.begin(asked),
             Event::Resume(run) => self.drive(run),
-            Event::FirstEvent { run, attempt } => self.first_event(run, attempt),
+            Event::Began { run, attempt } => self.first_event(run, attempt),
             Event::Complete { run, attempt } => {
                 if self.end_attempt(run, attempt, AttemptEnd::Completed) {
                     self.runs[run].over = true;
@@ -541,7 +541,7 @@
                 part.busy_until = part.busy_until.max(self.now) + attempt.plan.part_ms as u64;
                 last = last.max(part.busy_until);
             }
-            let event = Event::FirstEvent {
+            let event = Event::Began {
                 run,
                 attempt: number,
             };
--- a/crates/oleanderpass_gateway/tests/gateway.rs
+++ b/crates/oleanderpass_gateway/tests/gateway.rs
@@ -394,3 +394,20 @@
     assert_eq!(status, 503);
     assert!(retry_after.unwrap() >= Millis::new(1_000), "too early");
 }
+
+/// Guards against a server that refuses every request, because another one has its address, and
+/// looks idle for that reason.
+#[test]
+fn server_whose_address_another_one_has_is_passed_over() {
+    let mut gateway = gateway(3);
+    let mut req = begin(&mut gateway, at(0), "/chat/1", 5_000);
+    let first = attempt(gateway.next(at(0), &mut req));
+    gateway.on_sent(&mut req, &first);
+    gateway.on_attempt_end(at(5), &mut req, &first, AttemptEnd::WrongServer);
+    for number in 0..20 {
+        let now = at(10 + number);
+        let mut req = begin(&mut gateway, now, "/chat/1", 5_000);
+        let next = attempt(gateway.next(now, &mut req));
+        assert_ne!(next.primary.id, first.primary.id);
+    }
+}
