End no request without an answer when a process stops

- A request was admitted if its timeout expired before the end of the process.
The answer about the timeout comes up to 120 ms after it, so a request that was admitted in the last 120 ms of that span got none, a call that may not be repeated among them.
The time for the answer now counts.
- A prompt that waited for engines went on waiting at a stopping instance and could be sent seconds before the end.
An instance that would no longer admit a request now hands it back as not run, with no wait before the next try, if nothing of it ran.

Requests that are admitted in the first 2.8 s and run longer than the grace may still be cut at its end; the balancer sends callers that long.

--- a/crates/oleanderpass_gateway/src/drain.rs
+++ b/crates/oleanderpass_gateway/src/drain.rs
@@ -4,6 +4,7 @@
 use oleanderpass_types::clock::Timestamp;
 
 use crate::route::Route;
+use crate::silence::ANSWER_GRACE;
 
 /// The time for which a draining instance admits all requests. The balancer needs two checks at an
 /// interval of one second before it sends callers elsewhere, and requests that begin within three
@@ -21,10 +22,10 @@
 
 impl Drain {
     /// Return whether a request that arrives now is admitted. After [`ADMIT_ALL_TIME`], a request
-    /// is admitted only if the timeout of its route expires before the process ends; any other
-    /// request is better sent to another instance at once.
+    /// is admitted only if the answer about the timeout of its route is sent before the process
+    /// ends; any other request is better sent to another instance at once.
     pub fn admits(&self, now: Timestamp, route: &Route) -> bool {
         let early = now.since(self.began) < ADMIT_ALL_TIME;
-        early || now + route.timeout < self.end
+        early || now + route.timeout + ANSWER_GRACE < self.end
     }
 }
--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -908,7 +908,7 @@
                 if is_retry {
                     self.budget.refund();
                 }
-                return Next::Wait(at);
+                return self.wait_until(now, req, at);
             }
         }
         match self.begin_attempt(now, req, plan, scheduling) {
@@ -975,12 +975,23 @@
             req.spec.received + route.objective
         };
         if now + wait <= latest {
-            return Next::Wait(now + wait);
+            return self.wait_until(now, req, now + wait);
         }
         self.log_shortage(now, req, Shortage::Rate, wait.get() as f64);
         self.end_after(now, req, Cause::NoCapacity, wait)
     }
 
+    /// Let a request wait until a time. A draining instance that would not admit the request any more
+    /// hands it back instead if nothing of it ran, because another instance has more time for it.
+    fn wait_until(&self, now: Timestamp, req: &Request, at: Timestamp) -> Next {
+        let drain = self.drain.as_ref();
+        let stops = drain.is_some_and(|drain| !drain.admits(now, &req.admission.route));
+        if stops && req.worst_execution == Execution::NotRun {
+            return Next::Rejected(Rejection::Stopping);
+        }
+        Next::Wait(at)
+    }
+
     /// Admit a request again if a newer configuration has come into force. It keeps its service if
     /// the route still sends requests to it.
     fn readmit(&self, now: Timestamp, req: &mut Request) -> Result<(), Rejection> {
--- a/crates/oleanderpass_gateway/src/silence.rs
+++ b/crates/oleanderpass_gateway/src/silence.rs
@@ -6,6 +6,10 @@
 use crate::route::Route;
 use crate::route::RouteKind;
 
+/// How long to wait for an answer after the deadline of the request. The server ends its work at
+/// the deadline, and its answer about that takes a moment to arrive.
+pub const ANSWER_GRACE: Millis = Millis::new(120);
+
 /// The shortest timeout for the first event of a stream. Callers give up after two seconds, and a
 /// second server needs part of that time.
 const MIN_FIRST_EVENT: Millis = Millis::new(1_200);
--- a/crates/oleanderpass_gateway/tests/gateway.rs
+++ b/crates/oleanderpass_gateway/tests/gateway.rs
@@ -11,6 +11,7 @@
 use oleanderpass_gateway::gateway::Gateway;
 use oleanderpass_gateway::gateway::Next;
 use oleanderpass_gateway::gateway::Rejection;
+use oleanderpass_gateway::gateway::Request;
 use oleanderpass_quarantine::evidence::Signature;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::clock::Timestamp;
@@ -328,6 +329,44 @@
     assert_eq!(admit(at(3_000)).unwrap_err(), Rejection::Stopping);
 }
 
+/// Guards against requests that are admitted late in a planned stop and cut off without an answer,
+/// because the answer about their timeout would come after the end of the process.
+#[test]
+fn draining_instance_ends_no_request_without_an_answer() {
+    let mut gateway = gateway(2);
+    gateway.begin_drain(at(0), at(20_000), &mut Vec::new());
+    let admit = |now| gateway.admit(now, HOST, "/order/1", Some(KEY), 0);
+    assert!(admit(at(9_800)).is_ok());
+    assert_eq!(admit(at(9_950)).unwrap_err(), Rejection::Stopping);
+}
+
+/// Place long prompts on all engines until one has to wait, and return it.
+fn prompt_that_waits(gateway: &mut Gateway, now: u64) -> Request {
+    loop {
+        let mut req = begin(gateway, at(now), "/review/1", 133_000);
+        if let Next::Wait(_) = gateway.next(at(now), &mut req) {
+            return req;
+        }
+    }
+}
+
+/// Guards against a prompt that waits for engines at an instance which is about to stop, while others
+/// can serve it.
+#[test]
+fn draining_instance_hands_back_prompts_that_wait() {
+    let mut gateway = gateway(8);
+    let mut req = prompt_that_waits(&mut gateway, 100);
+    gateway.begin_drain(at(110), at(7_800), &mut Vec::new());
+    let next = gateway.next(at(120), &mut req);
+    assert!(matches!(next, Next::Wait(_)), "{next:?}");
+    prompt_that_waits(&mut gateway, 2_900);
+    let next = gateway.next(at(2_920), &mut req);
+    assert!(
+        matches!(next, Next::Rejected(Rejection::Stopping)),
+        "{next:?}"
+    );
+}
+
 /// Guards against waiting until the deadline if no server is left.
 #[test]
 fn request_without_any_server_is_refused_at_once() {
--- a/crates/oleanderpass_gateway_io/src/attempt.rs
+++ b/crates/oleanderpass_gateway_io/src/attempt.rs
@@ -15,6 +15,7 @@
 use oleanderpass_gateway::gateway::AttemptEnd;
 use oleanderpass_gateway::route::RouteKind;
 use oleanderpass_gateway::silence;
+use oleanderpass_gateway::silence::ANSWER_GRACE;
 use oleanderpass_platform::answer;
 use oleanderpass_platform::answer::AnswerHead;
 use oleanderpass_platform::request;
@@ -37,10 +38,6 @@
 use crate::reservation;
 use crate::reservation::Reservation;
 
-/// How long to wait for an answer after the deadline of the request. The server ends its work at
-/// the deadline, and its answer about that takes a moment to arrive.
-const ANSWER_GRACE: Millis = Millis::new(120);
-
 /// What an attempt did for the caller.
 pub(crate) enum Outcome {
     /// The caller has no complete answer, so another attempt may follow.
