--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -303,6 +303,8 @@
     Refused,
     /// Another server has the address now.
     WrongServer,
+    /// A helper refused to reserve memory, and nothing was sent.
+    NoMemory,
     /// A helper is at fault, and the request did not run.
     HelperFailed,
     /// The server answered that the request failed.
@@ -1100,6 +1102,7 @@
         let engine = self.config.as_ref().and_then(|c| c.engine(service));
         // Without a cost model, as for plain services, the slowdown is always 1.
         let decode_pass_ms = engine.map_or(f64::MAX, EngineModel::decode_pass_ms);
+        let memory = engine.map_or(Tokens::ZERO, |engine| engine.memory);
         let may_send = |key| {
             let allowance = self.server_limits.allowance(now, key);
             matches!(allowance, Allowance::Unlimited | Allowance::Now)
@@ -1109,10 +1112,14 @@
             .map(|(key, backend)| {
                 let zone = &backend.announcement.zone;
                 let health = self.health.get(&key);
+                let mut load = self.load.backend_load(now, key);
+                if health.is_some_and(|health| health.lacks_memory(now)) {
+                    load.memory = load.memory.max(memory);
+                }
                 Candidate {
                     key,
                     slots: backend.announcement.slots,
-                    load: self.load.backend_load(now, key),
+                    load,
                     avoided: backend.standing != Standing::Ready
                         || health.is_some_and(|health| health.is_paused(now))
                         || self.fleet.reaches_zone(now, zone) == Some(false),
@@ -1371,17 +1378,19 @@
     /// Record that the server at `addr`, which is not the primary server of a failed attempt, is at
     /// fault for the failure.
     pub fn on_helper_fault(&mut self, now: Timestamp, addr: SocketAddr) {
-        let key = self
-            .registry
-            .iter()
-            .find(|(_, backend)| backend.announcement.addr == addr)
-            .map(|(key, _)| key);
-        if let Some(key) = key {
+        if let Some(key) = self.server_at(addr) {
             let health = self.health.entry(key).or_default();
             health.record(now, Observation::Unreachable);
         }
     }
 
+    /// Record that the server at `addr` refused to reserve memory.
+    pub fn on_memory_refused(&mut self, now: Timestamp, addr: SocketAddr) {
+        if let Some(key) = self.server_at(addr) {
+            self.health.entry(key).or_default().on_memory_refused(now);
+        }
+    }
+
     /// Record the end of an attempt.
     pub fn on_attempt_end(
         &mut self,
@@ -1396,6 +1405,7 @@
             | AttemptEnd::StaleConnection
             | AttemptEnd::Refused
             | AttemptEnd::WrongServer
+            | AttemptEnd::NoMemory
             | AttemptEnd::HelperFailed => Execution::NotRun,
             AttemptEnd::Broken | AttemptEnd::Silent | AttemptEnd::Cancelled => Execution::Unknown,
             AttemptEnd::Completed | AttemptEnd::Failed => Execution::Ran,
@@ -1409,6 +1419,7 @@
             AttemptEnd::Silent => Some(Observation::Silent),
             AttemptEnd::StaleConnection
             | AttemptEnd::Refused
+            | AttemptEnd::NoMemory
             | AttemptEnd::HelperFailed
             | AttemptEnd::Cancelled => None,
         };
@@ -1435,6 +1446,14 @@
                     self.budget.refund();
                 }
             }
+            AttemptEnd::NoMemory => {
+                if attempt.counts_against_limit {
+                    self.server_limits.refund(now, attempt.plan.primary);
+                }
+                if attempt.is_retry {
+                    self.budget.refund();
+                }
+            }
             AttemptEnd::Completed => {
                 self.crashes.on_finished(now, req.spec.signature);
                 if let Some(first) = req.first_event.filter(|_| !req.goes_on) {
@@ -1448,7 +1467,7 @@
             }
             _ => {}
         }
-        if end == AttemptEnd::StaleConnection {
+        if matches!(end, AttemptEnd::StaleConnection | AttemptEnd::NoMemory) {
             // The server is not at fault, so it may be tried again.
             req.tried.pop();
         }
--- a/crates/oleanderpass_gateway/src/health.rs
+++ b/crates/oleanderpass_gateway/src/health.rs
@@ -50,6 +50,10 @@
 /// The upper bound of the slowdown. A larger value has another cause than a slow engine.
 const MAX_SLOWDOWN: f64 = 10.0;
 
+/// The time for which an engine that refused memory counts as having none. The memory that is in use
+/// there beyond what is known is that of requests which have just ended or just begun.
+const NO_MEMORY_TIME: Millis = Millis::new(300);
+
 /// The health of one backend server.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Health {
@@ -60,6 +64,8 @@
     /// Whether the pause comes from a request of this instance rather than from a peer's report.
     own_pause: bool,
     last_success: Option<Timestamp>,
+    /// When the server last refused to reserve memory.
+    refused_memory: Option<Timestamp>,
     passes: ShortestPass,
 }
 
@@ -126,6 +132,17 @@
         }
     }
 
+    /// Record that the server refused to reserve memory.
+    pub fn on_memory_refused(&mut self, now: Timestamp) {
+        self.refused_memory = Some(now);
+    }
+
+    /// Return whether the server refused to reserve memory a moment ago.
+    pub fn lacks_memory(&self, now: Timestamp) -> bool {
+        self.refused_memory
+            .is_some_and(|at| now.since(at) < NO_MEMORY_TIME)
+    }
+
     /// Record a peer's report that the server can't be reached.
     pub fn on_peer_report(&mut self, now: Timestamp) {
         let own_success = self
--- a/crates/oleanderpass_gateway/tests/common/engines.rs
+++ b/crates/oleanderpass_gateway/tests/common/engines.rs
@@ -152,6 +152,11 @@
     pub(crate) model: EngineModel,
 }
 
+/// Return the id of an engine. Ids are long, as the hashes of short ones collide.
+fn id_of(engine: usize) -> String {
+    format!("engine-{engine:012}")
+}
+
 /// Gateways, engines and callers.
 pub(crate) struct EngineFleet {
     size: Size,
@@ -236,7 +241,7 @@
     fn announcement(&self, engine: usize) -> Announcement {
         let state = &self.engines[engine];
         Announcement {
-            id: format!("e{engine}").parse().unwrap(),
+            id: id_of(engine).parse().unwrap(),
             incarnation: Incarnation::new(state.incarnation),
             service: "engines".parse().unwrap(),
             addr: SocketAddr::from(([10, 9, (engine / 250) as u8, (engine % 250) as u8], 8_080)),
@@ -465,12 +470,18 @@
             .iter()
             .filter_map(|helper| Some((helper.key, helper.reserve?.get())))
             .collect();
-        let granted = held.iter().all(|(key, size)| {
-            self.engine_of(*key)
-                .is_some_and(|engine| self.free(engine) >= *size)
-        });
-        if !granted {
-            return Some(AttemptEnd::HelperFailed);
+        for (helper, addr) in attempt.plan.helpers.iter().zip(&attempt.helpers) {
+            let Some(size) = helper.reserve else {
+                continue;
+            };
+            let Some(engine) = self.engine_of(helper.key) else {
+                self.gateways[instance].on_helper_fault(now, *addr);
+                return Some(AttemptEnd::HelperFailed);
+            };
+            if self.free(engine) < size.get() {
+                self.gateways[instance].on_memory_refused(now, *addr);
+                return Some(AttemptEnd::NoMemory);
+            }
         }
         let key = attempt.plan.primary;
         let Some(primary) = self.engine_of(key) else {
@@ -637,7 +648,7 @@
         state.queue.clear();
         state.running.clear();
         self.push(self.now + RESTART_MS, Event::Return(engine));
-        let entry = format!("e{engine}");
+        let entry = id_of(engine);
         self.revision += 1;
         if self.engines[engine].draining {
             for gateway in &mut self.gateways {
--- a/crates/oleanderpass_gateway/tests/gateway.rs
+++ b/crates/oleanderpass_gateway/tests/gateway.rs
@@ -450,3 +450,25 @@
         assert_ne!(next.primary.id, first.primary.id);
     }
 }
+
+/// Guards against refusing the largest prompts, because other instances took the free memory in the
+/// same moment.
+#[test]
+fn refused_memory_is_no_failure() {
+    let mut gateway = gateway(14);
+    let mut req = begin(&mut gateway, at(0), "/review/1", 400_000);
+    let mut refusing = Vec::new();
+    for number in 0..5 {
+        let now = at(5 * number);
+        let next = attempt(gateway.next(now, &mut req));
+        let mut helpers = next.plan.helpers.iter().zip(&next.helpers);
+        let (_, addr) = helpers.find(|(h, _)| h.reserve.is_some()).unwrap();
+        assert!(
+            !refusing.contains(addr),
+            "an engine without memory is asked again"
+        );
+        refusing.push(*addr);
+        gateway.on_memory_refused(now, *addr);
+        gateway.on_attempt_end(now, &mut req, &next, AttemptEnd::NoMemory);
+    }
+}
--- a/crates/oleanderpass_gateway_io/src/attempt.rs
+++ b/crates/oleanderpass_gateway_io/src/attempt.rs
@@ -195,9 +195,12 @@
         began: exchange.instance.now(),
         progress: Cell::new(Progress::default()),
     };
-    let Some(reservations) = reserve_on_helpers(exchange, attempt).await else {
-        running.end(AttemptEnd::HelperFailed);
-        return Outcome::Undelivered;
+    let reservations = match reserve_on_helpers(exchange, attempt).await {
+        Ok(reservations) => reservations,
+        Err(end) => {
+            running.end(end);
+            return Outcome::Undelivered;
+        }
     };
     let mut connection = match connect(exchange, attempt).await {
         Ok(connection) => connection,
@@ -250,11 +253,15 @@
 }
 
 /// Reserve memory on the helpers as the plan of the attempt requires, with `None` for a helper that
-/// needs no reservation. Return `None` if a helper doesn't grant its reservation.
+/// needs no reservation.
+///
+/// # Errors
+///
+/// Return how the attempt ended if a helper doesn't grant its reservation.
 async fn reserve_on_helpers(
     exchange: &Exchange,
     attempt: &Attempt,
-) -> Option<Vec<Option<Reservation>>> {
+) -> Result<Vec<Option<Reservation>>, AttemptEnd> {
     let instance = &exchange.instance;
     let mut reservations = Vec::new();
     for (helper, addr) in attempt.plan.helpers.iter().zip(&attempt.helpers) {
@@ -263,12 +270,10 @@
             continue;
         };
         let id = format_smolstr!("{}-{}", instance.settings.instance, attempt.id.0);
-        match Reservation::acquire(instance, *addr, id, size).await {
-            Some(reservation) => reservations.push(Some(reservation)),
-            None => return None,
-        }
+        let reservation = Reservation::acquire(instance, *addr, id, size).await?;
+        reservations.push(Some(reservation));
     }
-    Some(reservations)
+    Ok(reservations)
 }
 
 /// Return an idle connection to the server of the attempt, or open one.
--- a/crates/oleanderpass_gateway_io/src/reservation.rs
+++ b/crates/oleanderpass_gateway_io/src/reservation.rs
@@ -9,6 +9,7 @@
 use eyre::WrapErr;
 use http::Request;
 use http_body_util::Full;
+use oleanderpass_gateway::gateway::AttemptEnd;
 use oleanderpass_gateway::reservation::Evidence;
 use oleanderpass_gateway::reservation::LEASE;
 use oleanderpass_gateway::reservation::RENEWAL_INTERVAL;
@@ -18,6 +19,7 @@
 use oleanderpass_platform::report;
 use oleanderpass_types::size::Tokens;
 use smol_str::SmolStr;
+use strum::Display;
 
 use crate::connection;
 use crate::instance::SharedInstance;
@@ -39,13 +41,17 @@
 }
 
 impl Reservation {
-    /// Reserve memory on the engine at `addr`. Return `None` if the engine doesn't grant it.
+    /// Reserve memory on the engine at `addr`.
+    ///
+    /// # Errors
+    ///
+    /// Return how the attempt ended if the engine doesn't grant it.
     pub(crate) async fn acquire(
         instance: &SharedInstance,
         addr: SocketAddr,
         id: SmolStr,
         size: Tokens,
-    ) -> Option<Self> {
+    ) -> Result<Self, AttemptEnd> {
         let reservation = Self {
             instance: instance.clone(),
             addr,
@@ -53,17 +59,29 @@
             size,
             usage: RefCell::new(ReservationUse::new(instance.now())),
         };
-        let granted = send_order(instance, addr, "reserve", reservation.order()?).await;
+        let order = reservation.order().ok_or(AttemptEnd::HelperFailed)?;
+        let result = send_order(instance, addr, "reserve", order).await;
         tracing::info!(
             server = %addr,
             reservation = %reservation.id,
             tokens = size.get(),
-            granted,
+            granted = result == OrderResult::Done,
             "asked an engine for memory"
         );
         // If the answer is a refusal or is lost, dropping the reservation sends a release, because
         // the engine may still carry out the order.
-        granted.then_some(reservation)
+        let now = instance.now();
+        match result {
+            OrderResult::Done => Ok(reservation),
+            OrderResult::Refused => {
+                instance.gateway.borrow_mut().on_memory_refused(now, addr);
+                Err(AttemptEnd::NoMemory)
+            }
+            OrderResult::Failed | OrderResult::NoAnswer => {
+                instance.gateway.borrow_mut().on_helper_fault(now, addr);
+                Err(AttemptEnd::HelperFailed)
+            }
+        }
     }
 
     /// Return the id by which the engine knows the reservation.
@@ -117,7 +135,7 @@
         if let Some(order) = self.order() {
             // A helper that doesn't answer must not delay the renewals at the others.
             tokio::task::spawn_local(async move {
-                if !send_order(&instance, addr, "renew", order).await {
+                if send_order(&instance, addr, "renew", order).await != OrderResult::Done {
                     tracing::warn!(
                         server = %addr,
                         reservation = %id,
@@ -206,7 +224,8 @@
                 }
             };
             for _ in 0..MAX_RELEASE_ATTEMPTS {
-                if send_order(&instance, addr, "release", order.clone()).await {
+                let result = send_order(&instance, addr, "release", order.clone()).await;
+                if result == OrderResult::Done {
                     return;
                 }
             }
@@ -219,35 +238,49 @@
     }
 }
 
-/// Send an order, log its failure and count its result. Return whether the engine confirmed it.
+/// What became of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "snake_case")]
+enum OrderResult {
+    /// The engine confirmed it.
+    Done,
+    /// The engine refused it.
+    Refused,
+    /// It could not be sent, or its connection broke.
+    Failed,
+    /// No answer came in time.
+    NoAnswer,
+}
+
+/// Send an order, log its failure and count its result.
 async fn send_order(
     instance: &SharedInstance,
     addr: SocketAddr,
     operation: &str,
     order: Bytes,
-) -> bool {
+) -> OrderResult {
     let result = tokio::time::timeout(ORDER_TIMEOUT, post_order(instance, addr, order)).await;
-    let (confirmed, label) = match result {
-        Ok(Ok(200)) => (true, "done"),
+    let result = match result {
+        Ok(Ok(200)) => OrderResult::Done,
         Ok(Ok(status)) => {
             tracing::info!(server = %addr, operation, status, "an engine refused an order");
-            (false, "refused")
+            OrderResult::Refused
         }
         Ok(Err(error)) => {
             tracing::info!(server = %addr, operation, error = format!("{error:#}"), "an order failed");
-            (false, "failed")
+            OrderResult::Failed
         }
         Err(_) => {
             tracing::info!(server = %addr, operation, "an order got no answer");
-            (false, "no_answer")
+            OrderResult::NoAnswer
         }
     };
     instance
         .metrics
         .orders
-        .with_label_values(&[operation, label])
+        .with_label_values(&[operation, &result.to_string()])
         .inc();
-    confirmed
+    result
 }
 
 /// Send an order on a new connection. Return the HTTP status of the answer.
