Tell peers of servers that are gone until they are back

Callers of all kinds were failed by servers that others knew to be gone. A peer's report held a server back for 600 ms at all instances at once; then all of them tried it again with requests. Each such request lost 250 ms to a timeout, or with 421 one of the two servers that its route allows.

An instance that finds that neither it nor peers reach a server, or that another server has its address, now goes on to report it in its bulletins. Of several, the first in the hash order of the server goes on and opens a connection every 400 ms to see whether it is back. The others pass the server over until its reporter falls silent. Peers are asked at once instead of in turn, and an attempt at a server that is gone is given up without waiting out its silence.

--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -29,6 +29,8 @@
 use smol_str::SmolStr;
 use strum::Display;
 
+use crate::absence::Absence;
+use crate::absence::Absences;
 use crate::admission;
 use crate::admission::Scheduling;
 use crate::backend::Announcement;
@@ -331,6 +333,7 @@
     crashes: CrashTracker,
     server_limits: ServerLimits,
     reach: Reach,
+    absences: Absences,
     budget: RetryBudget,
     /// The number of attempts so far, which numbers the next one.
     attempts: u64,
@@ -370,6 +373,7 @@
             crashes: CrashTracker::default(),
             server_limits: ServerLimits::default(),
             reach: Reach::default(),
+            absences: Absences::default(),
             budget: RetryBudget::default(),
             attempts: 0,
             store: LocalCopy::default(),
@@ -662,12 +666,15 @@
                     self.bulletin_pending = true;
                 }
                 ChangeKind::Removed => {
-                    self.on_server_gone(now, change.key);
+                    self.bulletin_pending |= self.crashes.on_server_gone(now, change.key);
                     self.health.swap_remove(&change.key);
                     self.server_limits.remove(change.key);
                     self.reach.remove(change.key);
+                    self.absences.remove(change.key);
+                }
+                ChangeKind::Vanished => {
+                    self.bulletin_pending |= self.crashes.on_server_gone(now, change.key);
                 }
-                ChangeKind::Vanished => self.on_server_gone(now, change.key),
                 ChangeKind::Listed | ChangeKind::Unconfirmed => {}
             }
         }
@@ -706,7 +713,7 @@
         self.budget.set_capacity(capacity);
         let is_newer = self.load.on_bulletin(
             now,
-            update.from,
+            update.from.clone(),
             update.sequence,
             update.placed,
             update.long_prompt_load,
@@ -721,6 +728,8 @@
                     self.health.entry(key).or_default().on_peer_report(now);
                 }
             }
+            let own = &self.identity.id;
+            self.absences.on_report(now, own, update.from, update.gone);
             self.apply_changes(now, &changes);
         }
     }
@@ -734,6 +743,7 @@
             self.health.values_mut().for_each(|h| h.decay(elapsed));
             self.load.tick(now);
             self.crashes.tick(now);
+            self.absences.tick(now);
             let own = node_key(self.identity.id.as_str());
             let peers = self.fleet.live_peers(now);
             let peers: Vec<u64> = peers.map(|(id, _)| node_key(id.as_str())).collect();
@@ -768,6 +778,7 @@
                 .take(MAX_SERVERS_PER_LIST)
                 .map(|(key, _)| key.0)
                 .collect(),
+            gone: self.reported_gone(),
             reads_store: self.reads_store,
             relays: !self.reach.is_isolated() && self.drain.is_none(),
             cleared,
@@ -782,6 +793,34 @@
             .send_bulletin(now, bulletin, crashes, self.load.placed(now), out);
     }
 
+    /// Return the servers to report as gone. An instance without links to servers knows nothing of
+    /// them.
+    fn reported_gone(&self) -> Vec<u64> {
+        let findings = self.absences.findings();
+        let reported = findings.filter(|_| !self.reach.is_lost());
+        reported
+            .take(MAX_SERVERS_PER_LIST)
+            .map(|key| key.0)
+            .collect()
+    }
+
+    /// Return whether a server is gone although it is listed.
+    pub fn is_gone(&self, now: Timestamp, key: BackendKey) -> bool {
+        let health = self.health.get(&key);
+        self.absences.is_gone(now, key)
+            && !health.is_some_and(|health| health.succeeded_recently(now))
+    }
+
+    /// Return the servers to which a connection has to be tried, to see whether they are back.
+    pub fn take_due_probes(&mut self, now: Timestamp) -> Vec<(BackendKey, SocketAddr)> {
+        let due = self.absences.take_due_probes(now);
+        let listed = due.into_iter().filter_map(|key| {
+            let backend = self.registry.get(key)?;
+            Some((key, backend.announcement.addr))
+        });
+        listed.collect()
+    }
+
     /// Return the capacity of this instance's retry budget: an equal share of the slack of all
     /// instances.
     fn budget_capacity(&self) -> u32 {
@@ -1098,7 +1137,10 @@
 
     /// Return the servers that may run requests of a service.
     fn candidates(&self, now: Timestamp, service: &ServiceId) -> Vec<Candidate> {
-        let usable = self.registry.usable(now, service);
+        let mut usable: Vec<_> = self.registry.usable(now, service).collect();
+        if usable.iter().any(|(key, _)| !self.is_gone(now, *key)) {
+            usable.retain(|(key, _)| !self.is_gone(now, *key));
+        }
         let engine = self.config.as_ref().and_then(|c| c.engine(service));
         // Without a cost model, as for plain services, the slowdown is always 1.
         let decode_pass_ms = engine.map_or(f64::MAX, EngineModel::decode_pass_ms);
@@ -1108,6 +1150,7 @@
             matches!(allowance, Allowance::Unlimited | Allowance::Now)
         };
         usable
+            .into_iter()
             .filter(|(key, _)| may_send(*key))
             .map(|(key, backend)| {
                 let zone = &backend.announcement.zone;
@@ -1321,11 +1364,13 @@
         &self.reach
     }
 
-    /// Return the server that has an address.
-    pub fn server_at(&self, addr: SocketAddr) -> Option<BackendKey> {
-        let mut servers = self.registry.iter();
-        let holder = servers.find(|(_, backend)| backend.announcement.addr == addr);
-        holder.map(|(key, _)| key)
+    /// Return the server that has an address. If several are listed with it, those that are gone
+    /// don't have it any more.
+    pub fn server_at(&self, now: Timestamp, addr: SocketAddr) -> Option<BackendKey> {
+        let servers = self.registry.iter();
+        let holders = servers.filter(|(_, backend)| backend.announcement.addr == addr);
+        let holders = holders.map(|(key, _)| key);
+        holders.min_by_key(|key| self.is_gone(now, *key))
     }
 
     /// Return the addresses of the peers to try in turn for a connection to a server. Different
@@ -1350,6 +1395,7 @@
     pub fn on_opened(&mut self, now: Timestamp, key: BackendKey) {
         self.bulletin_pending |= self.reach.is_isolated();
         self.reach.on_opened(now, key);
+        self.absences.on_opened(key);
     }
 
     /// Record that no direct connection to a server could be opened. Whether the server is gone is
@@ -1358,6 +1404,11 @@
         self.reach.on_failed(now, key, error);
     }
 
+    /// Record that a connection to a server was opened through a peer.
+    pub fn on_relayed(&mut self, key: BackendKey) {
+        self.absences.on_opened(key);
+    }
+
     /// Record that a peer reached a server to which a direct connection, begun at `tried`, failed.
     pub fn on_reached_by_peer(&mut self, key: BackendKey, tried: Timestamp) {
         self.reach.on_reached_by_peer(key, tried);
@@ -1369,16 +1420,28 @@
         self.reach.probe_is_due(now)
     }
 
-    /// Record that no connection to a server can be opened, that another server has its address, or
-    /// that it is no longer listed.
-    pub fn on_server_gone(&mut self, now: Timestamp, key: BackendKey) {
+    /// Record that neither this instance nor peers can open a connection to a server, or that
+    /// another server has its address.
+    pub fn on_server_gone(&mut self, now: Timestamp, key: BackendKey, absence: Absence) {
         self.bulletin_pending |= self.crashes.on_server_gone(now, key);
+        let Some(backend) = self.registry.get(key) else {
+            return;
+        };
+        if self.absences.on_gone(now, key, absence) {
+            tracing::info!(
+                server = %backend.announcement.id,
+                address = %backend.announcement.addr,
+                %absence,
+                "a backend server is gone"
+            );
+            self.bulletin_pending = true;
+        }
     }
 
     /// Record that the server at `addr`, which is not the primary server of a failed attempt, is at
     /// fault for the failure.
     pub fn on_helper_fault(&mut self, now: Timestamp, addr: SocketAddr) {
-        if let Some(key) = self.server_at(addr) {
+        if let Some(key) = self.server_at(now, addr) {
             let health = self.health.entry(key).or_default();
             health.record(now, Observation::Unreachable);
         }
@@ -1386,7 +1449,7 @@
 
     /// Record that the server at `addr` refused to reserve memory.
     pub fn on_memory_refused(&mut self, now: Timestamp, addr: SocketAddr) {
-        if let Some(key) = self.server_at(addr) {
+        if let Some(key) = self.server_at(now, addr) {
             self.health.entry(key).or_default().on_memory_refused(now);
         }
     }
@@ -1425,7 +1488,7 @@
         };
         // A server that could not be reached is gone only if peers can't reach it either.
         if end == AttemptEnd::WrongServer {
-            self.on_server_gone(now, attempt.plan.primary);
+            self.on_server_gone(now, attempt.plan.primary, Absence::Replaced);
         }
         if let Some(observation) = observation {
             let health = self.health.entry(attempt.plan.primary).or_default();
@@ -1455,6 +1518,7 @@
                 }
             }
             AttemptEnd::Completed => {
+                self.absences.remove(attempt.plan.primary);
                 self.crashes.on_finished(now, req.spec.signature);
                 if let Some(first) = req.first_event.filter(|_| !req.goes_on) {
                     self.on_answer_goes_on(now, req, first);
--- a/crates/oleanderpass_gateway/src/health.rs
+++ b/crates/oleanderpass_gateway/src/health.rs
@@ -145,16 +145,19 @@
 
     /// Record a peer's report that the server can't be reached.
     pub fn on_peer_report(&mut self, now: Timestamp) {
-        let own_success = self
-            .last_success
-            .is_some_and(|at| now.since(at) < OWN_SUCCESS_LIFETIME);
-        if !own_success && !self.is_paused(now) {
+        if !self.succeeded_recently(now) && !self.is_paused(now) {
             self.own_pause = false;
             let until = now + PEER_REPORT_PAUSE;
             self.paused_until = Some(until);
         }
     }
 
+    /// Return whether a request of this instance succeeded a short time ago.
+    pub fn succeeded_recently(&self, now: Timestamp) -> bool {
+        self.last_success
+            .is_some_and(|at| now.since(at) < OWN_SUCCESS_LIFETIME)
+    }
+
     /// Record the time between two events of one stream, in milliseconds. It is about the time of
     /// one pass of the engine.
     pub fn on_pass(&mut self, now: Timestamp, pass_ms: f64) {
--- a/crates/oleanderpass_gateway/src/lib.rs
+++ b/crates/oleanderpass_gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! that a test can replay a run exactly. [`gateway::Gateway`] is the entry point and combines the
 //! other modules.
 
+pub mod absence;
 pub mod admission;
 pub mod backend;
 pub mod config;
--- a/crates/oleanderpass_gateway/src/peers.rs
+++ b/crates/oleanderpass_gateway/src/peers.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use oleanderpass_membership::membership::Identity;
 use oleanderpass_membership::membership::Input;
 use oleanderpass_membership::membership::Membership;
@@ -96,6 +97,8 @@
     pub leaving: Vec<BackendKey>,
     /// Incarnations of backend servers that the peer could not reach recently.
     pub unreachable: Vec<BackendKey>,
+    /// Incarnations of backend servers that the peer found gone.
+    pub gone: IndexSet<BackendKey>,
     /// The average number of engines that prefill long prompts of the peer.
     pub long_prompt_load: f64,
 }
@@ -238,6 +241,7 @@
             placed,
             leaving,
             unreachable,
+            gone: bulletin.gone.iter().copied().map(BackendKey).collect(),
             long_prompt_load: f64::from(bulletin.long_read_ms_per_s) / MS_PER_S,
         })
     }
@@ -362,7 +366,8 @@
         let removed = bulletin.server_limits.pop().is_some()
             || bulletin.harmless_parts.pop().is_some()
             || bulletin.part_crashes.pop().is_some()
-            || bulletin.unreachable.pop().is_some();
+            || bulletin.unreachable.pop().is_some()
+            || bulletin.gone.pop().is_some();
         if !removed {
             return;
         }
--- a/crates/oleanderpass_gateway/tests/common/fleet.rs
+++ b/crates/oleanderpass_gateway/tests/common/fleet.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use oleanderpass_gateway::absence::Absence;
 use oleanderpass_gateway::backend::BackendKey;
 use oleanderpass_gateway::gateway::Attempt;
 use oleanderpass_gateway::gateway::AttemptEnd;
@@ -358,7 +359,7 @@
             } => self.progress(run, attempt, events),
             Event::Gone(instance, key) => {
                 if let Some(gateway) = &mut self.gateways[instance] {
-                    gateway.on_server_gone(at(self.now), key);
+                    gateway.on_server_gone(at(self.now), key, Absence::Unreachable);
                 }
             }
             Event::NotOpened { run, tried } => self.not_opened(run, tried),
--- a/crates/oleanderpass_gateway/tests/gateway.rs
+++ b/crates/oleanderpass_gateway/tests/gateway.rs
@@ -4,6 +4,7 @@
 
 mod common;
 
+use oleanderpass_gateway::absence::Absence;
 use oleanderpass_gateway::backend::AnnouncedState;
 use oleanderpass_gateway::backend::BackendKey;
 use oleanderpass_gateway::gateway::Attempt;
@@ -101,7 +102,7 @@
 
 /// Report the server of an attempt as gone, and list it again with another incarnation.
 fn restart(gateway: &mut Gateway, now: Timestamp, crashed: &Attempt, incarnation: u64) {
-    gateway.on_server_gone(now, crashed.plan.primary);
+    gateway.on_server_gone(now, crashed.plan.primary, Absence::Unreachable);
     let mut entry = crashed.primary.clone();
     entry.incarnation = Incarnation::new(incarnation);
     let revision = 100 + incarnation;
--- a/crates/oleanderpass_gateway_io/src/attempt.rs
+++ b/crates/oleanderpass_gateway_io/src/attempt.rs
@@ -38,6 +38,9 @@
 use crate::reservation;
 use crate::reservation::Reservation;
 
+/// The interval at which a silent attempt checks whether its server is gone.
+const GONE_CHECK_INTERVAL: Millis = Millis::new(100);
+
 /// What an attempt did for the caller.
 pub(crate) enum Outcome {
     /// The caller has no complete answer, so another attempt may follow.
@@ -160,21 +163,24 @@
             );
             (req.spec.deadline + ANSWER_GRACE, timeout)
         };
-        let mut silence_end = Some(began + timeout).filter(|end| *end < deadline);
+        let silence_end = began + timeout;
         loop {
-            let wait_end = silence_end.unwrap_or(deadline);
+            let check = exchange.instance.now() + GONE_CHECK_INTERVAL;
             tokio::select! {
                 biased;
                 value = &mut step => return Some(value),
-                () = sleep_until(wait_end) => {}
+                () = sleep_until(check.min(deadline)) => {}
             }
             let now = exchange.instance.now();
-            let req = exchange.req.borrow();
-            if now >= deadline || exchange.instance.gateway.borrow().may_abandon(&req) {
+            if now >= deadline {
+                return None;
+            }
+            let gateway = exchange.instance.gateway.borrow();
+            let is_lost = now >= silence_end || gateway.is_gone(now, self.attempt.plan.primary);
+            // If no other server may run the request, wait for this one until the deadline.
+            if is_lost && gateway.may_abandon(&exchange.req.borrow()) {
                 return None;
             }
-            // No other server may run the request, so wait for this one until the deadline.
-            silence_end = None;
         }
     }
 }
@@ -427,10 +433,12 @@
     let instance = &exchange.instance;
     match head.at_fault {
         Some(addr) if addr != attempt.primary.addr => {
-            instance
-                .gateway
-                .borrow_mut()
-                .on_helper_fault(instance.now(), addr);
+            let now = instance.now();
+            let helper = instance.gateway.borrow().server_at(now, addr);
+            instance.gateway.borrow_mut().on_helper_fault(now, addr);
+            if let Some(key) = helper {
+                reach::check(instance.clone(), key, addr);
+            }
             AttemptEnd::HelperFailed
         }
         _ if head.status == answer::WRONG_SERVER => AttemptEnd::WrongServer,
--- a/crates/oleanderpass_gateway_io/src/peer.rs
+++ b/crates/oleanderpass_gateway_io/src/peer.rs
@@ -22,6 +22,7 @@
 use crate::connection;
 use crate::instance::SharedInstance;
 use crate::internal_http::STORE_COPY_PATH;
+use crate::reach;
 
 /// The interval of periodic work. The membership protocol expects 100 ms.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -83,6 +84,10 @@
         let mut out = Vec::new();
         instance.gateway.borrow_mut().on_tick(now, &mut out);
         instance.send_packets(out);
+        let due = instance.gateway.borrow_mut().take_due_probes(now);
+        for (key, addr) in due {
+            reach::check(instance.clone(), key, addr);
+        }
         instance.pool.borrow_mut().remove_expired(now);
     }
 }
--- a/crates/oleanderpass_gateway_io/src/reach.rs
+++ b/crates/oleanderpass_gateway_io/src/reach.rs
@@ -5,9 +5,11 @@
 use eyre::Result;
 use eyre::bail;
 use eyre::eyre;
+use oleanderpass_gateway::absence::Absence;
 use oleanderpass_gateway::backend::BackendKey;
 use oleanderpass_gateway::reach::Way;
 use oleanderpass_types::clock::Timestamp;
+use tokio::task::JoinSet;
 
 use crate::connection;
 use crate::connection::Connection;
@@ -20,7 +22,7 @@
 ///
 /// Return the cause if no connection can be opened in time. Nothing was sent then.
 pub(crate) async fn open_addr(instance: &SharedInstance, addr: SocketAddr) -> Result<Connection> {
-    let key = instance.gateway.borrow().server_at(addr);
+    let key = instance.gateway.borrow().server_at(instance.now(), addr);
     match key {
         Some(key) => open(instance, key, addr).await,
         None => connection::open(addr).await,
@@ -82,6 +84,32 @@
     opened
 }
 
+/// Return whether one of the peers reaches a server. All are asked at once, because requests wait
+/// for what comes out.
+async fn is_reached_by_peers(instance: &SharedInstance, key: BackendKey, addr: SocketAddr) -> bool {
+    let peers = instance.gateway.borrow().relays(instance.now(), key);
+    let mut tries = JoinSet::new();
+    for peer in peers {
+        tries.spawn_local(async move { (peer, relay::open(peer, addr).await) });
+    }
+    while let Some(result) = tries.join_next().await {
+        match result {
+            Ok((_, Ok(Some(_)))) => {
+                instance.gateway.borrow_mut().on_relayed(key);
+                return true;
+            }
+            Ok((_, Ok(None))) => {}
+            Ok((peer, Err(error))) => {
+                tracing::debug!(server = %addr, %peer, error = format!("{error:#}"), "no answer");
+                let mut gateway = instance.gateway.borrow_mut();
+                gateway.on_relay_failed(instance.now(), peer);
+            }
+            Err(error) => tracing::error!(%error, "could not ask a peer"),
+        }
+    }
+    false
+}
+
 /// Open a connection through the first peer that reaches the server.
 async fn open_through_peers(
     instance: &SharedInstance,
@@ -94,6 +122,7 @@
         match relay::open(peer, addr).await {
             Ok(Some(connection)) => {
                 instance.metrics.relayed_connections.inc();
+                instance.gateway.borrow_mut().on_relayed(key);
                 tracing::debug!(server = %addr, %peer, "connected through a peer");
                 return Ok(connection);
             }
@@ -118,23 +147,17 @@
         return;
     }
     tokio::task::spawn_local(async move {
-        let reached = open_through_peers(&instance, key, addr).await;
+        let reached = is_reached_by_peers(&instance, key, addr).await;
         instance.checked_servers.borrow_mut().swap_remove(&key);
         let mut gateway = instance.gateway.borrow_mut();
-        match reached {
-            Ok(_) => {
-                tracing::info!(server = %addr, "a peer reaches a backend server, this instance doesn't");
-                gateway.on_reached_by_peer(key, tried);
-            }
-            Err(error) => {
-                tracing::info!(
-                    server = %addr,
-                    error = format!("{error:#}"),
-                    "a backend server accepts no connections"
-                );
-                gateway.on_server_gone(instance.now(), key);
-            }
+        if reached {
+            tracing::info!(server = %addr, "a peer reaches a backend server, this instance doesn't");
+            gateway.on_reached_by_peer(key, tried);
+        } else {
+            tracing::info!(server = %addr, "a backend server accepts no connections");
+            gateway.on_server_gone(instance.now(), key, Absence::Unreachable);
         }
+        instance.load_changed.notify_one();
     });
 }
 
--- a/crates/oleanderpass_gateway_io/src/relay.rs
+++ b/crates/oleanderpass_gateway_io/src/relay.rs
@@ -118,7 +118,7 @@
         .parse()
         .wrap_err("the target is no address")?;
     // A tunnel leads to listed servers only, and never through a second peer.
-    let Some(key) = instance.gateway.borrow().server_at(addr) else {
+    let Some(key) = instance.gateway.borrow().server_at(instance.now(), addr) else {
         bail!("{addr} is not a backend server");
     };
     if instance.gateway.borrow().way(key) != Way::Direct {
