--- a/review/stand_ins/common.rs
+++ b/review/stand_ins/common.rs
@@ -439,6 +439,8 @@
     pub peak_mb: AtomicU64,
     /// Whether the case itself ended the process, so that its exit is no finding.
     ended_by_case: AtomicBool,
+    /// Whether the machine has lost its power and stays dark for [`DARK`].
+    is_dark: AtomicBool,
     /// Whether the platform forwards new channels to the machine.
     in_rotation: AtomicBool,
 }
@@ -518,6 +520,7 @@
                     exits: AtomicU64::new(0),
                     peak_mb: AtomicU64::new(0),
                     ended_by_case: AtomicBool::new(false),
+                    is_dark: AtomicBool::new(false),
                     in_rotation: AtomicBool::new(true),
                 })
             })
@@ -628,9 +631,24 @@
     pub fn lose_power(&self, record: &Record) {
         record.tell(&format!("{} loses its power for {DARK:?}", self.name));
         self.ended_by_case.store(true, Ordering::SeqCst);
+        self.is_dark.store(true, Ordering::SeqCst);
         self.kill();
     }
 
+    /// Replace a line of the settings file, and tell the process with SIGHUP.
+    pub fn change_settings(&self, record: &Record, from: &str, to: &str) {
+        let text = std::fs::read_to_string(&self.settings).expect("read the settings");
+        std::fs::write(&self.settings, text.replace(from, to)).expect("write the settings");
+        record.tell(&format!(
+            "platform: the settings of {} change to {to}; SIGHUP",
+            self.name
+        ));
+        if let Some(child) = self.child.lock().unwrap().as_ref() {
+            let pid = child.id().to_string();
+            Command::new("kill").args(["-HUP", &pid]).status().ok();
+        }
+    }
+
     /// Ask the process to stop, and kill it after `GraceS` (8 s). It is started again afterwards.
     pub fn stop_gracefully(self: &Arc<Self>, record: &Arc<Record>) {
         let Some(pid) = self.child.lock().unwrap().as_ref().map(Child::id) else {
@@ -692,7 +710,8 @@
                 }
                 over_memory = false;
                 record.line(&format!("platform: {} has ended: {status}", self.name));
-                thread::sleep(if by_case { DARK } else { RESTART_DELAY });
+                let dark = self.is_dark.swap(false, Ordering::SeqCst);
+                thread::sleep(if dark { DARK } else { RESTART_DELAY });
                 if !over.load(Ordering::SeqCst) {
                     self.spawn(record);
                 }
--- a/review/stand_ins/main.rs
+++ b/review/stand_ins/main.rs
@@ -10,6 +10,7 @@
 mod endless;
 mod leaving;
 mod repeated;
+mod settings;
 mod uploads;
 
 fn main() {
@@ -25,6 +26,7 @@
         "endless" => endless::run(&record),
         "leaving" => leaving::run(&record),
         "repeated" => repeated::run(&record),
+        "settings" => settings::run(&record),
         "uploads" => uploads::run(&record),
         _ => 2,
     };
