Bound the memory of the bodies of answers

Cause: calls and failures were read with `body.collect()`, without a bound. A server that sends bytes without end filled the memory at the speed of its link. A frame of the HTTP library also keeps the whole buffer of its connection, so small pieces take more than their length.

Change: all answers share half of the memory of the process (`memory_mb`, from the platform's settings; 160 MB if they don't state it). An answer may take as much as it leaves free: one large answer gets up to half of that part, and many without end can't take all of it. Bytes are copied into pieces whose memory is counted until they have been sent on. Bodies of requests count too, but aren't refused. An answer that doesn't fit ends its attempt as `oversized`: the request may have run, and the server is not suspected of a crash. A bound for each answer alone would not do, because several servers can send at once.

--- a/crates/oleanderpass/tests/gateway.rs
+++ b/crates/oleanderpass/tests/gateway.rs
@@ -1,4 +1,4 @@
-//! Check the log and the status of a gateway process, which its operators depend on.
+//! Check the log, the status and the memory of a gateway process from outside.
 
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
@@ -14,11 +14,15 @@
 use std::time::Instant;
 
 use oleanderpass_platform_stand_in::backend_server::BackendServer;
+use oleanderpass_platform_stand_in::backend_server::EndlessPart;
+use oleanderpass_platform_stand_in::backend_server::Mode;
 use oleanderpass_platform_stand_in::caller::Call;
 use oleanderpass_platform_stand_in::documents::KEY;
 use oleanderpass_platform_stand_in::documents::announcement;
 use oleanderpass_platform_stand_in::documents::configuration;
 use oleanderpass_platform_stand_in::store::Store;
+use test_case::test_case;
+use tokio::task::JoinSet;
 
 /// The objective of the stand-in's routes (`SloMs` of its configuration).
 const OBJECTIVE: Duration = Duration::from_millis(300);
@@ -26,6 +30,9 @@
 /// The limit of each wait. Only a run that fails reaches it.
 const WAIT_LIMIT: Duration = Duration::from_secs(20);
 
+/// The memory that the process may use, in bytes. It is the default of the settings.
+const MEMORY: u64 = 160 << 20;
+
 const CALLER_PORT: u16 = 18_227;
 const METRICS_PORT: u16 = 18_464;
 const STORE_PORT: u16 = 18_223;
@@ -35,19 +42,23 @@
     ip: IpAddr,
     child: Child,
     _store: Store,
-    _servers: Vec<BackendServer>,
+    plain: Vec<BackendServer>,
+    engines: Vec<BackendServer>,
 }
 
 impl Gateway {
     async fn start(number: u8) -> Self {
         let ip = IpAddr::V4(Ipv4Addr::new(127, 78, 0, number));
         let store = Store::start(SocketAddr::new(ip, STORE_PORT)).await.unwrap();
-        let mut servers = Vec::new();
-        for index in 0..3 {
-            let id = format!("i-plain-{index}");
-            let server = BackendServer::start(&id, ip).await.unwrap();
-            store.put_server(&id, &announcement("plain", server.addr, "ready", 1));
-            servers.push(server);
+        let mut plain = Vec::new();
+        let mut engines = Vec::new();
+        for (service, servers) in [("plain", &mut plain), ("engines", &mut engines)] {
+            for index in 0..3 {
+                let id = format!("i-{service}-{index}");
+                let server = BackendServer::start(&id, ip).await.unwrap();
+                store.put_server(&id, &announcement(service, server.addr, "ready", 1));
+                servers.push(server);
+            }
         }
         store.put_configuration(&configuration(7, &[KEY]));
         let dir = tempfile::tempdir().unwrap();
@@ -70,7 +81,8 @@
             ip,
             child,
             _store: store,
-            _servers: servers,
+            plain,
+            engines,
         };
         let start = Instant::now();
         while !gateway.is_serving().await {
@@ -89,6 +101,45 @@
     fn caller_addr(&self) -> SocketAddr {
         SocketAddr::new(self.ip, CALLER_PORT)
     }
+
+    /// Return the most memory that the process has used, in bytes.
+    fn peak_memory(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = fs::read_to_string(path).unwrap();
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+        let kb = line.unwrap().split_whitespace().nth(1).unwrap();
+        kb.parse::<u64>().unwrap() * 1_024
+    }
+
+    /// Send `calls` requests to `path` from each of `callers` callers. Return the statuses of the
+    /// answers, with 0 for none.
+    async fn call_often(&self, path: &'static str, callers: usize, calls: usize) -> Vec<u16> {
+        // Long prompts that have less time are refused at once.
+        let timeout_ms = if path.starts_with("/report/") {
+            10_000
+        } else {
+            1_500
+        };
+        let addr = self.caller_addr();
+        let mut tasks = JoinSet::new();
+        for caller in 0..callers {
+            tasks.spawn(async move {
+                let mut statuses = Vec::new();
+                for number in 0..calls {
+                    let mut call = Call::new(&format!("c{caller}-{number}"), path);
+                    call.timeout_ms = timeout_ms;
+                    let answer = call.send(addr).await.unwrap();
+                    assert!(
+                        answer.status != 200 || answer.complete,
+                        "a cut answer looks whole"
+                    );
+                    statuses.push(answer.status);
+                }
+                statuses
+            });
+        }
+        tasks.join_all().await.concat()
+    }
 }
 
 impl Drop for Gateway {
@@ -149,3 +200,60 @@
         assert!(text.contains(expected), "no `{expected}` in:\n{text}");
     }
 }
+
+/// Guards against bytes without end of several servers at once that fill the memory of the process,
+/// so that the platform ends it with the requests of all callers.
+#[test_case(6, "/chat/7", 16, EndlessPart::Failure, 65_536; "failure of a stream")]
+#[test_case(7, "/order/7", 16, EndlessPart::Failure, 65_536; "failure of a call")]
+#[test_case(8, "/order/7", 16, EndlessPart::Chunks, 65_536; "call in large pieces")]
+#[test_case(9, "/look/7", 16, EndlessPart::Chunks, 1; "call in small pieces")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bytes_without_end_dont_fill_the_memory(
+    number: u8,
+    path: &'static str,
+    callers: usize,
+    part: EndlessPart,
+    piece_bytes: usize,
+) {
+    let gateway = Gateway::start(number).await;
+    for server in gateway.plain.iter().chain(&gateway.engines).skip(1) {
+        server.set_mode(Mode::Endless { part, piece_bytes });
+    }
+    let statuses = gateway.call_often(path, callers, 3).await;
+    let servers = gateway.plain.iter().chain(&gateway.engines);
+    let sent: usize = servers.clone().map(BackendServer::endless_bytes).sum();
+    let peak = gateway.peak_memory();
+    println!("{statuses:?}; {sent} bytes sent; peak memory {peak}");
+    assert!(sent > 0, "no server sent bytes without end");
+    assert!(peak < MEMORY, "peak memory {peak}");
+    assert!(!statuses.contains(&0), "requests have no answer in time");
+    servers.for_each(|server| server.set_mode(Mode::Healthy));
+    let answer = Call::new("later", "/look/7")
+        .send(gateway.caller_addr())
+        .await
+        .unwrap();
+    assert_eq!((answer.status, answer.complete), (200, true));
+}
+
+/// Guards against a bound on the memory that keeps sound large answers from their callers.
+#[test_case(14, "/look/7"; "call")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn large_answer_arrives_whole(number: u8, path: &str) {
+    const LEN: usize = 24 << 20;
+    let gateway = Gateway::start(number).await;
+    for server in gateway.plain.iter().chain(&gateway.engines) {
+        server.set_mode(Mode::Large(LEN));
+    }
+    let answer = Call::new("a1", path)
+        .send(gateway.caller_addr())
+        .await
+        .unwrap();
+    assert_eq!((answer.status, answer.complete), (200, true));
+    let data = answer.body.matches('x').count();
+    assert_eq!(data, LEN);
+    assert!(
+        gateway.peak_memory() < MEMORY,
+        "peak memory {}",
+        gateway.peak_memory()
+    );
+}
--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -313,6 +313,8 @@
     Failed,
     /// The connection broke, or the bytes were not an answer to this request.
     Broken,
+    /// The answer didn't fit into the memory that is left for answers. It may be one without end.
+    Oversized,
     /// The server stayed silent for too long.
     Silent,
     /// The caller closed its connection, or the deadline passed.
@@ -1470,13 +1472,18 @@
             | AttemptEnd::WrongServer
             | AttemptEnd::NoMemory
             | AttemptEnd::HelperFailed => Execution::NotRun,
-            AttemptEnd::Broken | AttemptEnd::Silent | AttemptEnd::Cancelled => Execution::Unknown,
+            AttemptEnd::Broken
+            | AttemptEnd::Oversized
+            | AttemptEnd::Silent
+            | AttemptEnd::Cancelled => Execution::Unknown,
             AttemptEnd::Completed | AttemptEnd::Failed => Execution::Ran,
         };
         req.worst_execution = req.worst_execution.max(execution);
         let observation = match end {
             AttemptEnd::Completed => Some(Observation::Success),
-            AttemptEnd::Failed | AttemptEnd::Broken => Some(Observation::Error),
+            AttemptEnd::Failed | AttemptEnd::Broken | AttemptEnd::Oversized => {
+                Some(Observation::Error)
+            }
             // Another server has the address, so the one that is listed can't be reached there.
             AttemptEnd::NotSent | AttemptEnd::WrongServer => Some(Observation::Unreachable),
             AttemptEnd::Silent => Some(Observation::Silent),
--- a/crates/oleanderpass_gateway/src/lib.rs
+++ b/crates/oleanderpass_gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod gateway;
 pub mod health;
 pub mod load;
+pub mod memory;
 pub mod outcome;
 pub mod peers;
 pub mod placement;
--- a/crates/oleanderpass_gateway/tests/gateway.rs
+++ b/crates/oleanderpass_gateway/tests/gateway.rs
@@ -34,6 +34,7 @@
 
 /// Guards against a second run of a non-idempotent request.
 #[test_case(AttemptEnd::Broken, 502)]
+#[test_case(AttemptEnd::Oversized, 502)]
 #[test_case(AttemptEnd::Silent, 502)]
 #[test_case(AttemptEnd::Refused, 503)]
 fn non_idempotent_request_is_not_retried(end: AttemptEnd, expected: u16) {
--- a/crates/oleanderpass_gateway_io/src/attempt.rs
+++ b/crates/oleanderpass_gateway_io/src/attempt.rs
@@ -34,7 +34,10 @@
 use crate::exchange::Reply;
 use crate::exchange::build_answer;
 use crate::metrics::prompt_length_label;
+use crate::pieces::Pieces;
 use crate::reach;
+use crate::receive;
+use crate::receive::ReceiveError;
 use crate::reservation;
 use crate::reservation::Reservation;
 
@@ -333,8 +336,7 @@
         }
         gateway.on_sent(&mut state, attempt);
     }
-    let sending = connection.sender.try_send_request(req);
-    let answer = match running.wait(sending).await {
+    let answer = match running.wait(connection.sender.try_send_request(req)).await {
         Some(Ok(answer)) => answer,
         Some(Err(mut error)) => {
             if error.take_message().is_some() {
@@ -342,13 +344,8 @@
                 gateway.on_unsent(&mut exchange.req.borrow_mut());
                 return Err(AttemptEnd::StaleConnection);
             }
-            tracing::info!(
-                request = %exchange.req.borrow().spec.id,
-                server = %attempt.primary.id,
-                error = %error.into_error(),
-                "no answer"
-            );
-            return Err(AttemptEnd::Broken);
+            let error = ReceiveError::from(error.into_error());
+            return Err(end_of_unreceived(exchange, attempt, &error));
         }
         None => return Err(end_without_answer(exchange)),
     };
@@ -370,12 +367,9 @@
         return Ok((Outcome::Delivered(head.status), end, head));
     }
     let (parts, body) = answer.into_parts();
-    let body = match running.wait(body.collect()).await {
-        Some(Ok(body)) => body.to_bytes(),
-        Some(Err(error)) => {
-            tracing::info!(server = %attempt.primary.id, %error, "an answer broke off");
-            return Err(AttemptEnd::Broken);
-        }
+    let body = match running.wait(receive::body(body, &instance.memory)).await {
+        Some(Ok(body)) => body,
+        Some(Err(error)) => return Err(end_of_unreceived(exchange, attempt, &error)),
         None => return Err(end_without_answer(exchange)),
     };
     if head.not_run {
@@ -446,6 +440,21 @@
     }
 }
 
+/// Return how an attempt ended whose answer could not be received.
+fn end_of_unreceived(exchange: &Exchange, attempt: &Attempt, error: &ReceiveError) -> AttemptEnd {
+    let end = match error {
+        ReceiveError::Broken(_) => AttemptEnd::Broken,
+        ReceiveError::NoRoom(_) => AttemptEnd::Oversized,
+    };
+    tracing::info!(
+        request = %exchange.req.borrow().spec.id,
+        server = %attempt.primary.id,
+        %error,
+        "no answer"
+    );
+    end
+}
+
 /// Return how an attempt ended when the wait for the server ran out.
 fn end_without_answer(exchange: &Exchange) -> AttemptEnd {
     if exchange.instance.now() >= exchange.req.borrow().spec.deadline {
@@ -456,9 +465,9 @@
 }
 
 /// Send a complete answer to the caller.
-fn deliver(reply: &mut Reply, status: StatusCode, headers: &HeaderMap, body: Bytes) {
+fn deliver(reply: &mut Reply, status: StatusCode, headers: &HeaderMap, body: Pieces) {
     let headers = answer::caller_headers(headers);
-    reply.finish(build_answer(status, headers, CallerBody::complete(body)));
+    reply.finish(build_answer(status, headers, CallerBody::Complete(body)));
 }
 
 /// Relay a stream of events to the caller. Only whole events are sent, so that another server can
--- a/crates/oleanderpass_gateway_io/src/body.rs
+++ b/crates/oleanderpass_gateway_io/src/body.rs
@@ -11,6 +11,8 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use crate::pieces::Pieces;
+
 /// The most chunks that are queued for a caller that reads slowly. When the queue is full, the
 /// stream of the backend server is no longer read.
 const MAX_QUEUED_CHUNKS: usize = 16;
@@ -40,8 +42,10 @@
 /// The body of an answer.
 #[derive(Debug)]
 pub(crate) enum CallerBody {
-    /// A complete body, or `None` if it is empty or was already sent.
-    Complete(Option<Bytes>),
+    /// What is left to send of a complete body.
+    Complete(Pieces),
+    /// A body that the instance made itself, or `None` if it is empty or was already sent.
+    Own(Option<Bytes>),
     /// A stream. Without [`StreamChunk::End`] it is incomplete, whatever ended it.
     Stream {
         /// The chunks to send.
@@ -52,9 +56,9 @@
 }
 
 impl CallerBody {
-    /// Create a complete body.
-    pub(crate) fn complete(body: Bytes) -> Self {
-        Self::Complete((!body.is_empty()).then_some(body))
+    /// Create a body that the instance made itself.
+    pub(crate) fn own(body: Bytes) -> Self {
+        Self::Own((!body.is_empty()).then_some(body))
     }
 
     /// Create a stream and the sender of its chunks.
@@ -90,7 +94,8 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Incomplete>>> {
         match self.get_mut() {
-            Self::Complete(body) => Poll::Ready(body.take().map(|body| Ok(Frame::data(body)))),
+            Self::Complete(body) => Poll::Ready(body.pop().map(|piece| Ok(Frame::data(piece)))),
+            Self::Own(body) => Poll::Ready(body.take().map(|body| Ok(Frame::data(body)))),
             Self::Stream { chunks, .. } => match chunks.poll_recv(cx) {
                 Poll::Pending => Poll::Pending,
                 Poll::Ready(Some(StreamChunk::Data(data))) => {
@@ -103,14 +108,17 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Complete(None))
+        match self {
+            Self::Complete(body) => body.is_empty(),
+            Self::Own(body) => body.is_none(),
+            Self::Stream { .. } => false,
+        }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Complete(body) => {
-                SizeHint::with_exact(body.as_ref().map_or(0, |b| b.len() as u64))
-            }
+            Self::Complete(body) => SizeHint::with_exact(body.len() as u64),
+            Self::Own(body) => SizeHint::with_exact(body.as_ref().map_or(0, |b| b.len() as u64)),
             Self::Stream { .. } => SizeHint::default(),
         }
     }
--- a/crates/oleanderpass_gateway_io/src/daemon.rs
+++ b/crates/oleanderpass_gateway_io/src/daemon.rs
@@ -10,6 +10,7 @@
 use indexmap::IndexSet;
 use oleanderpass_gateway::drain::ADMIT_ALL_TIME;
 use oleanderpass_gateway::gateway::Gateway;
+use oleanderpass_gateway::memory::AnswerMemory;
 use oleanderpass_membership::membership::Identity;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::id::Incarnation;
@@ -81,6 +82,7 @@
         peers = %settings.peer_addr,
         seeds = settings.seeds.len(),
         store = %settings.store_addr,
+        memory = %settings.memory,
         program = env!("CARGO_PKG_VERSION"),
         "started"
     );
@@ -88,6 +90,7 @@
         gateway: RefCell::new(gateway),
         pool: RefCell::new(Pool::default()),
         metrics: Metrics::new()?,
+        memory: AnswerMemory::new(settings.memory),
         checked_servers: RefCell::new(IndexSet::new()),
         open_tunnels: Cell::new(0),
         peer_socket,
@@ -140,14 +143,16 @@
     }
 }
 
-/// Read the settings again and apply the bounds. Addresses and names are fixed for the lifetime of
+/// Read the settings again and apply the bounds and the size of the memory. Addresses and names are fixed for the lifetime of
 /// the process, so the log reports a change of them, which takes effect at the next start.
 fn reload(instance: &SharedInstance, path: &Path) {
     match Settings::read(path) {
         Ok(settings) => {
             instance.gateway.borrow_mut().set_bounds(settings.bounds);
+            instance.memory.set_process_size(settings.memory);
             let restart_needed = Settings {
                 bounds: instance.settings.bounds,
+                memory: instance.settings.memory,
                 ..settings
             } != instance.settings;
             tracing::info!(restart_needed, "settings reloaded");
--- a/crates/oleanderpass_gateway_io/src/exchange.rs
+++ b/crates/oleanderpass_gateway_io/src/exchange.rs
@@ -12,6 +12,7 @@
 use oleanderpass_gateway::gateway::Next;
 use oleanderpass_gateway::gateway::Rejection;
 use oleanderpass_gateway::gateway::Request;
+use oleanderpass_gateway::memory::Share;
 use oleanderpass_gateway::outcome::BAD_GATEWAY;
 use oleanderpass_gateway::outcome::Execution;
 use oleanderpass_gateway::outcome::UNAVAILABLE;
@@ -41,6 +42,8 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// The memory that the body takes from answers.
+    pub(crate) _body_share: Share,
     pub(crate) received: Timestamp,
     /// The last event that the caller had before this request, by its `Last-Event-ID`.
     pub(crate) last_event: Option<u64>,
@@ -117,7 +120,7 @@
     cause: &str,
 ) -> Response<CallerBody> {
     let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    let body = CallerBody::complete(Bytes::from(format!("{cause}\n")));
+    let body = CallerBody::own(Bytes::from(format!("{cause}\n")));
     build_answer(status, answer::instance_headers(request, retry_after), body)
 }
 
--- a/crates/oleanderpass_gateway_io/src/frontend.rs
+++ b/crates/oleanderpass_gateway_io/src/frontend.rs
@@ -242,6 +242,8 @@
         deadline,
         signature: signature(&head, path, &body),
     };
+    let mut body_share = instance.memory.empty_share();
+    body_share.take(Size::new(body.len() as u64));
     let request = instance.gateway.borrow_mut().begin(spec, admission, draw);
     let exchange = Exchange {
         instance: instance.clone(),
@@ -250,6 +252,7 @@
         uri: parts.uri.clone(),
         headers: parts.headers,
         body,
+        _body_share: body_share,
         received,
         last_event: head.last_event,
         last_delivered: Cell::new(None),
--- a/crates/oleanderpass_gateway_io/src/instance.rs
+++ b/crates/oleanderpass_gateway_io/src/instance.rs
@@ -8,6 +8,7 @@
 use indexmap::IndexSet;
 use oleanderpass_gateway::backend::BackendKey;
 use oleanderpass_gateway::gateway::Gateway;
+use oleanderpass_gateway::memory::AnswerMemory;
 use oleanderpass_proto::peer::Packet;
 use oleanderpass_types::clock::Timestamp;
 use prost::Message;
@@ -37,6 +38,8 @@
     pub(crate) gateway: RefCell<Gateway>,
     pub(crate) pool: RefCell<Pool>,
     pub(crate) metrics: Metrics,
+    /// The memory for the answers of servers, peers and the store.
+    pub(crate) memory: AnswerMemory,
     /// The servers that peers are asked to connect to, to see whether they are gone.
     pub(crate) checked_servers: RefCell<IndexSet<BackendKey>>,
     /// The number of open tunnels to servers for peers.
--- a/crates/oleanderpass_gateway_io/src/internal_http.rs
+++ b/crates/oleanderpass_gateway_io/src/internal_http.rs
@@ -77,13 +77,7 @@
     let (status, body) = match req.uri().path() {
         READINESS_PATH if instance.gateway.borrow().is_ready() => (StatusCode::OK, Bytes::new()),
         READINESS_PATH => (StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
-        METRICS_PATH => match instance.metrics.encode() {
-            Ok(text) => (StatusCode::OK, text.into()),
-            Err(error) => {
-                tracing::error!(error = format!("{error:#}"), "could not encode the metrics");
-                (StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
-            }
-        },
+        METRICS_PATH => metrics(instance),
         STATUS_PATH => (StatusCode::OK, status(instance).into()),
         STORE_COPY_PATH => {
             // Without a position, the peer gets everything.
@@ -101,6 +95,20 @@
     answer
 }
 
+/// Return the status and the body of the answer to a read of the metrics.
+fn metrics(instance: &SharedInstance) -> (StatusCode, Bytes) {
+    let metrics = &instance.metrics;
+    let answer_memory = instance.memory.used().get();
+    metrics.answer_memory.set(answer_memory as i64);
+    match metrics.encode() {
+        Ok(text) => (StatusCode::OK, text.into()),
+        Err(error) => {
+            tracing::error!(error = format!("{error:#}"), "could not encode the metrics");
+            (StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
+        }
+    }
+}
+
 /// Return the state of the instance as text, with one `key: value` pair per line and one line per
 /// refused prompt part and per backend server.
 fn status(instance: &SharedInstance) -> String {
--- a/crates/oleanderpass_gateway_io/src/lib.rs
+++ b/crates/oleanderpass_gateway_io/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod daemon;
 pub mod events;
 pub mod logging;
+pub mod pieces;
 pub mod settings;
 
 mod attempt;
@@ -19,6 +20,7 @@
 mod metrics;
 mod peer;
 mod reach;
+mod receive;
 mod relay;
 mod reservation;
 mod store;
--- a/crates/oleanderpass_gateway_io/src/metrics.rs
+++ b/crates/oleanderpass_gateway_io/src/metrics.rs
@@ -45,6 +45,8 @@
     pub(crate) lost_datagrams: IntCounter,
     /// Requests from callers whose answer has not begun.
     pub(crate) in_flight: IntGauge,
+    /// The memory that answers take.
+    pub(crate) answer_memory: IntGauge,
 }
 
 impl Metrics {
@@ -100,6 +102,10 @@
                 "Datagrams to peers that could not be sent.",
             )?,
             in_flight: IntGauge::new("oleanderpass_requests_in_flight", "Requests in flight.")?,
+            answer_memory: IntGauge::new(
+                "oleanderpass_answer_memory_bytes",
+                "Memory taken by answers that are received or sent on, and by bodies of requests.",
+            )?,
             registry,
         };
         let registry = &metrics.registry;
@@ -114,6 +120,7 @@
         registry.register(Box::new(metrics.relayed_connections.clone()))?;
         registry.register(Box::new(metrics.lost_datagrams.clone()))?;
         registry.register(Box::new(metrics.in_flight.clone()))?;
+        registry.register(Box::new(metrics.answer_memory.clone()))?;
         Ok(metrics)
     }
 
--- /dev/null
+++ b/crates/oleanderpass_gateway_io/src/pieces.rs
@@ -0,0 +1,116 @@
+//! Keep received bytes in pieces whose memory is counted.
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use oleanderpass_gateway::memory::AnswerMemory;
+use oleanderpass_gateway::memory::NoRoom;
+use oleanderpass_gateway::memory::Share;
+use oleanderpass_types::size::Bytes as Size;
+
+/// The size of a piece, except the last one.
+pub const PIECE_BYTES: usize = 16 * 1024;
+
+/// The smallest capacity of a piece.
+const MIN_PIECE_BYTES: usize = 64;
+
+/// Bytes in the order in which they arrived.
+///
+/// They are copied, because a slice of a connection's buffer, however short, keeps all of that
+/// buffer in memory.
+#[derive(Debug)]
+pub struct Pieces {
+    /// Pieces of [`PIECE_BYTES`].
+    full: VecDeque<Bytes>,
+    last: Vec<u8>,
+    len: usize,
+    /// Counts the capacity of all pieces.
+    share: Share,
+}
+
+impl Pieces {
+    /// Create an empty sequence whose bytes are counted in `memory`.
+    pub fn new(memory: &AnswerMemory) -> Self {
+        Self::with_share(memory.empty_share())
+    }
+
+    fn with_share(share: Share) -> Self {
+        Self {
+            full: VecDeque::new(),
+            last: Vec::new(),
+            len: 0,
+            share,
+        }
+    }
+
+    /// Return the number of bytes.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Return whether there are no bytes.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Append a copy of `data`.
+    ///
+    /// # Errors
+    ///
+    /// Return how the memory is used if there is no room. A part of `data` may have been appended.
+    pub fn append(&mut self, mut data: &[u8]) -> Result<(), NoRoom> {
+        while !data.is_empty() {
+            if self.last.len() == self.last.capacity() {
+                self.make_room(data.len())?;
+            }
+            let count = data.len().min(self.last.capacity() - self.last.len());
+            let (head, rest) = data.split_at(count);
+            self.last.extend_from_slice(head);
+            self.len += count;
+            data = rest;
+        }
+        Ok(())
+    }
+
+    /// Enlarge the last piece for up to `wanted` bytes, or begin a new one if it is full.
+    fn make_room(&mut self, wanted: usize) -> Result<(), NoRoom> {
+        if self.last.len() >= PIECE_BYTES {
+            let piece = std::mem::take(&mut self.last);
+            self.full.push_back(Bytes::from(piece));
+        }
+        let old = self.last.capacity();
+        let new = (old + wanted)
+            .max(2 * old)
+            .clamp(MIN_PIECE_BYTES, PIECE_BYTES);
+        self.share.grow(Size::new((new - old) as u64))?;
+        self.last.reserve_exact(new - self.last.len());
+        Ok(())
+    }
+
+    /// Move all bytes and the memory that they take to a new sequence.
+    #[must_use]
+    pub fn split_off(&mut self) -> Pieces {
+        Pieces {
+            full: std::mem::take(&mut self.full),
+            last: std::mem::take(&mut self.last),
+            len: std::mem::take(&mut self.len),
+            share: self.share.split_off(),
+        }
+    }
+
+    /// Remove the first piece and give its memory back.
+    pub fn pop(&mut self) -> Option<Bytes> {
+        let piece = match self.full.pop_front() {
+            Some(piece) => piece,
+            None if self.last.is_empty() => return None,
+            None => Bytes::from(std::mem::take(&mut self.last)),
+        };
+        self.len -= piece.len();
+        if self.len == 0 {
+            self.share.clear();
+        } else {
+            self.share.shrink(Size::new(PIECE_BYTES as u64));
+        }
+        Some(piece)
+    }
+}
--- a/crates/oleanderpass_gateway_io/src/settings.rs
+++ b/crates/oleanderpass_gateway_io/src/settings.rs
@@ -13,8 +13,16 @@
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::id::InstanceId;
 use oleanderpass_types::id::ZoneId;
+use oleanderpass_types::size::Bytes;
 use serde::Deserialize;
 
+/// The memory that the process may use if the settings don't state it, in megabytes. The machines
+/// that instances run on have at least as much.
+const DEFAULT_MEMORY_MB: f64 = 160.0;
+
+/// The bytes of a megabyte.
+const BYTES_PER_MB: f64 = 1_048_576.0;
+
 /// The settings as written in the file. Unknown keys are errors.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -33,6 +41,12 @@
     retry_ratio: f64,
     retry_slack: u32,
     reservation_max_ms: u64,
+    #[serde(default = "default_memory_mb")]
+    memory_mb: f64,
+}
+
+fn default_memory_mb() -> f64 {
+    DEFAULT_MEMORY_MB
 }
 
 /// The checked settings of an instance.
@@ -60,6 +74,8 @@
     pub bounds: Bounds,
     /// The longest lease of a reservation that engines grant.
     pub reservation_max: Millis,
+    /// The memory above which the platform ends the process.
+    pub memory: Bytes,
 }
 
 impl Settings {
@@ -95,6 +111,9 @@
         if raw.stop_time_s == 0 {
             bail!("stop_time_s: must be at least 1");
         }
+        if !raw.memory_mb.is_finite() || raw.memory_mb <= 0.0 {
+            bail!("memory_mb: {} is not a size", raw.memory_mb);
+        }
         let seeds: Result<Vec<SocketAddr>> = raw
             .seeds
             .split(',')
@@ -125,6 +144,7 @@
                 retry_slack: raw.retry_slack,
             },
             reservation_max: Millis::new(raw.reservation_max_ms),
+            memory: Bytes::new((raw.memory_mb * BYTES_PER_MB) as u64),
         })
     }
 }
--- a/crates/oleanderpass_gateway_io/tests/settings.rs
+++ b/crates/oleanderpass_gateway_io/tests/settings.rs
@@ -35,6 +35,16 @@
     assert!(Settings::parse(&text).unwrap().seeds.is_empty());
 }
 
+/// Guards against an instance that can't start, or that uses more memory than it has, because the
+/// size of its memory is a fraction or missing.
+#[test_case("", 160 << 20; "missing")]
+#[test_case("memory_mb: 260\n", 260 << 20; "whole")]
+#[test_case("memory_mb: 320.5\n", 641 << 19; "a fraction")]
+fn size_of_the_memory_may_be_missing_or_a_fraction(line: &str, bytes: u64) {
+    let settings = Settings::parse(&format!("{VALID}{line}")).unwrap();
+    assert_eq!(settings.memory.get(), bytes);
+}
+
 /// Guards against an error that doesn't say which setting is wrong.
 #[test_case("zone: hafnir", "zone: \"a b\"", "zone")]
 #[test_case("10.2.0.29:8229", "10.2.0.29", "10.2.0.29")]
@@ -42,6 +52,7 @@
 #[test_case("stop_time_s: 8", "stop_time_s: 0", "stop_time_s")]
 #[test_case("stop_time_s: 8", "stop_time: 8", "stop_time")]
 #[test_case("peer_port: 7340\n", "", "peer_port")]
+#[test_case("stop_time_s: 8", "stop_time_s: 8\nmemory_mb: -1", "memory_mb")]
 fn error_names_the_wrong_setting(from: &str, to: &str, named: &str) {
     let error = Settings::parse(&VALID.replace(from, to)).unwrap_err();
     let text = format!("{error:#}");
