Bound the memory and the time that heads of answers take

Cause: the HTTP library bounds a head at 417 KB for each connection, so the process isn't bounded. It skips interim heads in a loop that ends only when the socket has no more bytes; with reads of up to 417 KB it parses tens of megabytes before another task runs.

Change: the bytes that arrive between a request and the end of its answer's head are counted in the memory for answers, and a read of a socket takes 16 KB at most. Interim heads count like others, so they end when they exceed the share of an answer. A head that doesn't fit ends its attempt as `oversized`.

--- a/crates/oleanderpass_gateway_io/src/attempt.rs
+++ b/crates/oleanderpass_gateway_io/src/attempt.rs
@@ -336,7 +336,7 @@
         }
         gateway.on_sent(&mut state, attempt);
     }
-    let answer = match running.wait(connection.sender.try_send_request(req)).await {
+    let answer = match running.wait(connection.try_send(req)).await {
         Some(Ok(answer)) => answer,
         Some(Err(mut error)) => {
             if error.take_message().is_some() {
--- a/crates/oleanderpass_gateway_io/src/connection.rs
+++ b/crates/oleanderpass_gateway_io/src/connection.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,25 +10,34 @@
 use eyre::WrapErr;
 use eyre::eyre;
 use http::Request;
+use http::Response;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
 use oleanderpass_gateway::backend::BackendKey;
+use oleanderpass_gateway::memory::AnswerMemory;
 use oleanderpass_gateway::reach::Way;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::clock::Timestamp;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
 use crate::instance::SharedInstance;
 use crate::reach;
+use crate::receive::HeadMeter;
+use crate::receive::MeteredStream;
+use crate::receive::ReceiveError;
 
 /// The timeout for opening a connection. Backend servers accept one within about a millisecond, and
 /// a lost first packet is sent again only after a second.
@@ -57,18 +67,68 @@
 /// An open HTTP/1.1 connection. Dropping it closes the socket.
 #[derive(Debug)]
 pub(crate) struct Connection {
-    pub(crate) sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Full<Bytes>>,
     /// Whether it has carried a request before.
     pub(crate) reused: bool,
     /// Whether it leads through a peer.
     way: Way,
-    /// The task that drives the connection.
-    task: AbortHandle,
+    meter: Rc<HeadMeter>,
+    _driver: Driver,
 }
 
-impl Drop for Connection {
+/// The task that drives a connection. It ends when this is dropped.
+#[derive(Debug)]
+pub(crate) struct Driver(AbortHandle);
+
+impl Drop for Driver {
     fn drop(&mut self) {
-        self.task.abort();
+        self.0.abort();
+    }
+}
+
+impl Driver {
+    /// Start the task.
+    pub(crate) fn spawn(
+        addr: SocketAddr,
+        connection: impl Future<Output = hyper::Result<()>> + 'static,
+    ) -> Self {
+        let task = tokio::task::spawn_local(async move {
+            if let Err(error) = connection.await {
+                tracing::debug!(%addr, %error, "a connection ended");
+            }
+        });
+        Self(task.abort_handle())
+    }
+}
+
+impl Connection {
+    /// Send a request and wait for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Return the cause if there is no answer, and the request if nothing of it was sent.
+    pub(crate) async fn try_send(
+        &mut self,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.meter.start();
+        let answer = self.sender.try_send_request(req).await;
+        self.meter.stop();
+        answer
+    }
+
+    /// Send a request, once the connection is ready for it, and wait for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Return the cause if there is no answer.
+    pub(crate) async fn send(
+        &mut self,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, ReceiveError> {
+        self.sender.ready().await?;
+        let answer = self.try_send(req).await;
+        answer.map_err(|error| error.into_error().into())
     }
 }
 
@@ -77,9 +137,9 @@
 /// # Errors
 ///
 /// Return the cause if no connection can be opened in time.
-pub(crate) async fn open(addr: SocketAddr) -> Result<Connection> {
+pub(crate) async fn open(memory: &AnswerMemory, addr: SocketAddr) -> Result<Connection> {
     let stream = connect(addr).await?;
-    handshake(addr, TokioIo::new(stream), Way::Direct).await
+    handshake(memory, addr, stream, Way::Direct).await
 }
 
 /// Open a socket to an address.
@@ -97,27 +157,27 @@
         .wrap_err_with(|| format!("connect to {addr}"))
 }
 
-/// Begin to speak HTTP/1.1 to the server at `addr` on an open stream.
+/// Begin to speak HTTP/1.1 to the server at `addr` on an open stream. The heads of its answers are
+/// counted in `memory`.
 ///
 /// # Errors
 ///
 /// Return the cause if the stream has ended.
 pub(crate) async fn handshake(
+    memory: &AnswerMemory,
     addr: SocketAddr,
-    stream: impl hyper::rt::Read + hyper::rt::Write + Unpin + 'static,
+    stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
     way: Way,
 ) -> Result<Connection> {
+    let meter = Rc::new(HeadMeter::new(memory));
+    let stream = TokioIo::new(MeteredStream::new(stream, meter.clone()));
     let (sender, connection) = http1::handshake(stream).await.wrap_err("HTTP handshake")?;
-    let task = tokio::task::spawn_local(async move {
-        if let Err(error) = connection.await {
-            tracing::debug!(%addr, %error, "a connection ended");
-        }
-    });
     Ok(Connection {
         sender,
         reused: false,
         way,
-        task: task.abort_handle(),
+        meter,
+        _driver: Driver::spawn(addr, connection),
     })
 }
 
@@ -133,11 +193,7 @@
     req: Request<Full<Bytes>>,
 ) -> Result<(u16, Bytes)> {
     let mut connection = reach::open_addr(instance, addr).await?;
-    let answer = connection
-        .sender
-        .send_request(req)
-        .await
-        .wrap_err("send the request")?;
+    let answer = connection.send(req).await.wrap_err("send the request")?;
     let status = answer.status().as_u16();
     let body = Limited::new(answer.into_body(), MAX_CALL_ANSWER);
     match body.collect().await {
@@ -200,6 +256,7 @@
         let time = idle_time.map_or(MAX_IDLE_TIME, |time| {
             time.saturating_sub(IDLE_MARGIN).min(MAX_IDLE_TIME)
         });
+        connection.meter.clear();
         let idle = self.idle.entry(key).or_default();
         if idle.len() < MAX_IDLE_PER_SERVER && time > Millis::ZERO {
             let expires_at = now + time;
--- a/crates/oleanderpass_gateway_io/src/peer.rs
+++ b/crates/oleanderpass_gateway_io/src/peer.rs
@@ -11,6 +11,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
+use oleanderpass_gateway::memory::AnswerMemory;
 use oleanderpass_gateway::peers::MIN_BULLETIN_INTERVAL;
 use oleanderpass_gateway::store::StorePosition;
 use oleanderpass_membership::packet::MAX_DATAGRAM_BYTES;
@@ -112,13 +113,17 @@
 /// # Errors
 ///
 /// Return why the copy could not be fetched.
-pub(crate) async fn fetch_copy(addr: SocketAddr, after: StorePosition) -> Result<StoreCopy> {
+pub(crate) async fn fetch_copy(
+    memory: &AnswerMemory,
+    addr: SocketAddr,
+    after: StorePosition,
+) -> Result<StoreCopy> {
     let read = async {
-        let mut connection = connection::open(addr).await?;
+        let mut connection = connection::open(memory, addr).await?;
         let req = Request::get(format!("{STORE_COPY_PATH}?{after}"))
             .header(http::header::HOST, addr.to_string())
             .body(Full::new(Bytes::new()))?;
-        let answer = connection.sender.send_request(req).await?;
+        let answer = connection.send(req).await?;
         if !answer.status().is_success() {
             bail!("peer {addr} answered {}", answer.status());
         }
--- a/crates/oleanderpass_gateway_io/src/reach.rs
+++ b/crates/oleanderpass_gateway_io/src/reach.rs
@@ -25,7 +25,7 @@
     let key = instance.gateway.borrow().server_at(instance.now(), addr);
     match key {
         Some(key) => open(instance, key, addr).await,
-        None => connection::open(addr).await,
+        None => connection::open(&instance.memory, addr).await,
     }
 }
 
@@ -69,7 +69,7 @@
     addr: SocketAddr,
 ) -> Result<Connection> {
     let tried = instance.now();
-    let opened = connection::open(addr).await;
+    let opened = connection::open(&instance.memory, addr).await;
     let now = instance.now();
     match &opened {
         Ok(_) => instance.gateway.borrow_mut().on_opened(now, key),
@@ -90,7 +90,8 @@
     let peers = instance.gateway.borrow().relays(instance.now(), key);
     let mut tries = JoinSet::new();
     for peer in peers {
-        tries.spawn_local(async move { (peer, relay::open(peer, addr).await) });
+        let memory = instance.memory.clone();
+        tries.spawn_local(async move { (peer, relay::open(&memory, peer, addr).await) });
     }
     while let Some(result) = tries.join_next().await {
         match result {
@@ -119,7 +120,7 @@
     let peers = instance.gateway.borrow().relays(instance.now(), key);
     let mut last_error = None;
     for peer in peers {
-        match relay::open(peer, addr).await {
+        match relay::open(&instance.memory, peer, addr).await {
             Ok(Some(connection)) => {
                 instance.metrics.relayed_connections.inc();
                 instance.gateway.borrow_mut().on_relayed(key);
@@ -164,7 +165,7 @@
 /// Try a direct connection in the background, to notice when the links are back.
 fn probe(instance: SharedInstance, key: BackendKey, addr: SocketAddr) {
     tokio::task::spawn_local(async move {
-        match connection::open(addr).await {
+        match connection::open(&instance.memory, addr).await {
             Ok(_) => {
                 instance.gateway.borrow_mut().on_opened(instance.now(), key);
             }
--- a/crates/oleanderpass_gateway_io/src/relay.rs
+++ b/crates/oleanderpass_gateway_io/src/relay.rs
@@ -19,6 +19,7 @@
 use hyper::client::conn::http1;
 use hyper::upgrade::Upgraded;
 use hyper_util::rt::TokioIo;
+use oleanderpass_gateway::memory::AnswerMemory;
 use oleanderpass_gateway::reach::Way;
 use socket2::SockRef;
 use tokio::io::AsyncReadExt;
@@ -27,6 +28,7 @@
 
 use crate::connection;
 use crate::connection::Connection;
+use crate::connection::Driver;
 use crate::instance::SharedInstance;
 
 /// The timeout for opening a connection through a peer. The peer needs up to the timeout of a
@@ -40,6 +42,10 @@
 /// The size of each buffer of a tunnel, in bytes.
 const BUFFER_BYTES: usize = 8 * 1024;
 
+/// The longest head of a peer's answer to CONNECT, in bytes. It is the smallest limit that the HTTP
+/// library accepts.
+const MAX_CONNECT_ANSWER_BYTES: usize = 8 * 1024;
+
 /// How long a tunnel whose server has ended its connection waits for the peer to close.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -49,22 +55,28 @@
 /// # Errors
 ///
 /// Return the cause if the peer doesn't answer in time.
-pub(crate) async fn open(peer: SocketAddr, addr: SocketAddr) -> Result<Option<Connection>> {
-    tokio::time::timeout(OPEN_TIMEOUT, open_tunnel(peer, addr))
+pub(crate) async fn open(
+    memory: &AnswerMemory,
+    peer: SocketAddr,
+    addr: SocketAddr,
+) -> Result<Option<Connection>> {
+    tokio::time::timeout(OPEN_TIMEOUT, open_tunnel(memory, peer, addr))
         .await
         .wrap_err("timeout")?
 }
 
-async fn open_tunnel(peer: SocketAddr, addr: SocketAddr) -> Result<Option<Connection>> {
+async fn open_tunnel(
+    memory: &AnswerMemory,
+    peer: SocketAddr,
+    addr: SocketAddr,
+) -> Result<Option<Connection>> {
     let stream = connection::connect(peer).await?;
-    let (mut sender, conn) = http1::handshake(TokioIo::new(stream))
+    let (mut sender, conn) = http1::Builder::new()
+        .max_buf_size(MAX_CONNECT_ANSWER_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .wrap_err("HTTP handshake")?;
-    tokio::task::spawn_local(async move {
-        if let Err(error) = conn.with_upgrades().await {
-            tracing::debug!(%peer, %error, "a connection to a peer ended");
-        }
-    });
+    let _driver = Driver::spawn(peer, conn.with_upgrades());
     let req = Request::connect(addr.to_string())
         .header(http::header::HOST, addr.to_string())
         .body(Empty::<Bytes>::new())?;
@@ -73,7 +85,7 @@
         return Ok(None);
     }
     let tunnel = hyper::upgrade::on(answer).await.wrap_err("upgrade")?;
-    connection::handshake(addr, tunnel, Way::Relayed)
+    connection::handshake(memory, addr, TokioIo::new(tunnel), Way::Relayed)
         .await
         .map(Some)
 }
--- a/crates/oleanderpass_gateway_io/src/store.rs
+++ b/crates/oleanderpass_gateway_io/src/store.rs
@@ -247,7 +247,7 @@
 
 /// Fetch and apply a peer's copy of the store. Pause if that fails.
 async fn copy_from_peer(instance: &SharedInstance, source: CopySource) {
-    let copy = match peer::fetch_copy(source.addr, source.after).await {
+    let copy = match peer::fetch_copy(&instance.memory, source.addr, source.after).await {
         Ok(copy) => copy,
         Err(error) => {
             tracing::info!(
@@ -304,14 +304,12 @@
             .body(Full::new(Bytes::new()))?;
         let connection = match connection {
             Some(open) => open,
-            None => connection.insert(connection::open(instance.settings.store_addr).await?),
+            None => {
+                let opened = connection::open(&instance.memory, instance.settings.store_addr);
+                connection.insert(opened.await?)
+            }
         };
-        connection
-            .sender
-            .ready()
-            .await
-            .wrap_err("the connection was closed")?;
-        let answer = connection.sender.send_request(req).await?;
+        let answer = connection.send(req).await?;
         let status = answer.status();
         let era = store::era(answer.headers()).unwrap_or(0);
         let body = answer.into_body().collect().await?.to_bytes();
