Look for the end of an event once and bound events by the memory

What callers saw: a sound event of more than 1 MiB broke its stream off, and long events made all requests of an instance wait for its processor.

Cause: a stream kept up to 1 MiB of an event, whatever the process had, so hundreds of streams could take hundreds of megabytes. Its end was looked for from its start again at each piece, and for CR LF up to the end of the buffer for each event, so the time grew with the square of the length. Chunks for a slow caller, up to 16 for each stream, were not counted.

Change: a scanner goes over each byte once, and events are kept in counted pieces until the caller has taken them. A large chunk waits until the caller has taken the earlier ones.

--- a/crates/oleanderpass/tests/gateway.rs
+++ b/crates/oleanderpass/tests/gateway.rs
@@ -213,6 +213,8 @@
 #[test_case(7, "/order/7", 16, EndlessPart::Failure, 65_536; "failure of a call")]
 #[test_case(8, "/order/7", 16, EndlessPart::Chunks, 65_536; "call in large pieces")]
 #[test_case(9, "/look/7", 16, EndlessPart::Chunks, 1; "call in small pieces")]
+#[test_case(10, "/chat/7", 16, EndlessPart::Chunks, 65_536; "event in large pieces")]
+#[test_case(11, "/chat/7", 16, EndlessPart::Chunks, 1; "event in small pieces")]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bytes_without_end_dont_fill_the_memory(
     number: u8,
@@ -243,6 +245,7 @@
 
 /// Guards against a bound on the memory that keeps sound large answers from their callers.
 #[test_case(14, "/look/7"; "call")]
+#[test_case(15, "/chat/7"; "event")]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn large_answer_arrives_whole(number: u8, path: &str) {
     const LEN: usize = 12 << 20;
--- a/crates/oleanderpass_gateway_io/src/attempt.rs
+++ b/crates/oleanderpass_gateway_io/src/attempt.rs
@@ -30,6 +30,7 @@
 use crate::clock::sleep_until;
 use crate::connection::Connection;
 use crate::events::EventSplitter;
+use crate::events::StreamError;
 use crate::exchange::Exchange;
 use crate::exchange::Reply;
 use crate::exchange::build_answer;
@@ -481,7 +482,7 @@
 ) -> Result<AttemptEnd, AttemptEnd> {
     let (parts, mut body) = answer.into_parts();
     let last = exchange.last_delivered.get().or(exchange.last_event);
-    let mut events = EventSplitter::after(last);
+    let mut events = EventSplitter::after(last, &exchange.instance.memory);
     loop {
         let frame = match running.wait(body.frame()).await {
             Some(Some(Ok(frame))) => frame,
@@ -513,7 +514,10 @@
                 %error,
                 "a stream has an invalid event"
             );
-            AttemptEnd::Broken
+            match error {
+                StreamError::NoRoom(_) => AttemptEnd::Oversized,
+                StreamError::OutOfOrder | StreamError::NoNumber => AttemptEnd::Broken,
+            }
         })?;
         if count > 0 {
             running.on_events(count);
--- a/crates/oleanderpass_gateway_io/src/body.rs
+++ b/crates/oleanderpass_gateway_io/src/body.rs
@@ -3,6 +3,7 @@
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 
 use bytes::Bytes;
 use hyper::body::Body;
@@ -15,13 +16,13 @@
 
 /// The most chunks that are queued for a caller that reads slowly. When the queue is full, the
 /// stream of the backend server is no longer read.
-const MAX_QUEUED_CHUNKS: usize = 16;
+pub(crate) const MAX_QUEUED_CHUNKS: usize = 16;
 
 /// A chunk of a stream of events.
 #[derive(Debug)]
 pub(crate) enum StreamChunk {
     /// Whole events.
-    Data(Bytes),
+    Data(Pieces),
     /// The stream is complete.
     End,
 }
@@ -50,6 +51,8 @@
     Stream {
         /// The chunks to send.
         chunks: mpsc::Receiver<StreamChunk>,
+        /// What is left to send of the chunk that was taken last.
+        chunk: Option<Pieces>,
         /// Dropped with this body when the caller leaves. `None` until the answer is sent.
         caller_guard: Option<oneshot::Sender<()>>,
     },
@@ -69,6 +72,7 @@
             tx,
             Self::Stream {
                 chunks,
+                chunk: None,
                 caller_guard,
             },
         )
@@ -96,13 +100,15 @@
         match self.get_mut() {
             Self::Complete(body) => Poll::Ready(body.pop().map(|piece| Ok(Frame::data(piece)))),
             Self::Own(body) => Poll::Ready(body.take().map(|body| Ok(Frame::data(body)))),
-            Self::Stream { chunks, .. } => match chunks.poll_recv(cx) {
-                Poll::Pending => Poll::Pending,
-                Poll::Ready(Some(StreamChunk::Data(data))) => {
-                    Poll::Ready(Some(Ok(Frame::data(data))))
+            Self::Stream { chunks, chunk, .. } => loop {
+                if let Some(piece) = chunk.as_mut().and_then(Pieces::pop) {
+                    return Poll::Ready(Some(Ok(Frame::data(piece))));
+                }
+                match ready!(chunks.poll_recv(cx)) {
+                    Some(StreamChunk::Data(data)) => *chunk = Some(data),
+                    Some(StreamChunk::End) => return Poll::Ready(None),
+                    None => return Poll::Ready(Some(Err(Incomplete))),
                 }
-                Poll::Ready(Some(StreamChunk::End)) => Poll::Ready(None),
-                Poll::Ready(None) => Poll::Ready(Some(Err(Incomplete))),
             },
         }
     }
--- a/crates/oleanderpass_gateway_io/src/exchange.rs
+++ b/crates/oleanderpass_gateway_io/src/exchange.rs
@@ -25,10 +25,12 @@
 use crate::attempt;
 use crate::attempt::Outcome;
 use crate::body::CallerBody;
+use crate::body::MAX_QUEUED_CHUNKS;
 use crate::body::StreamChunk;
 use crate::clock::sleep_until;
 use crate::instance::SharedInstance;
 use crate::metrics::prompt_length_label;
+use crate::pieces::PIECE_BYTES;
 
 /// The `Retry-After` of an answer to a request that came before the instance had read its
 /// configuration and the list of backend servers. An instance reads them within this time.
@@ -92,10 +94,19 @@
     /// Send a chunk of a stream, once the caller has read enough of the earlier ones. If the caller
     /// has left, the chunk is dropped; the task of the exchange is then stopped.
     pub(crate) async fn send(&mut self, chunk: StreamChunk) {
-        if let Self::Streaming(tx) = self
-            && tx.send(chunk).await.is_err()
-        {
-            tracing::debug!("the caller left during its stream");
+        let Self::Streaming(tx) = self else {
+            return;
+        };
+        let is_large = matches!(&chunk, StreamChunk::Data(data) if data.len() > PIECE_BYTES);
+        // A large chunk waits until the caller has taken all earlier ones.
+        let room = if is_large { MAX_QUEUED_CHUNKS } else { 1 };
+        match tx.reserve_many(room).await {
+            Ok(mut permits) => {
+                if let Some(permit) = permits.next() {
+                    permit.send(chunk);
+                }
+            }
+            Err(_) => tracing::debug!("the caller left during its stream"),
         }
     }
 }
--- a/crates/oleanderpass_gateway_io/src/pieces.rs
+++ b/crates/oleanderpass_gateway_io/src/pieces.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// Return the memory in which the bytes are counted.
+    pub fn memory(&self) -> &AnswerMemory {
+        self.share.memory()
+    }
+
     /// Return the number of bytes.
     pub fn len(&self) -> usize {
         self.len
@@ -113,4 +118,14 @@
         }
         Some(piece)
     }
+
+    /// Return a copy of the bytes.
+    pub fn to_vec(&self) -> Vec<u8> {
+        let mut bytes = Vec::with_capacity(self.len);
+        for piece in &self.full {
+            bytes.extend_from_slice(piece);
+        }
+        bytes.extend_from_slice(&self.last);
+        bytes
+    }
 }
