Bound the memory of the answers of the store, peers and to orders

What callers saw: the platform ended an instance whose store answered with bytes without end, and with it the requests of its callers. Orders and reports were bounded, but at 64 KB, and copies of the store at 8 MB: sizes of today's deployments, which a sound answer of a larger one exceeds.

Cause: the store's answers were read with `body.collect()`.

Change: all of them are received within the memory for answers. The share also covers the one buffer that a document is decoded from and the decoded values, until they have been applied. A tunnel takes its two buffers from the same memory, and a peer is refused one if there is no room.

--- a/crates/oleanderpass/tests/gateway.rs
+++ b/crates/oleanderpass/tests/gateway.rs
@@ -20,8 +20,11 @@
 use oleanderpass_platform_stand_in::documents::KEY;
 use oleanderpass_platform_stand_in::documents::announcement;
 use oleanderpass_platform_stand_in::documents::configuration;
+use oleanderpass_platform_stand_in::store::Mode as StoreMode;
 use oleanderpass_platform_stand_in::store::Store;
 use test_case::test_case;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
 /// The objective of the stand-in's routes (`SloMs` of its configuration).
@@ -35,13 +38,14 @@
 
 const CALLER_PORT: u16 = 18_227;
 const METRICS_PORT: u16 = 18_464;
+const PEER_PORT: u16 = 17_340;
 const STORE_PORT: u16 = 18_223;
 
 /// A gateway process with its store and backend servers. Nothing reads its standard output.
 struct Gateway {
     ip: IpAddr,
     child: Child,
-    _store: Store,
+    store: Store,
     plain: Vec<BackendServer>,
     engines: Vec<BackendServer>,
 }
@@ -82,7 +86,7 @@
         let gateway = Self {
             ip,
             child,
-            _store: store,
+            store,
             plain,
             engines,
         };
@@ -215,6 +219,7 @@
 #[test_case(9, "/look/7", 16, EndlessPart::Chunks, 1; "call in small pieces")]
 #[test_case(10, "/chat/7", 16, EndlessPart::Chunks, 65_536; "event in large pieces")]
 #[test_case(11, "/chat/7", 16, EndlessPart::Chunks, 1; "event in small pieces")]
+#[test_case(12, "/report/7", 16, EndlessPart::Order, 65_536; "order")]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bytes_without_end_dont_fill_the_memory(
     number: u8,
@@ -243,6 +248,55 @@
     assert_eq!((answer.status, answer.complete), (200, true));
 }
 
+/// Guards against a tunnel that keeps what its peer doesn't read.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn tunnels_dont_fill_the_memory() {
+    const TUNNELS: usize = 100;
+    let gateway = Gateway::start(16).await;
+    let server = &gateway.plain[0];
+    server.set_mode(Mode::Endless {
+        part: EndlessPart::Failure,
+        piece_bytes: 65_536,
+    });
+    let mut tunnels = Vec::new();
+    for _ in 0..TUNNELS {
+        let mut stream = TcpStream::connect((gateway.ip, PEER_PORT)).await.unwrap();
+        let target = server.addr;
+        let connect = format!("CONNECT {target} HTTP/1.1\r\nHost: {target}\r\n\r\n");
+        stream.write_all(connect.as_bytes()).await.unwrap();
+        stream
+            .write_all(&Call::new("a1", "/look/7").bytes())
+            .await
+            .unwrap();
+        tunnels.push(stream);
+    }
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let peak = gateway.peak_memory();
+    println!("{} bytes sent; peak memory {peak}", server.endless_bytes());
+    assert!(
+        server.endless_bytes() > 0,
+        "no server sent bytes without end"
+    );
+    assert!(peak < MEMORY, "peak memory {peak}");
+}
+
+/// Guards against a store that sends bytes without end and so fills the memory of the process.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn store_without_end_doesnt_fill_the_memory() {
+    let gateway = Gateway::start(13).await;
+    gateway.store.set_mode(StoreMode::Endless);
+    gateway.store.put_configuration(&configuration(8, &[KEY]));
+    tokio::time::sleep(Duration::from_secs(12)).await;
+    let peak = gateway.peak_memory();
+    println!("peak memory {peak}");
+    assert!(peak < MEMORY, "peak memory {peak}");
+    let answer = Call::new("a1", "/look/7")
+        .send(gateway.caller_addr())
+        .await
+        .unwrap();
+    assert_eq!((answer.status, answer.complete), (200, true));
+}
+
 /// Guards against a bound on the memory that keeps sound large answers from their callers.
 #[test_case(14, "/look/7"; "call")]
 #[test_case(15, "/chat/7"; "event")]
--- a/crates/oleanderpass_gateway_io/src/connection.rs
+++ b/crates/oleanderpass_gateway_io/src/connection.rs
@@ -8,12 +8,9 @@
 use bytes::Bytes;
 use eyre::Result;
 use eyre::WrapErr;
-use eyre::eyre;
 use http::Request;
 use http::Response;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1;
@@ -35,6 +32,7 @@
 
 use crate::instance::SharedInstance;
 use crate::reach;
+use crate::receive;
 use crate::receive::HeadMeter;
 use crate::receive::MeteredStream;
 use crate::receive::ReceiveError;
@@ -58,9 +56,6 @@
 /// no request is sent while the server closes the connection.
 const IDLE_MARGIN: Millis = Millis::new(1_000);
 
-/// The longest body, in bytes, of an answer to an order or of a report.
-const MAX_CALL_ANSWER: usize = 64 * 1024;
-
 /// The most idle connections that are kept for one backend server.
 const MAX_IDLE_PER_SERVER: usize = 16;
 
@@ -186,7 +181,7 @@
 ///
 /// # Errors
 ///
-/// Return the cause if there is no whole answer, or if its body is longer than [`MAX_CALL_ANSWER`].
+/// Return the cause if there is no whole answer, or no room for it.
 pub(crate) async fn call(
     instance: &SharedInstance,
     addr: SocketAddr,
@@ -195,11 +190,10 @@
     let mut connection = reach::open_addr(instance, addr).await?;
     let answer = connection.send(req).await.wrap_err("send the request")?;
     let status = answer.status().as_u16();
-    let body = Limited::new(answer.into_body(), MAX_CALL_ANSWER);
-    match body.collect().await {
-        Ok(body) => Ok((status, body.to_bytes())),
-        Err(error) => Err(eyre!("read the answer: {error}")),
-    }
+    let (body, _share) = receive::document(answer.into_body(), &instance.memory)
+        .await
+        .wrap_err("read the answer")?;
+    Ok((status, body))
 }
 
 /// Configure a socket so that its connection ends when the other side doesn't respond.
--- a/crates/oleanderpass_gateway_io/src/peer.rs
+++ b/crates/oleanderpass_gateway_io/src/peer.rs
@@ -8,9 +8,7 @@
 use eyre::WrapErr;
 use eyre::bail;
 use http::Request;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use oleanderpass_gateway::memory::AnswerMemory;
 use oleanderpass_gateway::peers::MIN_BULLETIN_INTERVAL;
 use oleanderpass_gateway::store::StorePosition;
@@ -24,14 +22,11 @@
 use crate::instance::SharedInstance;
 use crate::internal_http::STORE_COPY_PATH;
 use crate::reach;
+use crate::receive;
 
 /// The interval of periodic work. The membership protocol expects 100 ms.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// The largest copy of the store that is accepted. It holds a configuration of about a megabyte and
-/// the list of backend servers.
-const MAX_COPY_BYTES: usize = 8 << 20;
-
 /// The timeout for fetching a peer's copy of the store.
 const COPY_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -127,11 +122,10 @@
         if !answer.status().is_success() {
             bail!("peer {addr} answered {}", answer.status());
         }
-        let body = Limited::new(answer.into_body(), MAX_COPY_BYTES)
-            .collect()
+        let (body, _share) = receive::document(answer.into_body(), memory)
             .await
-            .map_err(|error| eyre::eyre!("read the copy: {error}"))?;
-        StoreCopy::decode(body.to_bytes()).wrap_err("decode the copy")
+            .wrap_err("read the copy")?;
+        StoreCopy::decode(body).wrap_err("decode the copy")
     };
     tokio::time::timeout(COPY_TIMEOUT, read)
         .await
--- a/crates/oleanderpass_gateway_io/src/pieces.rs
+++ b/crates/oleanderpass_gateway_io/src/pieces.rs
@@ -14,6 +14,10 @@
 /// The smallest capacity of a piece.
 const MIN_PIECE_BYTES: usize = 64;
 
+/// The memory that a decoded document takes beside its bytes, as a multiple of their length: one
+/// contiguous copy and the decoded values.
+const DECODED_FACTOR: u64 = 2;
+
 /// Bytes in the order in which they arrived.
 ///
 /// They are copied, because a slice of a connection's buffer, however short, keeps all of that
@@ -128,4 +132,19 @@
         bytes.extend_from_slice(&self.last);
         bytes
     }
+
+    /// Return the bytes in one buffer, with the share for them and for the values that are decoded
+    /// from them.
+    ///
+    /// # Errors
+    ///
+    /// Return how the memory is used if there is no room.
+    pub fn into_document(mut self) -> Result<(Bytes, Share), NoRoom> {
+        let size = self.len as u64 * DECODED_FACTOR;
+        self.share.grow(Size::new(size))?;
+        if self.full.is_empty() {
+            return Ok((Bytes::from(self.last), self.share));
+        }
+        Ok((Bytes::from(self.to_vec()), self.share))
+    }
 }
--- a/crates/oleanderpass_gateway_io/src/receive.rs
+++ b/crates/oleanderpass_gateway_io/src/receive.rs
@@ -11,6 +11,7 @@
 use std::task::Poll;
 use std::task::ready;
 
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use oleanderpass_gateway::memory::AnswerMemory;
@@ -96,6 +97,19 @@
     Ok(pieces)
 }
 
+/// Receive a whole body that is to be decoded. Return it in one buffer, and the share of the memory
+/// to hold until it has been decoded.
+///
+/// # Errors
+///
+/// Return why it could not be received.
+pub(crate) async fn document(
+    document: Incoming,
+    memory: &AnswerMemory,
+) -> Result<(Bytes, Share), ReceiveError> {
+    Ok(body(document, memory).await?.into_document()?)
+}
+
 /// Counts the bytes that arrive on a connection between a request and the end of the head of its
 /// answer. They are all held until the head is complete, and its headers after that.
 #[derive(Debug)]
--- a/crates/oleanderpass_gateway_io/src/relay.rs
+++ b/crates/oleanderpass_gateway_io/src/relay.rs
@@ -20,7 +20,9 @@
 use hyper::upgrade::Upgraded;
 use hyper_util::rt::TokioIo;
 use oleanderpass_gateway::memory::AnswerMemory;
+use oleanderpass_gateway::memory::Share;
 use oleanderpass_gateway::reach::Way;
+use oleanderpass_types::size::Bytes as Size;
 use socket2::SockRef;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -96,7 +98,7 @@
     req: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     match connect_for_peer(instance, &req).await {
-        Ok(server) => {
+        Ok((server, buffers)) => {
             let instance = instance.clone();
             tokio::task::spawn_local(async move {
                 let tunnels = &instance.open_tunnels;
@@ -105,6 +107,7 @@
                     tracing::debug!(error = format!("{error:#}"), "a tunnel broke");
                 }
                 tunnels.set(tunnels.get() - 1);
+                drop(buffers);
             });
             Response::new(Full::default())
         }
@@ -122,8 +125,12 @@
     req.method() == Method::CONNECT
 }
 
-/// Connect directly to the server that a peer asks for.
-async fn connect_for_peer(instance: &SharedInstance, req: &Request<Incoming>) -> Result<TcpStream> {
+/// Connect directly to the server that a peer asks for. Return the connection and the memory for the
+/// buffers of the tunnel.
+async fn connect_for_peer(
+    instance: &SharedInstance,
+    req: &Request<Incoming>,
+) -> Result<(TcpStream, Share)> {
     let authority = req.uri().authority().map(http::uri::Authority::as_str);
     let addr: SocketAddr = authority
         .unwrap_or_default()
@@ -139,12 +146,12 @@
     if instance.open_tunnels.get() >= MAX_TUNNELS {
         bail!("too many tunnels are open");
     }
-    let opened = connection::connect(addr).await;
-    if opened.is_ok() {
-        let mut gateway = instance.gateway.borrow_mut();
-        gateway.on_opened(instance.now(), key);
-    }
-    opened
+    let mut buffers = instance.memory.empty_share();
+    buffers.grow(Size::new(2 * BUFFER_BYTES as u64))?;
+    let stream = connection::connect(addr).await?;
+    let mut gateway = instance.gateway.borrow_mut();
+    gateway.on_opened(instance.now(), key);
+    Ok((stream, buffers))
 }
 
 /// Copy bytes between a peer and a server until one of them closes.
--- a/crates/oleanderpass_gateway_io/src/store.rs
+++ b/crates/oleanderpass_gateway_io/src/store.rs
@@ -8,8 +8,8 @@
 use eyre::bail;
 use http::Request;
 use http::StatusCode;
-use http_body_util::BodyExt;
 use http_body_util::Full;
+use oleanderpass_gateway::memory::Share;
 use oleanderpass_gateway::store::Content;
 use oleanderpass_gateway::store::CopySource;
 use oleanderpass_gateway::store::StoreItem;
@@ -32,6 +32,7 @@
 use crate::connection::Connection;
 use crate::instance::SharedInstance;
 use crate::peer;
+use crate::receive;
 
 /// The timeout for a read call.
 const READ_TIMEOUT: Duration = Duration::from_millis(800);
@@ -287,6 +288,8 @@
     /// The era of the store's history that it belongs to, or 0 if it names none.
     era: u64,
     body: Bytes,
+    /// The memory of the body and of what is decoded from it.
+    _share: Share,
 }
 
 /// Send a call to the store, on the open connection if there is one, and count its result. Return
@@ -312,8 +315,13 @@
         let answer = connection.send(req).await?;
         let status = answer.status();
         let era = store::era(answer.headers()).unwrap_or(0);
-        let body = answer.into_body().collect().await?.to_bytes();
-        eyre::Ok(Answer { status, era, body })
+        let (body, _share) = receive::document(answer.into_body(), &instance.memory).await?;
+        eyre::Ok(Answer {
+            status,
+            era,
+            body,
+            _share,
+        })
     };
     let result = tokio::time::timeout(timeout, exchange)
         .await
--- a/crates/oleanderpass_gateway_io/tests/pieces.rs
+++ b/crates/oleanderpass_gateway_io/tests/pieces.rs
@@ -45,6 +45,24 @@
     assert_eq!(memory.used(), Bytes::ZERO);
 }
 
+/// Guards against the memory of a document that is given back before the document is decoded.
+#[test_case(800)]
+#[test_case(3 * MB)]
+fn document_is_counted_until_it_is_decoded(len: usize) {
+    let memory = memory();
+    let mut pieces = Pieces::new(&memory);
+    pieces.append(&vec![b'x'; len]).unwrap();
+    let (bytes, share) = pieces.into_document().unwrap();
+    assert_eq!(bytes.len(), len);
+    assert!(
+        memory.used() >= Bytes::new(2 * len as u64),
+        "{}",
+        memory.used()
+    );
+    drop(share);
+    assert_eq!(memory.used(), Bytes::ZERO);
+}
+
 /// Guards against the body of an answer without end that takes the memory of the process.
 #[test_case(16 * 1024; "in large parts")]
 #[test_case(1; "byte by byte")]
