Bound the length of log lines

What could happen: a server's answer may carry an id or a value of hundreds of kilobytes, which lines of the log quote. Up to 2,000 lines wait for a slow reader, so they could take the memory of the process.

Cause: the number of lines was bounded, their length wasn't. Change: at most 64 characters of a foreign id are logged, and a line over 8 KB is replaced by a short one.

--- a/crates/oleanderpass_gateway_io/src/attempt.rs
+++ b/crates/oleanderpass_gateway_io/src/attempt.rs
@@ -405,7 +405,7 @@
             request = %id,
             server = %attempt.primary.id,
             status = head.status,
-            answers = head.request.as_deref(),
+            answers = head.request.as_deref().map(first_chars),
             proven = head.proven,
             encoded = head.encoded,
             "an answer is not one to this request"
@@ -415,6 +415,13 @@
     Ok(())
 }
 
+/// Return the beginning of an id from a server's answer, which may be of any length.
+fn first_chars(id: &str) -> &str {
+    const MAX_CHARS: usize = 64;
+    let end = id.char_indices().nth(MAX_CHARS);
+    end.map_or(id, |(end, _)| &id[..end])
+}
+
 /// Return how an attempt that the server did not run ended. If a helper is at fault, report it to
 /// the gateway.
 fn record_refusal(exchange: &Exchange, attempt: &Attempt, head: &AnswerHead) -> AttemptEnd {
--- a/crates/oleanderpass_gateway_io/src/logging.rs
+++ b/crates/oleanderpass_gateway_io/src/logging.rs
@@ -1,5 +1,6 @@
 //! Write the log as JSON lines to standard output, without blocking and at a limited rate.
 
+use std::borrow::Cow;
 use std::io;
 use std::io::Write;
 use std::time::Duration;
@@ -14,13 +15,16 @@
 use tracing_subscriber::fmt::MakeWriter;
 
 /// The most lines that are queued while nobody reads them. At about 300 bytes a line, they take
-/// 600 KB.
+/// 600 KB, and at most 16 MB.
 const MAX_QUEUED_LINES: usize = 2_000;
 
 /// The most lines per second. Under the heaviest recorded load, an instance wrote up to 177 lines
 /// in one second.
 pub const MAX_LINES_PER_S: u32 = 400;
 
+/// The longest line, in bytes. Lines quote names that others chose and that may be of any length.
+pub const MAX_LINE_BYTES: usize = 8 * 1024;
+
 /// The length of the interval for which lines are counted against [`MAX_LINES_PER_S`].
 const LIMIT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -114,13 +118,28 @@
     }
 }
 
+/// Return a line, or a short one in its place if it is longer than [`MAX_LINE_BYTES`].
+pub fn shorten(line: &[u8]) -> Cow<'_, [u8]> {
+    if line.len() <= MAX_LINE_BYTES {
+        return Cow::Borrowed(line);
+    }
+    let note = format!(
+        "{{\"level\":\"WARN\",\"message\":\"a log line was too long\",\"bytes\":{}}}\n",
+        line.len()
+    );
+    Cow::Owned(note.into_bytes())
+}
+
 /// Writes one line, or drops it if there is no writer.
 struct LineWriter(Option<NonBlocking>);
 
 impl Write for LineWriter {
     fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
         match &mut self.0 {
-            Some(writer) => writer.write(buf),
+            Some(writer) => {
+                writer.write_all(&shorten(buf))?;
+                Ok(buf.len())
+            }
             None => Ok(buf.len()),
         }
     }
