Look for the end of a line of an engine's stream once

What callers could see, at the product's own interface: an engine that sends a long line in small pieces makes its instance slow for all callers.

Cause: as in the streams of the platform's instances, each piece made the parser look through the whole line again. Change: the parser remembers how much of the line it has looked through.

--- a/crates/oleanderpass_entry/src/backend/sse.rs
+++ b/crates/oleanderpass_entry/src/backend/sse.rs
@@ -11,6 +11,8 @@
 pub struct SseParser {
     /// The bytes after the last complete line.
     buf: Vec<u8>,
+    /// How much of `buf` has no end of a line.
+    scanned: usize,
     /// The data of the event that is not complete yet.
     data: String,
 }
@@ -26,8 +28,10 @@
     pub fn push(&mut self, bytes: &[u8], out: &mut Vec<String>) -> eyre::Result<()> {
         self.buf.extend_from_slice(bytes);
         let mut start = 0;
-        while let Some(length) = self.buf[start..].iter().position(|byte| *byte == b'\n') {
-            let line = std::str::from_utf8(&self.buf[start..start + length])?;
+        let mut scanned = self.scanned;
+        while let Some(length) = self.buf[scanned..].iter().position(|byte| *byte == b'\n') {
+            let end = scanned + length;
+            let line = std::str::from_utf8(&self.buf[start..end])?;
             let line = line.strip_suffix('\r').unwrap_or(line);
             if line.is_empty() {
                 if !self.data.is_empty() {
@@ -39,9 +43,11 @@
                 }
                 self.data.push_str(data.strip_prefix(' ').unwrap_or(data));
             }
-            start += length + 1;
+            start = end + 1;
+            scanned = start;
         }
         self.buf.drain(..start);
+        self.scanned = self.buf.len();
         ensure!(
             self.buf.len() <= MAX_EVENT_BYTES && self.data.len() <= MAX_EVENT_BYTES,
             "an event is longer than {MAX_EVENT_BYTES} bytes"
--- a/crates/oleanderpass_entry/tests/parsing.rs
+++ b/crates/oleanderpass_entry/tests/parsing.rs
@@ -16,6 +16,8 @@
 use oleanderpass_proto::platform::InstanceList;
 use oleanderpass_proto::settings as raw;
 use oleanderpass_types::size::Tokens;
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
 use test_case::test_case;
 
 /// Guards against an event that is lost or changed when it arrives in two reads.
@@ -32,6 +34,22 @@
     }
 }
 
+/// Guards against processor time that grows with the square of the length of a line because its end
+/// is looked for from its start at each piece.
+#[test]
+fn long_line_is_read_once() {
+    let event = format!("data: {}\n\n", "x".repeat(1_000_000));
+    let mut parser = SseParser::default();
+    let mut events = Vec::new();
+    let began = clock_gettime(ClockId::ThreadCPUTime);
+    for piece in event.as_bytes().chunks(64) {
+        parser.push(piece, &mut events).unwrap();
+    }
+    let took = clock_gettime(ClockId::ThreadCPUTime).tv_sec - began.tv_sec;
+    assert_eq!(events[0].len(), 1_000_000);
+    assert!(took < 5, "{took} s of processor time");
+}
+
 /// Guards against memory that grows without bound when an engine sends a line without an end.
 #[test]
 fn endless_line_is_an_error() {
