Log what rules out another attempt and how long its server was silent

Change: `no further attempt is allowed` with its `bar`; `silent_ms` and `server_gone` in `an attempt ended`; `last_event`, `in_force` and `draining` in `a request ended`; the metric `cut_streams_total` by cause. No decision changes.

--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -290,6 +290,22 @@
     Time,
 }
 
+/// What rules out another attempt of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "snake_case")]
+enum Bar {
+    /// It was sent to as many servers as its route allows.
+    Attempts,
+    /// Too many attempts failed because of a helper.
+    HelperFailures,
+    /// Too many attempts reached no server.
+    Unsent,
+    /// It may have run, and its route doesn't allow a second run.
+    Kind,
+    /// The retry budget is used up.
+    Budget,
+}
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[strum(serialize_all = "snake_case")]
@@ -920,12 +936,17 @@
             // The route allows a further server, so the retry is not bound to the last one.
             req.retry_server = None;
         }
-        let may_send = req.sent < req.admission.route.max_attempts || req.retry_server.is_some();
-        let allowed = may_send
-            && req.helper_failures < MAX_HELPER_FAILURES
-            && req.unsent < MAX_UNSENT
-            && may_retry(req.admission.route.kind, req.worst_execution);
-        if !allowed || (is_retry && !self.budget.withdraw()) {
+        let bar = bar(req).or_else(|| (is_retry && !self.budget.withdraw()).then_some(Bar::Budget));
+        if let Some(bar) = bar {
+            tracing::info!(
+                request = %req.spec.id,
+                %bar,
+                sent = req.sent,
+                unsent = req.unsent,
+                execution = %req.worst_execution,
+                delivering = req.delivering,
+                "no further attempt is allowed"
+            );
             return self.end_request(now, req, Cause::AttemptFailed);
         }
         let Some(plan) = self.place(now, req) else {
@@ -1545,6 +1566,22 @@
     }
 }
 
+/// Return what rules out another attempt of a request, apart from the retry budget.
+fn bar(req: &Request) -> Option<Bar> {
+    let route = &req.admission.route;
+    if req.sent >= route.max_attempts && req.retry_server.is_none() {
+        Some(Bar::Attempts)
+    } else if req.helper_failures >= MAX_HELPER_FAILURES {
+        Some(Bar::HelperFailures)
+    } else if req.unsent >= MAX_UNSENT {
+        Some(Bar::Unsent)
+    } else if !may_retry(route.kind, req.worst_execution) {
+        Some(Bar::Kind)
+    } else {
+        None
+    }
+}
+
 /// Decide when a planned attempt is served. Calls with one whole answer and streams that have begun
 /// are always served at once.
 fn schedule(now: Timestamp, req: &Request, plan: &Plan) -> Scheduling {
--- a/crates/oleanderpass_gateway_io/src/attempt.rs
+++ b/crates/oleanderpass_gateway_io/src/attempt.rs
@@ -63,6 +63,8 @@
     /// Whether the end has been reported.
     ended: Cell<bool>,
     began: Timestamp,
+    /// When the server last sent something, or the attempt began.
+    last_sign: Cell<Timestamp>,
     progress: Cell<Progress>,
 }
 
@@ -94,6 +96,11 @@
             events = progress.events,
             first_event_ms = progress.first_event.map(Millis::get),
             longest_gap_ms = progress.longest_gap.get(),
+            silent_ms = instance.now().since(self.last_sign.get()).get(),
+            server_gone = instance
+                .gateway
+                .borrow()
+                .is_gone(instance.now(), self.attempt.plan.primary),
             last_event = self.exchange.last_delivered.get(),
             "an attempt ended"
         );
@@ -172,7 +179,10 @@
             let check = exchange.instance.now() + GONE_CHECK_INTERVAL;
             tokio::select! {
                 biased;
-                value = &mut step => return Some(value),
+                value = &mut step => {
+                    self.last_sign.set(exchange.instance.now());
+                    return Some(value);
+                }
                 () = sleep_until(check.min(deadline)) => {}
             }
             let now = exchange.instance.now();
@@ -197,12 +207,14 @@
 
 /// Run an attempt and report its end to the gateway.
 pub(crate) async fn run(exchange: &Exchange, attempt: &Attempt, reply: &mut Reply) -> Outcome {
+    let began = exchange.instance.now();
     let running = RunningAttempt {
         exchange,
         attempt,
         has_events: Cell::new(false),
         ended: Cell::new(false),
-        began: exchange.instance.now(),
+        began,
+        last_sign: Cell::new(began),
         progress: Cell::new(Progress::default()),
     };
     let reservations = match reserve_on_helpers(exchange, attempt).await {
--- a/crates/oleanderpass_gateway_io/src/exchange.rs
+++ b/crates/oleanderpass_gateway_io/src/exchange.rs
@@ -36,6 +36,12 @@
 /// configuration and the list of backend servers. An instance reads them within this time.
 const STARTUP_RETRY_AFTER: Millis = Millis::new(400);
 
+/// The cause in the log of a request whose answer was delivered.
+const DELIVERED: &str = "delivered";
+
+/// The cause in the log of a request whose caller left.
+pub(crate) const CALLER_LEFT: &str = "caller_left";
+
 /// One request and its caller.
 pub(crate) struct Exchange {
     pub(crate) instance: SharedInstance,
@@ -160,7 +166,7 @@
                     match attempt::run(self, &attempt, &mut reply).await {
                         Outcome::Undelivered => {}
                         Outcome::Delivered(status) => {
-                            self.log(status, "delivered", None);
+                            self.log(status, DELIVERED, None);
                             return;
                         }
                     }
@@ -208,17 +214,25 @@
             .answers_by_prompt
             .with_label_values(&[prompt_length_label(req.spec.prompt), cause])
             .inc();
+        if req.delivering && cause != DELIVERED && cause != CALLER_LEFT {
+            metrics.cut_streams.with_label_values(&[cause]).inc();
+        }
         metrics
             .request_time
             .with_label_values(&[kind.as_str()])
             .observe(elapsed.get() as f64 / 1_000.0);
+        let gateway = self.instance.gateway.borrow();
+        let in_force = gateway.configuration().map(|config| config.version.get());
         tracing::info!(
             request = %req.spec.id,
             route = %route.name,
             service = %req.admission.service,
             config_version = %req.admission.version,
+            in_force,
+            draining = gateway.is_draining(),
             status,
             cause,
+            last_event = self.last_delivered.get(),
             execution = %req.worst_execution,
             sent = req.sent,
             unsent = req.unsent,
--- a/crates/oleanderpass_gateway_io/src/frontend.rs
+++ b/crates/oleanderpass_gateway_io/src/frontend.rs
@@ -35,6 +35,7 @@
 
 use crate::body::CallerBody;
 use crate::clock::sleep_until;
+use crate::exchange::CALLER_LEFT;
 use crate::exchange::Exchange;
 use crate::exchange::Reply;
 use crate::exchange::instance_answer;
@@ -272,7 +273,7 @@
         tokio::select! {
             biased;
             () = exchange.run(reply) => {}
-            _ = caller_left => exchange.log(0, "caller_left", None),
+            _ = caller_left => exchange.log(0, CALLER_LEFT, None),
         }
     });
     match answer.await {
--- a/crates/oleanderpass_gateway_io/src/metrics.rs
+++ b/crates/oleanderpass_gateway_io/src/metrics.rs
@@ -27,6 +27,9 @@
     pub(crate) answers: IntCounterVec,
     /// Answers to callers, by prompt length and cause.
     pub(crate) answers_by_prompt: IntCounterVec,
+    /// Streams that had begun and ended before they were complete, although the caller had not left,
+    /// by cause.
+    pub(crate) cut_streams: IntCounterVec,
     /// Attempts, by how they ended.
     pub(crate) attempts: IntCounterVec,
     /// Calls to the platform's store, by call and result: the HTTP status, or `failed`.
@@ -68,6 +71,11 @@
                 "Answers to callers by the length of the prompt.",
                 &["prompt", "cause"],
             )?,
+            cut_streams: counter_vec(
+                "cut_streams_total",
+                "Streams that had begun and were not completed.",
+                &["cause"],
+            )?,
             attempts: counter_vec("attempts_total", "Attempts by their end.", &["end"])?,
             store_calls: counter_vec(
                 "store_calls_total",
@@ -111,6 +119,7 @@
         let registry = &metrics.registry;
         registry.register(Box::new(metrics.answers.clone()))?;
         registry.register(Box::new(metrics.answers_by_prompt.clone()))?;
+        registry.register(Box::new(metrics.cut_streams.clone()))?;
         registry.register(Box::new(metrics.attempts.clone()))?;
         registry.register(Box::new(metrics.store_calls.clone()))?;
         registry.register(Box::new(metrics.orders.clone()))?;
