--- a/crates/oleanderpass_gateway/tests/gateway.rs
+++ b/crates/oleanderpass_gateway/tests/gateway.rs
@@ -319,6 +319,21 @@
     assert!(retries >= 40, "the retry budget is hardly used: {retries}");
 }
 
+/// Guards against breaking off a stream at a draining instance because a new configuration came into
+/// force and its server was given up.
+#[test]
+fn draining_instance_goes_on_with_a_running_stream() {
+    let mut gateway = gateway(4);
+    let mut req = begin(&mut gateway, at(0), "/chat/1", 5_000);
+    let first = attempt(gateway.next(at(0), &mut req));
+    gateway.on_sent(&mut req, &first);
+    gateway.begin_drain(at(100), at(7_700), &mut Vec::new());
+    gateway.on_configuration(configuration(2, &[KEY]));
+    gateway.on_attempt_end(at(3_500), &mut req, &first, AttemptEnd::Broken);
+    let second = attempt(gateway.next(at(3_500), &mut req));
+    assert!(gateway.may_send(at(3_500), &req, &second));
+}
+
 /// Guards against a draining instance that admits requests which the end of its process then breaks
 /// off (seen at site `mispill`, run `mix`, seed 399523074786).
 #[test]
