Don't ask a running request for the drain again

Cause: `readmit` asked for the whole admission of a request in flight, and that includes whether a draining instance takes on new requests. A drain is about what begins, not about what runs. Change: `admit` takes on a new request; `authorize`, the part of it that a newer configuration decides, is all that a running request is asked for again.

--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -850,7 +850,7 @@
         (share as u32).max(1)
     }
 
-    /// Check a request against the configuration in force.
+    /// Decide whether to take on a request.
     ///
     /// # Errors
     ///
@@ -862,6 +862,26 @@
         path: &str,
         key: Option<&str>,
         draw: u32,
+    ) -> Result<Admission, Rejection> {
+        let admission = self.authorize(host, path, key, draw)?;
+        let drain = self.drain.as_ref();
+        if drain.is_some_and(|drain| !drain.admits(now, &admission.route)) {
+            return Err(Rejection::Stopping);
+        }
+        Ok(admission)
+    }
+
+    /// Check a request against the configuration in force.
+    ///
+    /// # Errors
+    ///
+    /// Return why the configuration doesn't allow the request.
+    fn authorize(
+        &self,
+        host: &str,
+        path: &str,
+        key: Option<&str>,
+        draw: u32,
     ) -> Result<Admission, Rejection> {
         let config = self.config.as_ref().ok_or(Rejection::NotReady)?;
         if !self.registry.is_complete() {
@@ -871,9 +891,6 @@
         let organisation = config
             .authenticate(route, key)
             .map_err(|_| Rejection::UnknownKey)?;
-        if self.drain.is_some_and(|drain| !drain.admits(now, route)) {
-            return Err(Rejection::Stopping);
-        }
         Ok(Admission {
             version: config.version,
             route: route.clone(),
@@ -922,7 +939,7 @@
 
     /// Decide what to do with a request that has no attempt in flight.
     pub fn next(&mut self, now: Timestamp, req: &mut Request) -> Next {
-        if let Err(rejection) = self.readmit(now, req) {
+        if let Err(rejection) = self.reauthorize(req) {
             return Next::Rejected(rejection);
         }
         if now >= req.spec.deadline {
@@ -1056,9 +1073,9 @@
         Next::Wait(at)
     }
 
-    /// Admit a request again if a newer configuration has come into force. It keeps its service if
-    /// the route still sends requests to it.
-    fn readmit(&self, now: Timestamp, req: &mut Request) -> Result<(), Rejection> {
+    /// Check an admitted request against a newer configuration, if one has come into force. The
+    /// request keeps its service if the route still sends requests to it.
+    fn reauthorize(&self, req: &mut Request) -> Result<(), Rejection> {
         let version = self.config.as_ref().map(|config| config.version);
         if version == Some(req.admission.version) {
             return Ok(());
@@ -1066,7 +1083,7 @@
         let (host, path) = (req.spec.host.clone(), req.spec.path.clone());
         let key = req.spec.key.clone();
         let service = req.admission.service.clone();
-        req.admission = self.admit(now, &host, &path, key.as_deref(), req.draw)?;
+        req.admission = self.authorize(&host, &path, key.as_deref(), req.draw)?;
         if req.admission.route.allows(&service) {
             req.admission.service = service;
         }
