Reproduce answers that are cut while their server pauses

A server that pauses for about a second is given up, and whatever keeps the request from another server then cuts an answer that the first one would have completed. No test had a server that pauses and goes on: the stand-in could only hang for good, break or refuse. No change of the product.

--- a/crates/oleanderpass/tests/gateway.rs
+++ b/crates/oleanderpass/tests/gateway.rs
@@ -23,6 +23,9 @@
 use oleanderpass_platform_stand_in::documents::configuration;
 use oleanderpass_platform_stand_in::store::Mode as StoreMode;
 use oleanderpass_platform_stand_in::store::Store;
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
 use test_case::test_case;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -37,6 +40,12 @@
 /// The memory that the process may use, in bytes.
 const MEMORY: u64 = 64 << 20;
 
+/// The pause of an engine. It is longer than the gateway's timeout for the next event.
+const ENGINE_PAUSE: Duration = Duration::from_millis(1_300);
+
+/// The pause of an engine that has died. It outlasts each request.
+const FOREVER: Duration = Duration::from_secs(60);
+
 const CALLER_PORT: u16 = 18_227;
 const METRICS_PORT: u16 = 18_464;
 const PEER_PORT: u16 = 17_340;
@@ -109,6 +118,12 @@
         SocketAddr::new(self.ip, CALLER_PORT)
     }
 
+    /// Send a signal to the process.
+    fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(i32::try_from(self.child.id()).unwrap()).unwrap();
+        kill_process(pid, signal).unwrap();
+    }
+
     /// Return the most memory that the process has used, in bytes.
     fn peak_memory(&self) -> u64 {
         let path = format!("/proc/{}/status", self.child.id());
@@ -323,3 +338,55 @@
         gateway.peak_memory()
     );
 }
+
+/// Guards against a stream that is cut because its engine pauses or dies while the process stops and
+/// a new configuration has come into force.
+#[test_case(18, true, false, ENGINE_PAUSE; "SIGTERM")]
+#[test_case(19, false, true, ENGINE_PAUSE; "a new configuration")]
+#[test_case(20, true, true, ENGINE_PAUSE; "SIGTERM and a new configuration")]
+#[test_case(21, true, true, FOREVER; "SIGTERM and a new configuration and a dead engine")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stopping_gateway_completes_the_stream_of_a_silent_engine(
+    number: u8,
+    stops: bool,
+    reconfigures: bool,
+    length: Duration,
+) {
+    const EVENTS: u64 = 8;
+    // The engine pauses before the last event, when a stopping instance no longer admits streams.
+    const GAP: Duration = Duration::from_millis(400);
+    let gateway = Gateway::start(number).await;
+    let pause = Mode::Pause {
+        event: EVENTS - 1,
+        length,
+    };
+    for engine in &gateway.engines {
+        engine.set_stream(EVENTS, GAP);
+        engine.set_mode(pause);
+    }
+    let mut call = Call::new("a1", "/chat/7");
+    call.timeout_ms = 9_000;
+    let addr = gateway.caller_addr();
+    let call = tokio::spawn(async move { call.send(addr).await.unwrap() });
+    let has_arrived = || gateway.engines.iter().any(|e| !e.arrivals().is_empty());
+    let start = Instant::now();
+    while !has_arrived() {
+        assert!(start.elapsed() < WAIT_LIMIT, "the stream does not begin");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    // Only the stream in progress pauses.
+    let engines = gateway.engines.iter();
+    engines.for_each(|engine| engine.set_mode(Mode::Healthy));
+    if stops {
+        gateway.signal(Signal::TERM);
+    }
+    if reconfigures {
+        gateway.store.put_configuration(&configuration(8, &[KEY]));
+    }
+    let answer = call.await.unwrap();
+    let expected: String = (0..EVENTS)
+        .map(|n| format!("id: {n}\ndata: token {n}\n\n"))
+        .collect();
+    assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+    assert_eq!(answer.body, expected);
+}
