Keep a silent attempt until another one has an answer

What callers saw: streams cut in the middle, and calls answered with 500, 502 or 504, although their server only paused for about a second and went on. The class of fault is giving up an answer before anything that replaces it is certain. Change: a silent attempt is kept. A hedge that fails, or can't begin, leaves the first attempt as it is and is tried again while the route and the budget allow it. `hedge.rs` has the state, without network; each attempt has its own record of how its events arrived. A server that is found gone gets its hedge at once, as before. Costs: both servers work for the overlap.

--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -43,6 +43,7 @@
 use crate::engine::EngineModel;
 use crate::health::Health;
 use crate::health::Observation;
+use crate::hedge::Attempts;
 use crate::load::AttemptId;
 use crate::load::AttemptLoad;
 use crate::load::LoadTracker;
@@ -184,6 +185,17 @@
     pub signature: Signature,
 }
 
+/// How the events of one attempt arrived.
+#[derive(Clone, Copy, Debug, Default)]
+struct Arrivals {
+    /// When the first event arrived.
+    first: Option<Timestamp>,
+    /// The number of arrivals.
+    count: u32,
+    /// Whether the answer is known to have gone on after its start.
+    goes_on: bool,
+}
+
 /// A request in flight.
 #[derive(Debug)]
 pub struct Request {
@@ -209,12 +221,10 @@
     helper_failures: u32,
     /// The random number that chose the service.
     draw: u32,
-    /// When the first event of the current attempt arrived.
-    first_event: Option<Timestamp>,
-    /// The number of arrivals of events of the current attempt.
-    arrivals: u32,
-    /// Whether the answer of the current attempt is known to have gone on after its start.
-    goes_on: bool,
+    /// The attempts in flight.
+    pub attempts: Attempts,
+    /// How the events of the attempts in flight arrived.
+    arrivals: IndexMap<AttemptId, Arrivals>,
     /// Whether the request tries out a refused part of its prompt.
     is_part_trial: bool,
 }
@@ -333,6 +343,8 @@
     Oversized,
     /// The server stayed silent for too long.
     Silent,
+    /// Another attempt, which ran beside this one, had something new for the caller first.
+    Superseded,
     /// The caller closed its connection, or the deadline passed.
     Cancelled,
 }
@@ -914,9 +926,8 @@
             retry_server: None,
             helper_failures: 0,
             draw,
-            first_event: None,
-            arrivals: 0,
-            goes_on: false,
+            attempts: Attempts::default(),
+            arrivals: IndexMap::new(),
             is_part_trial: false,
         };
         let engine = self
@@ -937,6 +948,19 @@
         self.rng.random()
     }
 
+    /// Return an attempt to run beside one whose server is silent, or `None` if no other server can
+    /// get the request now. The silent attempt goes on in either case.
+    pub fn hedge(&mut self, now: Timestamp, req: &mut Request) -> Option<Box<Attempt>> {
+        if !req.attempts.has_hedge()
+            && self.may_hedge(req)
+            && let Next::Send(attempt) = self.next(now, req)
+        {
+            return Some(attempt);
+        }
+        req.attempts.on_no_hedge(now);
+        None
+    }
+
     /// Decide what to do with a request that has no attempt in flight.
     pub fn next(&mut self, now: Timestamp, req: &mut Request) -> Next {
         if let Err(rejection) = self.reauthorize(req) {
@@ -1155,7 +1179,7 @@
         let service = &req.admission.service;
         let mut candidates = self.candidates(now, service);
         let untried = |c: &Candidate| req.retry_server.is_some() || !req.tried.contains(&c.key);
-        if candidates.iter().any(untried) {
+        if req.attempts.is_running() || candidates.iter().any(untried) {
             candidates.retain(untried);
         }
         let config = self.config.clone()?;
@@ -1286,9 +1310,8 @@
             self.load.add(helper.key, id, helper_load);
         }
         req.tried.push(plan.primary);
-        req.first_event = None;
-        req.arrivals = 0;
-        req.goes_on = false;
+        req.attempts.begin(id);
+        req.arrivals.insert(id, Arrivals::default());
         let counts_against_limit = self.server_limits.take(now, plan.primary);
         Some(Attempt {
             id,
@@ -1338,10 +1361,10 @@
         req.sent -= 1;
     }
 
-    /// Return whether the attempt at the current server may be given up for one at another server.
-    pub fn may_abandon(&self, req: &Request) -> bool {
-        let route = &req.admission.route;
-        route.kind.may_repeat() && req.sent < route.max_attempts && !self.budget.is_empty()
+    /// Return whether another server may run the request beside the current one or after it.
+    pub fn may_hedge(&self, req: &Request) -> bool {
+        let may_repeat = req.admission.route.kind.may_repeat();
+        may_repeat && bar(req).is_none() && !self.budget.is_empty()
     }
 
     /// Record the limit on its request rate that a server named in an answer, or `None` if it named
@@ -1376,24 +1399,35 @@
         self.load.on_first_event(attempt.plan.keys(), attempt.id);
     }
 
-    /// Record that events of the current attempt arrived.
-    pub fn on_events(&mut self, now: Timestamp, req: &mut Request) {
-        let first = *req.first_event.get_or_insert(now);
-        req.arrivals += 1;
-        let goes_on = now.since(first) >= START_TIME && req.arrivals >= START_ARRIVALS;
-        if goes_on && !req.goes_on {
+    /// Record that events of an attempt arrived.
+    pub fn on_events(&mut self, now: Timestamp, req: &mut Request, attempt: &Attempt) {
+        let arrivals = req.arrivals.entry(attempt.id).or_default();
+        let first = *arrivals.first.get_or_insert(now);
+        arrivals.count += 1;
+        let goes_on = now.since(first) >= START_TIME && arrivals.count >= START_ARRIVALS;
+        if goes_on && !arrivals.goes_on {
+            arrivals.goes_on = true;
             self.on_answer_goes_on(now, req, first);
         }
     }
 
-    /// Record that the answer of the current attempt, which began at `first`, went on after its
-    /// start.
-    fn on_answer_goes_on(&mut self, now: Timestamp, req: &mut Request, first: Timestamp) {
-        req.goes_on = true;
+    /// Record that an answer that began at `first` went on after its start.
+    fn on_answer_goes_on(&mut self, now: Timestamp, req: &Request, first: Timestamp) {
         let parts = &req.spec.shared_parts;
         self.bulletin_pending |= self.crashes.on_answer_goes_on(now, first, parts);
     }
 
+    /// Record that the server of an attempt has been silent for too long. Return whether that is
+    /// new.
+    pub fn on_silent(&mut self, now: Timestamp, req: &mut Request, attempt: &Attempt) -> bool {
+        let is_new = req.attempts.on_silent();
+        if is_new {
+            let health = self.health.entry(attempt.plan.primary).or_default();
+            health.record(now, Observation::Silent);
+        }
+        is_new
+    }
+
     /// Return how to connect to a server.
     pub fn way(&self, key: BackendKey) -> Way {
         self.reach.way(key)
@@ -1503,6 +1537,8 @@
         end: AttemptEnd,
     ) {
         self.load.remove(attempt.plan.keys(), attempt.id);
+        req.attempts.on_end(now, attempt.id);
+        let arrivals = req.arrivals.swap_remove(&attempt.id).unwrap_or_default();
         let execution = match end {
             AttemptEnd::NotSent
             | AttemptEnd::StaleConnection
@@ -1513,6 +1549,7 @@
             AttemptEnd::Broken
             | AttemptEnd::Oversized
             | AttemptEnd::Silent
+            | AttemptEnd::Superseded
             | AttemptEnd::Cancelled => Execution::Unknown,
             AttemptEnd::Completed | AttemptEnd::Failed => Execution::Ran,
         };
@@ -1529,6 +1566,7 @@
             | AttemptEnd::Refused
             | AttemptEnd::NoMemory
             | AttemptEnd::HelperFailed
+            | AttemptEnd::Superseded
             | AttemptEnd::Cancelled => None,
         };
         // A server that could not be reached is gone only if peers can't reach it either.
@@ -1565,12 +1603,12 @@
             AttemptEnd::Completed => {
                 self.absences.remove(attempt.plan.primary);
                 self.crashes.on_finished(now, req.spec.signature);
-                if let Some(first) = req.first_event.filter(|_| !req.goes_on) {
+                if let Some(first) = arrivals.first.filter(|_| !arrivals.goes_on) {
                     self.on_answer_goes_on(now, req, first);
                 }
             }
             AttemptEnd::Broken => {
-                let at_start = !req.goes_on;
+                let at_start = !arrivals.goes_on;
                 self.crashes
                     .on_broken(now, &attempt.primary, &req.spec, at_start);
             }
@@ -1578,7 +1616,10 @@
         }
         if matches!(end, AttemptEnd::StaleConnection | AttemptEnd::NoMemory) {
             // The server is not at fault, so it may be tried again.
-            req.tried.pop();
+            let key = attempt.plan.primary;
+            if let Some(index) = req.tried.iter().rposition(|tried| *tried == key) {
+                req.tried.remove(index);
+            }
         }
     }
 }
--- a/crates/oleanderpass_gateway/src/lib.rs
+++ b/crates/oleanderpass_gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod engine;
 pub mod gateway;
 pub mod health;
+pub mod hedge;
 pub mod load;
 pub mod memory;
 pub mod outcome;
--- a/crates/oleanderpass_gateway/src/silence.rs
+++ b/crates/oleanderpass_gateway/src/silence.rs
@@ -1,5 +1,5 @@
-//! Limit how long an attempt waits for a silent backend server while another server may still run
-//! the request.
+//! Decide how long a backend server may be silent before another attempt begins beside the one that
+//! it runs.
 
 use oleanderpass_types::clock::Millis;
 
@@ -33,7 +33,7 @@
 /// queue is not silent.
 const FIRST_EVENT_EXPECTED_TIMES: u64 = 3;
 
-/// Return how long a server may be silent before its attempt is given up. `has_events` tells
+/// Return how long a server may be silent before another attempt begins. `has_events` tells
 /// whether the first event of a stream has arrived, and `expected` is the expected time to that
 /// event.
 pub fn timeout(route: &Route, has_events: bool, expected: Millis) -> Millis {
--- a/crates/oleanderpass_gateway/tests/common/engines.rs
+++ b/crates/oleanderpass_gateway/tests/common/engines.rs
@@ -569,7 +569,7 @@
             return;
         };
         let gateway = &mut self.gateways[run.instance];
-        gateway.on_events(at(self.now), &mut run.req);
+        gateway.on_events(at(self.now), &mut run.req, current);
         gateway.on_first_event(current);
         run.req.delivering = true;
         run.began = true;
--- a/crates/oleanderpass_gateway/tests/common/fleet.rs
+++ b/crates/oleanderpass_gateway/tests/common/fleet.rs
@@ -765,7 +765,7 @@
         else {
             return;
         };
-        gateway.on_events(now, &mut run.req);
+        gateway.on_events(now, &mut run.req, current);
         if events == 1 {
             let limit = self.engines[run.server].limit;
             gateway.on_server_limit(now, current.plan.primary, limit);
--- a/crates/oleanderpass_gateway/tests/gateway.rs
+++ b/crates/oleanderpass_gateway/tests/gateway.rs
@@ -134,8 +134,8 @@
         req.spec.shared_parts = vec![part];
         let crashed = attempt(gateway.next(now, &mut req));
         gateway.on_sent(&mut req, &crashed);
-        gateway.on_events(now + Millis::new(100), &mut req);
-        gateway.on_events(now + Millis::new(900), &mut req);
+        gateway.on_events(now + Millis::new(100), &mut req, &crashed);
+        gateway.on_events(now + Millis::new(900), &mut req, &crashed);
         let end = now + Millis::new(1_200);
         gateway.on_attempt_end(end, &mut req, &crashed, AttemptEnd::Broken);
         restart(&mut gateway, end, &crashed, number + 2);
@@ -334,6 +334,104 @@
     assert!(gateway.may_send(at(3_500), &req, &second));
 }
 
+/// Return a stream whose server has sent events and is silent, and its attempt.
+fn silent_stream(gateway: &mut Gateway) -> (Request, Attempt) {
+    let mut req = begin(gateway, at(0), "/chat/1", 5_000);
+    let first = attempt(gateway.next(at(0), &mut req));
+    gateway.on_sent(&mut req, &first);
+    gateway.on_events(at(100), &mut req, &first);
+    req.delivering = true;
+    assert!(gateway.on_silent(at(1_100), &mut req, &first));
+    (req, first)
+}
+
+/// Guards against giving up an answer that has begun for a server that then refuses, can't be
+/// reached or is silent too.
+#[test_case(AttemptEnd::Refused, true)]
+#[test_case(AttemptEnd::NotSent, false)]
+#[test_case(AttemptEnd::HelperFailed, true)]
+#[test_case(AttemptEnd::Failed, true)]
+#[test_case(AttemptEnd::Broken, true)]
+#[test_case(AttemptEnd::Silent, true)]
+fn silent_answer_outlives_a_failed_hedge(end: AttemptEnd, is_sent: bool) {
+    let mut gateway = gateway(4);
+    let (mut req, first) = silent_stream(&mut gateway);
+    let hedge = gateway.hedge(at(1_100), &mut req).unwrap();
+    assert_ne!(hedge.primary.id, first.primary.id);
+    if is_sent {
+        gateway.on_sent(&mut req, &hedge);
+    }
+    gateway.on_attempt_end(at(1_150), &mut req, &hedge, end);
+    assert!(
+        req.attempts.on_answer(first.id),
+        "the first server was given up"
+    );
+}
+
+/// Guards against giving up an answer that has begun because no other server may get the request.
+#[test_case("no other server")]
+#[test_case("revoked key")]
+#[test_case("draining instance")]
+fn silent_answer_goes_on_without_a_hedge(reason: &str) {
+    let mut gateway = gateway(if reason == "no other server" { 1 } else { 4 });
+    let (mut req, first) = silent_stream(&mut gateway);
+    match reason {
+        "revoked key" => assert!(gateway.on_configuration(configuration(2, &["other"]))),
+        "draining instance" => gateway.begin_drain(at(200), at(7_800), &mut Vec::new()),
+        _ => {}
+    }
+    let hedge = gateway.hedge(at(5_000), &mut req);
+    assert_eq!(hedge.is_some(), reason == "draining instance");
+    assert!(
+        req.attempts.on_answer(first.id),
+        "the first server was given up"
+    );
+}
+
+/// Guards against two answers in one, and against an answer of the server that was slower.
+#[test]
+fn first_attempt_with_an_answer_supersedes_the_other() {
+    for hedge_is_first in [true, false] {
+        let mut gateway = gateway(4);
+        let (mut req, first) = silent_stream(&mut gateway);
+        let hedge = gateway.hedge(at(1_100), &mut req).unwrap();
+        gateway.on_sent(&mut req, &hedge);
+        let (winner, loser) = match hedge_is_first {
+            true => (&*hedge, &first),
+            false => (&first, &*hedge),
+        };
+        assert!(req.attempts.on_answer(winner.id));
+        assert!(!req.attempts.on_answer(loser.id));
+        assert!(req.attempts.is_superseded(loser.id));
+        gateway.on_attempt_end(at(1_200), &mut req, loser, AttemptEnd::Superseded);
+        assert!(req.attempts.is_lead(winner.id));
+    }
+}
+
+/// Guards against a request that ends with the connection of its first server although a second one
+/// runs it.
+#[test]
+fn hedge_goes_on_when_the_silent_server_breaks_off() {
+    let mut gateway = gateway(4);
+    let (mut req, first) = silent_stream(&mut gateway);
+    let hedge = gateway.hedge(at(1_100), &mut req).unwrap();
+    gateway.on_sent(&mut req, &hedge);
+    gateway.on_attempt_end(at(1_200), &mut req, &first, AttemptEnd::Broken);
+    assert!(req.attempts.is_lead(hedge.id));
+    assert!(req.attempts.on_answer(hedge.id));
+}
+
+/// Guards against a second run of what may run only once.
+#[test]
+fn non_idempotent_request_gets_no_hedge() {
+    let mut gateway = gateway(4);
+    let mut req = begin(&mut gateway, at(0), "/order/1", 0);
+    let first = attempt(gateway.next(at(0), &mut req));
+    gateway.on_sent(&mut req, &first);
+    gateway.on_silent(at(1_100), &mut req, &first);
+    assert!(gateway.hedge(at(1_100), &mut req).is_none());
+}
+
 /// Guards against a draining instance that admits requests which the end of its process then breaks
 /// off (seen at site `mispill`, run `mix`, seed 399523074786).
 #[test]
--- a/crates/oleanderpass_gateway_io/src/attempt.rs
+++ b/crates/oleanderpass_gateway_io/src/attempt.rs
@@ -4,16 +4,14 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use http::HeaderMap;
 use http::Request;
 use http::Response;
-use http::StatusCode;
+use http::response::Parts;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use oleanderpass_gateway::gateway::Attempt;
 use oleanderpass_gateway::gateway::AttemptEnd;
-use oleanderpass_gateway::route::RouteKind;
 use oleanderpass_gateway::silence;
 use oleanderpass_gateway::silence::ANSWER_GRACE;
 use oleanderpass_platform::answer;
@@ -32,7 +30,6 @@
 use crate::events::EventSplitter;
 use crate::events::StreamError;
 use crate::exchange::Exchange;
-use crate::exchange::Reply;
 use crate::exchange::build_answer;
 use crate::metrics::prompt_length_label;
 use crate::pieces::Pieces;
@@ -111,17 +108,43 @@
             end,
         );
         if matches!(end, AttemptEnd::Broken | AttemptEnd::Silent) {
-            reach::check(
-                instance.clone(),
-                self.attempt.plan.primary,
-                self.attempt.primary.addr,
-            );
+            self.check_reach();
         }
         let label = end.to_string();
         instance.metrics.attempts.with_label_values(&[&label]).inc();
         instance.load_changed.notify_one();
     }
 
+    /// Check in the background whether the server still accepts connections.
+    fn check_reach(&self) {
+        reach::check(
+            self.exchange.instance.clone(),
+            self.attempt.plan.primary,
+            self.attempt.primary.addr,
+        );
+    }
+
+    /// Record that the server is silent. The attempt goes on, and another one may begin beside it.
+    fn on_silent(&self) {
+        let exchange = self.exchange;
+        let now = exchange.instance.now();
+        let is_new = {
+            let mut gateway = exchange.instance.gateway.borrow_mut();
+            gateway.on_silent(now, &mut exchange.req.borrow_mut(), self.attempt)
+        };
+        if is_new {
+            tracing::info!(
+                request = %exchange.req.borrow().spec.id,
+                server = %self.attempt.primary.id,
+                silent_ms = now.since(self.last_sign.get()).get(),
+                last_event = exchange.last_delivered.get(),
+                "a backend server is silent"
+            );
+            self.check_reach();
+            exchange.attempts_changed.notify_one();
+        }
+    }
+
     /// Record that `count` whole events of the stream arrived.
     fn on_events(&self, count: usize) {
         let now = self.exchange.instance.now();
@@ -139,7 +162,9 @@
         self.progress.set(progress);
         let req = &self.exchange.req;
         let gateway = &self.exchange.instance.gateway;
-        gateway.borrow_mut().on_events(now, &mut req.borrow_mut());
+        gateway
+            .borrow_mut()
+            .on_events(now, &mut req.borrow_mut(), self.attempt);
         if self.has_events.replace(true) {
             return;
         }
@@ -158,8 +183,8 @@
         }
     }
 
-    /// Wait for `step`. Return `None` once the deadline has passed, or if the server is silent for
-    /// too long and another server may run the request instead.
+    /// Wait for `step`. Return `None` once the deadline has passed, or if this attempt is a hedge
+    /// whose server is silent too and yet another one may run the request.
     async fn wait<T>(&self, step: impl Future<Output = T>) -> Option<T> {
         tokio::pin!(step);
         let exchange = self.exchange;
@@ -189,11 +214,21 @@
             if now >= deadline {
                 return None;
             }
-            let gateway = exchange.instance.gateway.borrow();
-            let is_lost = now >= silence_end || gateway.is_gone(now, self.attempt.plan.primary);
-            // If no other server may run the request, wait for this one until the deadline.
-            if is_lost && gateway.may_abandon(&exchange.req.borrow()) {
-                return None;
+            let (is_silent, is_lead, may_hedge) = {
+                let gateway = exchange.instance.gateway.borrow();
+                let req = exchange.req.borrow();
+                let is_gone = gateway.is_gone(now, self.attempt.plan.primary);
+                let is_lead = req.attempts.is_lead(self.attempt.id);
+                (
+                    now >= silence_end || is_gone,
+                    is_lead,
+                    gateway.may_hedge(&req),
+                )
+            };
+            match (is_silent && may_hedge, is_lead) {
+                (false, _) => {}
+                (true, true) => self.on_silent(),
+                (true, false) => return None,
             }
         }
     }
@@ -201,12 +236,18 @@
 
 impl Drop for RunningAttempt<'_> {
     fn drop(&mut self) {
-        self.end(AttemptEnd::Cancelled);
+        let attempts = self.exchange.req.borrow().attempts;
+        self.end(if attempts.is_superseded(self.attempt.id) {
+            AttemptEnd::Superseded
+        } else {
+            AttemptEnd::Cancelled
+        });
     }
 }
 
 /// Run an attempt and report its end to the gateway.
-pub(crate) async fn run(exchange: &Exchange, attempt: &Attempt, reply: &mut Reply) -> Outcome {
+pub(crate) async fn run(exchange: &Exchange, attempt: Box<Attempt>) -> Outcome {
+    let attempt = &*attempt;
     let began = exchange.instance.now();
     let running = RunningAttempt {
         exchange,
@@ -237,14 +278,7 @@
             return Outcome::Undelivered;
         }
     };
-    let sending = send(
-        exchange,
-        attempt,
-        &running,
-        &mut connection,
-        &reservations,
-        reply,
-    );
+    let sending = send(exchange, attempt, &running, &mut connection, &reservations);
     let event_count = || running.progress.get().events;
     let result = tokio::select! {
         biased;
@@ -332,7 +366,6 @@
     running: &RunningAttempt<'_>,
     connection: &mut Connection,
     reservations: &[Option<Reservation>],
-    reply: &mut Reply,
 ) -> Result<Answered, AttemptEnd> {
     let instance = &exchange.instance;
     // Nothing was sent and the server is not at fault, so a request that can't be encoded ends its
@@ -376,7 +409,7 @@
     }
     let kind = exchange.req.borrow().admission.route.kind;
     if answer.status().is_success() && kind.is_stream() {
-        let end = relay(exchange, running, &head, answer, reply).await?;
+        let end = relay(exchange, running, &head, answer).await?;
         return Ok((Outcome::Delivered(head.status), end, head));
     }
     let (parts, body) = answer.into_parts();
@@ -389,14 +422,14 @@
         return Err(record_refusal(exchange, attempt, &head));
     }
     if !parts.status.is_success() {
-        let may_retry = parts.status.is_server_error() && exchange.may_abandon();
+        let may_retry = parts.status.is_server_error() && exchange.may_go_on();
         if may_retry {
             return Err(AttemptEnd::Failed);
         }
-        deliver(reply, parts.status, &parts.headers, body);
+        deliver(exchange, attempt, parts, body).await;
         return Ok((Outcome::Delivered(head.status), AttemptEnd::Failed, head));
     }
-    deliver(reply, parts.status, &parts.headers, body);
+    deliver(exchange, attempt, parts, body).await;
     Ok((Outcome::Delivered(head.status), AttemptEnd::Completed, head))
 }
 
@@ -485,9 +518,14 @@
 }
 
 /// Send a complete answer to the caller.
-fn deliver(reply: &mut Reply, status: StatusCode, headers: &HeaderMap, body: Pieces) {
-    let headers = answer::caller_headers(headers);
-    reply.finish(build_answer(status, headers, CallerBody::Complete(body)));
+async fn deliver(exchange: &Exchange, attempt: &Attempt, head: Parts, body: Pieces) {
+    exchange.claim(attempt).await;
+    let headers = answer::caller_headers(&head.headers);
+    exchange.finish(build_answer(
+        head.status,
+        headers,
+        CallerBody::Complete(body),
+    ));
 }
 
 /// Relay a stream of events to the caller. Only whole events are sent, so that another server can
@@ -497,7 +535,6 @@
     running: &RunningAttempt<'_>,
     head: &AnswerHead,
     answer: Response<Incoming>,
-    reply: &mut Reply,
 ) -> Result<AttemptEnd, AttemptEnd> {
     let (parts, mut body) = answer.into_parts();
     let last = exchange.last_delivered.get().or(exchange.last_event);
@@ -539,15 +576,16 @@
             }
         })?;
         if count > 0 {
+            exchange.claim(running.attempt).await;
             running.on_events(count);
-            reply.begin_stream(parts.status, answer::caller_headers(&parts.headers));
+            exchange.begin_stream(parts.status, answer::caller_headers(&parts.headers));
             exchange.last_delivered.set(events.last());
-            reply.send(StreamChunk::Data(whole)).await;
+            exchange.send(StreamChunk::Data(whole)).await;
         }
     }
-    reply.begin_stream(parts.status, answer::caller_headers(&parts.headers));
-    reply.send(StreamChunk::End).await;
-    *reply = Reply::Done;
+    exchange.claim(running.attempt).await;
+    exchange.begin_stream(parts.status, answer::caller_headers(&parts.headers));
+    exchange.send(StreamChunk::End).await;
     Ok(AttemptEnd::Completed)
 }
 
@@ -587,10 +625,9 @@
 }
 
 impl Exchange {
-    /// Return whether another attempt may follow one that the server may have run.
-    fn may_abandon(&self) -> bool {
+    /// Return whether another attempt is in flight or may follow one that the server may have run.
+    fn may_go_on(&self) -> bool {
         let req = self.req.borrow();
-        let kind = req.admission.route.kind;
-        kind != RouteKind::NonIdempotent && self.instance.gateway.borrow().may_abandon(&req)
+        req.attempts.has_hedge() || self.instance.gateway.borrow().may_hedge(&req)
     }
 }
--- a/crates/oleanderpass_gateway_io/src/exchange.rs
+++ b/crates/oleanderpass_gateway_io/src/exchange.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::pin::Pin;
 
 use bytes::Bytes;
 use http::HeaderMap;
@@ -9,9 +10,11 @@
 use http::Response;
 use http::StatusCode;
 use http::Uri;
+use oleanderpass_gateway::gateway::Attempt;
 use oleanderpass_gateway::gateway::Next;
 use oleanderpass_gateway::gateway::Rejection;
 use oleanderpass_gateway::gateway::Request;
+use oleanderpass_gateway::load::AttemptId;
 use oleanderpass_gateway::memory::Share;
 use oleanderpass_gateway::outcome::BAD_GATEWAY;
 use oleanderpass_gateway::outcome::Execution;
@@ -19,6 +22,7 @@
 use oleanderpass_platform::answer;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::clock::Timestamp;
+use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
@@ -57,6 +61,10 @@
     pub(crate) last_event: Option<u64>,
     /// The last event that was sent to the caller for this request.
     pub(crate) last_delivered: Cell<Option<u64>>,
+    /// The state of the answer to the caller.
+    pub(crate) reply: RefCell<Reply>,
+    /// Notified when a server falls silent, and when an attempt supersedes another one.
+    pub(crate) attempts_changed: Notify,
 }
 
 /// The state of the answer to the caller.
@@ -75,7 +83,7 @@
 impl Reply {
     /// Send a complete answer if nothing has been sent yet. A stream that has begun is broken off
     /// instead.
-    pub(crate) fn finish(&mut self, answer: Response<CallerBody>) {
+    fn finish(&mut self, answer: Response<CallerBody>) {
         if let Self::Waiting { head } = std::mem::replace(self, Self::Done)
             && head.send(answer).is_err()
         {
@@ -84,7 +92,7 @@
     }
 
     /// Send the head of a stream if nothing has been sent yet.
-    pub(crate) fn begin_stream(&mut self, status: StatusCode, headers: HeaderMap) {
+    fn begin_stream(&mut self, status: StatusCode, headers: HeaderMap) {
         match std::mem::replace(self, Self::Done) {
             Self::Waiting { head } => {
                 let (tx, body) = CallerBody::stream();
@@ -96,25 +104,6 @@
             other => *self = other,
         }
     }
-
-    /// Send a chunk of a stream, once the caller has read enough of the earlier ones. If the caller
-    /// has left, the chunk is dropped; the task of the exchange is then stopped.
-    pub(crate) async fn send(&mut self, chunk: StreamChunk) {
-        let Self::Streaming(tx) = self else {
-            return;
-        };
-        let is_large = matches!(&chunk, StreamChunk::Data(data) if data.len() > PIECE_BYTES);
-        // A large chunk waits until the caller has taken all earlier ones.
-        let room = if is_large { MAX_QUEUED_CHUNKS } else { 1 };
-        match tx.reserve_many(room).await {
-            Ok(mut permits) => {
-                if let Some(permit) = permits.next() {
-                    permit.send(chunk);
-                }
-            }
-            Err(_) => tracing::debug!("the caller left during its stream"),
-        }
-    }
 }
 
 /// Build an answer from its parts.
@@ -152,25 +141,109 @@
     instance_answer(status, request, retry_after, &rejection.to_string())
 }
 
+/// An attempt in progress.
+struct InFlight<'a> {
+    id: AttemptId,
+    outcome: Pin<Box<dyn Future<Output = Outcome> + 'a>>,
+}
+
+/// Wait for the outcome of an attempt, or forever if there is none.
+async fn outcome_of(attempt: &mut Option<InFlight<'_>>) -> Outcome {
+    match attempt {
+        Some(attempt) => attempt.outcome.as_mut().await,
+        None => std::future::pending().await,
+    }
+}
+
 impl Exchange {
     /// Serve the request until the caller has an answer.
-    pub(crate) async fn run(&self, mut reply: Reply) {
+    pub(crate) async fn run(&self) {
+        let mut lead = None;
+        // Runs beside the lead while the server of the lead is silent.
+        let mut hedge = None;
+        loop {
+            if lead.is_none() {
+                match self.begin_next().await {
+                    Some(attempt) => lead = Some(attempt),
+                    None => return,
+                }
+            }
+            let hedge_due = {
+                let attempts = &self.req.borrow().attempts;
+                attempts.hedge_due(self.instance.now())
+            };
+            let outcome = tokio::select! {
+                biased;
+                outcome = outcome_of(&mut lead) => {
+                    lead = hedge.take();
+                    outcome
+                }
+                outcome = outcome_of(&mut hedge) => {
+                    hedge = None;
+                    outcome
+                }
+                () = self.attempts_changed.notified() => {
+                    self.drop_superseded(&mut lead, &mut hedge);
+                    Outcome::Undelivered
+                }
+                () = sleep_until(hedge_due.unwrap_or_default()), if hedge_due.is_some() => {
+                    hedge = self.begin_hedge();
+                    Outcome::Undelivered
+                }
+            };
+            if let Outcome::Delivered(status) = outcome {
+                self.log(status, DELIVERED, None);
+                return;
+            }
+        }
+    }
+
+    /// Drop the attempt that another one has superseded. The remaining one is the lead.
+    fn drop_superseded<'a>(
+        &self,
+        lead: &mut Option<InFlight<'a>>,
+        hedge: &mut Option<InFlight<'a>>,
+    ) {
+        let is_superseded = |attempt: &mut InFlight<'a>| {
+            let attempts = &self.req.borrow().attempts;
+            attempts.is_superseded(attempt.id)
+        };
+        // An attempt reports its end when it is dropped, which changes the request.
+        let dropped = lead.take_if(is_superseded);
+        if dropped.is_some() {
+            *lead = hedge.take();
+        } else {
+            drop(hedge.take_if(is_superseded));
+        }
+    }
+
+    /// Begin an attempt beside the lead, if another server may get the request now.
+    fn begin_hedge(&self) -> Option<InFlight<'_>> {
+        let attempt = {
+            let mut gateway = self.instance.gateway.borrow_mut();
+            gateway.hedge(self.instance.now(), &mut self.req.borrow_mut())
+        };
+        attempt.map(|attempt| self.begin(attempt))
+    }
+
+    fn begin(&self, attempt: Box<Attempt>) -> InFlight<'_> {
+        self.instance.load_changed.notify_one();
+        InFlight {
+            id: attempt.id,
+            outcome: Box::pin(attempt::run(self, attempt)),
+        }
+    }
+
+    /// Begin the next attempt of a request that has none in flight. Return `None` once the request
+    /// has ended.
+    async fn begin_next(&self) -> Option<InFlight<'_>> {
         loop {
             let next = {
                 let mut gateway = self.instance.gateway.borrow_mut();
                 gateway.next(self.instance.now(), &mut self.req.borrow_mut())
             };
             match next {
-                Next::Send(attempt) => {
-                    self.instance.load_changed.notify_one();
-                    match attempt::run(self, &attempt, &mut reply).await {
-                        Outcome::Undelivered => {}
-                        Outcome::Delivered(status) => {
-                            self.log(status, DELIVERED, None);
-                            return;
-                        }
-                    }
-                }
+                Next::Send(attempt) => return Some(self.begin(attempt)),
                 Next::Wait(at) => sleep_until(at).await,
                 Next::End {
                     status,
@@ -180,8 +253,8 @@
                     let cause = cause.to_string();
                     self.log(status, &cause, retry_after);
                     let id = self.req.borrow().spec.id.clone();
-                    reply.finish(instance_answer(status, &id, retry_after, &cause));
-                    return;
+                    self.finish(instance_answer(status, &id, retry_after, &cause));
+                    return None;
                 }
                 Next::Rejected(rejection) => {
                     self.log(0, &rejection.to_string(), None);
@@ -191,13 +264,59 @@
                         Execution::NotRun => rejection_answer(rejection, &id),
                         _ => instance_answer(BAD_GATEWAY, &id, None, "the configuration changed"),
                     };
-                    reply.finish(answer);
-                    return;
+                    self.finish(answer);
+                    return None;
                 }
             }
         }
     }
 
+    /// Send a complete answer to the caller if nothing has been sent yet. A stream that has begun is
+    /// broken off instead.
+    pub(crate) fn finish(&self, answer: Response<CallerBody>) {
+        self.reply.borrow_mut().finish(answer);
+    }
+
+    /// Send the head of a stream to the caller if nothing has been sent yet.
+    pub(crate) fn begin_stream(&self, status: StatusCode, headers: HeaderMap) {
+        self.reply.borrow_mut().begin_stream(status, headers);
+    }
+
+    /// Send a chunk of a stream, once the caller has read enough of the earlier ones. If the caller
+    /// has left, the chunk is dropped; the task of the exchange is then stopped.
+    pub(crate) async fn send(&self, chunk: StreamChunk) {
+        let tx = match &*self.reply.borrow() {
+            Reply::Streaming(tx) => tx.clone(),
+            Reply::Waiting { .. } | Reply::Done => return,
+        };
+        let is_large = matches!(&chunk, StreamChunk::Data(data) if data.len() > PIECE_BYTES);
+        // A large chunk waits until the caller has taken all earlier ones.
+        let room = if is_large { MAX_QUEUED_CHUNKS } else { 1 };
+        match tx.reserve_many(room).await {
+            Ok(mut permits) => {
+                if let Some(permit) = permits.next() {
+                    permit.send(chunk);
+                }
+            }
+            Err(_) => tracing::debug!("the caller left during its stream"),
+        }
+    }
+
+    /// Record that an attempt has something new for the caller. Return once the caller may get it,
+    /// or never if another attempt was first; the exchange then drops this one.
+    pub(crate) async fn claim(&self, attempt: &Attempt) {
+        let (was_hedged, is_first) = {
+            let attempts = &mut self.req.borrow_mut().attempts;
+            (attempts.has_hedge(), attempts.on_answer(attempt.id))
+        };
+        if was_hedged {
+            self.attempts_changed.notify_one();
+        }
+        if !is_first {
+            std::future::pending().await
+        }
+    }
+
     /// Log and count the end of the request. `status` is 0 if the caller left, or if a changed
     /// configuration no longer admits the request.
     pub(crate) fn log(&self, status: u16, cause: &str, retry_after: Option<Millis>) {
--- a/crates/oleanderpass_gateway_io/src/frontend.rs
+++ b/crates/oleanderpass_gateway_io/src/frontend.rs
@@ -30,6 +30,7 @@
 use smol_str::SmolStr;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use xxhash_rust::xxh3::Xxh3;
 
@@ -246,6 +247,7 @@
     let mut body_share = instance.memory.empty_share();
     body_share.take(Size::new(body.len() as u64));
     let request = instance.gateway.borrow_mut().begin(spec, admission, draw);
+    let (reply, answer) = oneshot::channel();
     let exchange = Exchange {
         instance: instance.clone(),
         req: RefCell::new(request),
@@ -257,22 +259,25 @@
         received,
         last_event: head.last_event,
         last_delivered: Cell::new(None),
+        reply: RefCell::new(Reply::Waiting { head: reply }),
+        attempts_changed: Notify::new(),
     };
-    spawn_exchange(exchange).await
+    spawn_exchange(exchange, answer).await
 }
 
 /// Run an exchange in a separate task and wait for the head of its answer. The task is stopped when
 /// the caller leaves.
-async fn spawn_exchange(exchange: Exchange) -> Response<CallerBody> {
-    let (head, answer) = oneshot::channel();
+async fn spawn_exchange(
+    exchange: Exchange,
+    answer: oneshot::Receiver<Response<CallerBody>>,
+) -> Response<CallerBody> {
     // When the caller leaves, the library drops this future or the body of the answer, and the
     // guard with it.
     let (caller_guard, caller_left) = oneshot::channel::<()>();
     tokio::task::spawn_local(async move {
-        let reply = Reply::Waiting { head };
         tokio::select! {
             biased;
-            () = exchange.run(reply) => {}
+            () = exchange.run() => {}
             _ = caller_left => exchange.log(0, CALLER_LEFT, None),
         }
     });
