Use a new connection after a stale one, and forget unsent tries at an answer

What callers saw: requests that ended after five stale connections to one server within 3 ms while other servers stood ready, and answers that had begun and ended because connections had failed before their start. Cause: a server that closes its idle connections closes many at once, each try took the next one from the pool, and `MAX_UNSENT` counted them over the life of the request. Change: after one stale connection all attempts of a request open a new one; unsent tries are counted since the last event.

--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -77,7 +77,7 @@
 use crate::store::StoreItem;
 use crate::store::StorePosition;
 
-/// The number of attempts without a sent byte after which a request ends.
+/// The number of attempts without a sent byte since the last event after which a request ends.
 const MAX_UNSENT: u32 = 5;
 
 /// The number of attempts that failed because of a helper after which the request ends.
@@ -206,7 +206,7 @@
     /// The number of backend servers that the request was sent to.
     pub sent: u32,
     /// The number of attempts that ended as [`AttemptEnd::NotSent`] or
-    /// [`AttemptEnd::StaleConnection`].
+    /// [`AttemptEnd::StaleConnection`], since the last event.
     pub unsent: u32,
     /// The highest [`Execution`] of all attempts.
     pub worst_execution: Execution,
@@ -221,6 +221,8 @@
     helper_failures: u32,
     /// The random number that chose the service.
     draw: u32,
+    /// Whether an idle connection turned out to be closed. Others may have been closed with it.
+    met_stale_connection: bool,
     /// The attempts in flight.
     pub attempts: Attempts,
     /// How the events of the attempts in flight arrived.
@@ -259,6 +261,8 @@
     pub helpers: Vec<SocketAddr>,
     /// When the request is served, relative to others.
     pub scheduling: Scheduling,
+    /// Whether the attempt needs a new connection. Any other may use an idle one.
+    pub needs_new_connection: bool,
     /// Whether a retry was withdrawn from the retry budget for the attempt.
     pub is_retry: bool,
     /// Whether the attempt was counted against a limit on the request rate of the server.
@@ -926,6 +930,7 @@
             retry_server: None,
             helper_failures: 0,
             draw,
+            met_stale_connection: false,
             attempts: Attempts::default(),
             arrivals: IndexMap::new(),
             is_part_trial: false,
@@ -1319,6 +1324,10 @@
             primary,
             helpers,
             scheduling,
+            // An idle connection may have been cut without notice, and a request that may not be
+            // repeated would be lost with it.
+            needs_new_connection: req.met_stale_connection
+                || !req.admission.route.kind.may_repeat(),
             is_retry: req.sent > 0,
             counts_against_limit,
         })
@@ -1401,6 +1410,8 @@
 
     /// Record that events of an attempt arrived.
     pub fn on_events(&mut self, now: Timestamp, req: &mut Request, attempt: &Attempt) {
+        // Connections that failed before don't count against what follows this answer.
+        req.unsent = 0;
         let arrivals = req.arrivals.entry(attempt.id).or_default();
         let first = *arrivals.first.get_or_insert(now);
         arrivals.count += 1;
@@ -1584,6 +1595,7 @@
         match end {
             AttemptEnd::NotSent | AttemptEnd::StaleConnection => {
                 req.unsent += 1;
+                req.met_stale_connection |= end == AttemptEnd::StaleConnection;
                 if attempt.counts_against_limit {
                     self.server_limits.refund(now, attempt.plan.primary);
                 }
--- a/crates/oleanderpass_gateway/tests/gateway.rs
+++ b/crates/oleanderpass_gateway/tests/gateway.rs
@@ -432,6 +432,36 @@
     assert!(gateway.hedge(at(1_100), &mut req).is_none());
 }
 
+/// Guards against a request that ends because a server closed all its idle connections.
+#[test]
+fn stale_connection_is_followed_by_a_new_one() {
+    let mut gateway = gateway(2);
+    let mut req = begin(&mut gateway, at(0), "/look/1", 0);
+    let first = attempt(gateway.next(at(0), &mut req));
+    assert!(!first.needs_new_connection);
+    gateway.on_attempt_end(at(1), &mut req, &first, AttemptEnd::StaleConnection);
+    let second = attempt(gateway.next(at(1), &mut req));
+    assert!(second.needs_new_connection);
+}
+
+/// Guards against breaking off an answer because of connections that failed before it began.
+#[test]
+fn unsent_attempts_before_an_answer_dont_count_against_its_resumption() {
+    let mut gateway = gateway(4);
+    let mut req = begin(&mut gateway, at(0), "/chat/1", 5_000);
+    for number in 0..4 {
+        let unsent = attempt(gateway.next(at(number), &mut req));
+        gateway.on_attempt_end(at(number), &mut req, &unsent, AttemptEnd::StaleConnection);
+    }
+    let first = attempt(gateway.next(at(10), &mut req));
+    gateway.on_sent(&mut req, &first);
+    gateway.on_events(at(100), &mut req, &first);
+    gateway.on_attempt_end(at(2_000), &mut req, &first, AttemptEnd::Broken);
+    let unsent = attempt(gateway.next(at(2_000), &mut req));
+    gateway.on_attempt_end(at(2_001), &mut req, &unsent, AttemptEnd::NotSent);
+    attempt(gateway.next(at(2_001), &mut req));
+}
+
 /// Guards against a draining instance that admits requests which the end of its process then breaks
 /// off (seen at site `mispill`, run `mix`, seed 399523074786).
 #[test]
--- a/crates/oleanderpass_gateway_io/src/attempt.rs
+++ b/crates/oleanderpass_gateway_io/src/attempt.rs
@@ -335,10 +335,7 @@
 /// Return an idle connection to the server of the attempt, or open one.
 async fn connect(exchange: &Exchange, attempt: &Attempt) -> eyre::Result<Connection> {
     let instance = &exchange.instance;
-    // An idle connection may have been cut without notice. A request that may not be repeated would
-    // then be lost, so it gets a new connection.
-    let may_repeat = exchange.req.borrow().admission.route.kind.may_repeat();
-    if may_repeat {
+    if !attempt.needs_new_connection {
         let way = instance.gateway.borrow().way(attempt.plan.primary);
         let pooled = instance
             .pool
