--- a/crates/oleanderpass_gateway/src/reservation.rs
+++ b/crates/oleanderpass_gateway/src/reservation.rs
@@ -64,8 +64,8 @@
         }
     }
 
-    /// Record the evidence at a due renewal. Return whether the reservation is renewed; if not, the
-    /// request can't complete any more, and the memory is released.
+    /// Record the evidence at a due renewal. Return whether the reservation is renewed. If it isn't, a
+    /// later sign of use before the end of the lease still renews it.
     pub fn renews(&mut self, now: Timestamp, evidence: Evidence) -> bool {
         match evidence {
             Evidence::PrimaryActive | Evidence::Reported(ReservationState::Used) => {
--- a/crates/oleanderpass_gateway_io/src/attempt.rs
+++ b/crates/oleanderpass_gateway_io/src/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use bytes::Bytes;
 use http::Request;
@@ -283,7 +284,7 @@
     let result = tokio::select! {
         biased;
         result = sending => result,
-        // The primary server is gone or has ended the request, so no answer will come.
+        // The primary server is gone or has ended the request before its first event.
         () = reservation::keep(&reservations, &exchange.instance, attempt.primary.addr, event_count) => {
             Err(AttemptEnd::Silent)
         }
@@ -317,7 +318,7 @@
 async fn reserve_on_helpers(
     exchange: &Exchange,
     attempt: &Attempt,
-) -> Result<Vec<Option<Reservation>>, AttemptEnd> {
+) -> Result<Vec<Option<Rc<Reservation>>>, AttemptEnd> {
     let instance = &exchange.instance;
     let mut reservations = Vec::new();
     for (helper, addr) in attempt.plan.helpers.iter().zip(&attempt.helpers) {
@@ -327,7 +328,7 @@
         };
         let id = format_smolstr!("{}-{}", instance.settings.instance, attempt.id.0);
         let reservation = Reservation::acquire(instance, *addr, id, size).await?;
-        reservations.push(Some(reservation));
+        reservations.push(Some(Rc::new(reservation)));
     }
     Ok(reservations)
 }
@@ -362,7 +363,7 @@
     attempt: &Attempt,
     running: &RunningAttempt<'_>,
     connection: &mut Connection,
-    reservations: &[Option<Reservation>],
+    reservations: &[Option<Rc<Reservation>>],
 ) -> Result<Answered, AttemptEnd> {
     let instance = &exchange.instance;
     // Nothing was sent and the server is not at fault, so a request that can't be encoded ends its
@@ -590,7 +591,7 @@
 fn encode_request(
     exchange: &Exchange,
     attempt: &Attempt,
-    reservations: &[Option<Reservation>],
+    reservations: &[Option<Rc<Reservation>>],
 ) -> eyre::Result<Request<Full<Bytes>>> {
     let req = exchange.req.borrow();
     let helpers: Vec<(SocketAddr, Option<SmolStr>)> = attempt
--- a/crates/oleanderpass_gateway_io/src/reservation.rs
+++ b/crates/oleanderpass_gateway_io/src/reservation.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,6 +21,7 @@
 use oleanderpass_types::size::Tokens;
 use smol_str::SmolStr;
 use strum::Display;
+use tokio::task::JoinSet;
 
 use crate::connection;
 use crate::instance::SharedInstance;
@@ -101,7 +103,7 @@
         }
     }
 
-    /// Renew the reservation if its request may still run. Return whether it is renewed.
+    /// Renew the reservation if its request may still run. Return whether it may.
     async fn renew(&self, primary: PrimaryState) -> bool {
         let evidence = match primary {
             PrimaryState::Active => Evidence::PrimaryActive,
@@ -131,18 +133,14 @@
             );
             return false;
         }
-        let (instance, addr, id) = (self.instance.clone(), self.addr, self.id.clone());
-        if let Some(order) = self.order() {
-            // A helper that doesn't answer must not delay the renewals at the others.
-            tokio::task::spawn_local(async move {
-                if send_order(&instance, addr, "renew", order).await != OrderResult::Done {
-                    tracing::warn!(
-                        server = %addr,
-                        reservation = %id,
-                        "could not renew a reservation"
-                    );
-                }
-            });
+        if let Some(order) = self.order()
+            && send_order(&self.instance, self.addr, "renew", order).await != OrderResult::Done
+        {
+            tracing::warn!(
+                server = %self.addr,
+                reservation = %self.id,
+                "could not renew a reservation"
+            );
         }
         true
     }
@@ -159,22 +157,36 @@
     Unreachable,
 }
 
-/// Renew the reservations of an attempt until its request can no longer complete. `primary` is the
-/// address of its primary server, and `event_count` returns the number of events that the server
-/// has sent. Never return if there are no reservations.
+/// Renew the reservations of an attempt as long as its request may complete. `primary` is the
+/// address of its primary server, and `event_count` returns the number of events that the server has
+/// sent. Return once the request has ended before its first event. After that event the server may
+/// only be paused, so this goes on to look for signs of life while the leases run out. Never return
+/// if there are no reservations.
 pub(crate) async fn keep(
-    reservations: &[Option<Reservation>],
+    reservations: &[Option<Rc<Reservation>>],
     instance: &SharedInstance,
     primary: SocketAddr,
     event_count: impl Fn() -> u64,
 ) {
-    let held: Vec<&Reservation> = reservations.iter().flatten().collect();
+    let held: Vec<&Rc<Reservation>> = reservations.iter().flatten().collect();
     if held.is_empty() {
         return std::future::pending().await;
     }
     let mut last_count = event_count();
+    let mut renewals = JoinSet::new();
     loop {
-        tokio::time::sleep(Duration::from(RENEWAL_INTERVAL)).await;
+        let round = tokio::time::sleep(Duration::from(RENEWAL_INTERVAL));
+        tokio::pin!(round);
+        loop {
+            tokio::select! {
+                () = &mut round => break,
+                Some(renewed) = renewals.join_next() => match renewed {
+                    Ok(false) if event_count() == 0 => return,
+                    Ok(_) => {}
+                    Err(error) => tracing::error!(%error, "could not renew a reservation"),
+                }
+            }
+        }
         let count = event_count();
         let state = if std::mem::replace(&mut last_count, count) != count {
             PrimaryState::Active
@@ -188,10 +200,10 @@
         } else {
             PrimaryState::Reachable
         };
+        // A helper that doesn't answer must delay neither the others nor the next renewals.
         for reservation in &held {
-            if !reservation.renew(state).await {
-                return;
-            }
+            let reservation = Rc::clone(reservation);
+            renewals.spawn_local(async move { reservation.renew(state).await });
         }
     }
 }
