Give the budget back what a retry withdrew that was never sent

What callers saw: begun streams cut with `sent 1`, because earlier retries had used up the budget of a small share (two in fleets of 59 and 81) without reaching a server. Change: an attempt knows whether it was sent, and whatever ends one that wasn't refunds the budget and the server's rate limit.

--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -185,13 +185,15 @@
     pub signature: Signature,
 }
 
-/// How the events of one attempt arrived.
+/// How far one attempt got.
 #[derive(Clone, Copy, Debug, Default)]
-struct Arrivals {
+struct Progress {
+    /// Whether the server was sent the request.
+    is_sent: bool,
     /// When the first event arrived.
     first: Option<Timestamp>,
-    /// The number of arrivals.
-    count: u32,
+    /// The number of arrivals of events.
+    arrivals: u32,
     /// Whether the answer is known to have gone on after its start.
     goes_on: bool,
 }
@@ -225,8 +227,8 @@
     met_stale_connection: bool,
     /// The attempts in flight.
     pub attempts: Attempts,
-    /// How the events of the attempts in flight arrived.
-    arrivals: IndexMap<AttemptId, Arrivals>,
+    /// How far the attempts in flight got.
+    progress: IndexMap<AttemptId, Progress>,
     /// Whether the request tries out a refused part of its prompt.
     is_part_trial: bool,
 }
@@ -932,7 +934,7 @@
             draw,
             met_stale_connection: false,
             attempts: Attempts::default(),
-            arrivals: IndexMap::new(),
+            progress: IndexMap::new(),
             is_part_trial: false,
         };
         let engine = self
@@ -1316,7 +1318,7 @@
         }
         req.tried.push(plan.primary);
         req.attempts.begin(id);
-        req.arrivals.insert(id, Arrivals::default());
+        req.progress.insert(id, Progress::default());
         let counts_against_limit = self.server_limits.take(now, plan.primary);
         Some(Attempt {
             id,
@@ -1356,6 +1358,7 @@
         if req.retry_server.take() != Some(attempt.plan.primary) {
             req.sent += 1;
         }
+        req.progress.entry(attempt.id).or_default().is_sent = true;
     }
 
     /// Record the time between two events of one stream, in milliseconds. It is about the time of
@@ -1412,12 +1415,12 @@
     pub fn on_events(&mut self, now: Timestamp, req: &mut Request, attempt: &Attempt) {
         // Connections that failed before don't count against what follows this answer.
         req.unsent = 0;
-        let arrivals = req.arrivals.entry(attempt.id).or_default();
-        let first = *arrivals.first.get_or_insert(now);
-        arrivals.count += 1;
-        let goes_on = now.since(first) >= START_TIME && arrivals.count >= START_ARRIVALS;
-        if goes_on && !arrivals.goes_on {
-            arrivals.goes_on = true;
+        let progress = req.progress.entry(attempt.id).or_default();
+        let first = *progress.first.get_or_insert(now);
+        progress.arrivals += 1;
+        let goes_on = now.since(first) >= START_TIME && progress.arrivals >= START_ARRIVALS;
+        if goes_on && !progress.goes_on {
+            progress.goes_on = true;
             self.on_answer_goes_on(now, req, first);
         }
     }
@@ -1549,7 +1552,7 @@
     ) {
         self.load.remove(attempt.plan.keys(), attempt.id);
         req.attempts.on_end(now, attempt.id);
-        let arrivals = req.arrivals.swap_remove(&attempt.id).unwrap_or_default();
+        let progress = req.progress.swap_remove(&attempt.id).unwrap_or_default();
         let execution = match end {
             AttemptEnd::NotSent
             | AttemptEnd::StaleConnection
@@ -1592,35 +1595,34 @@
             req.helper_failures += 1;
             req.retry_server = Some(attempt.plan.primary);
         }
+        let is_unsent = match end {
+            AttemptEnd::NotSent | AttemptEnd::StaleConnection | AttemptEnd::NoMemory => true,
+            AttemptEnd::HelperFailed | AttemptEnd::Superseded | AttemptEnd::Cancelled => {
+                !progress.is_sent
+            }
+            _ => false,
+        };
+        // No server received the request, so it added no load.
+        if is_unsent && attempt.counts_against_limit {
+            self.server_limits.refund(now, attempt.plan.primary);
+        }
+        if is_unsent && attempt.is_retry {
+            self.budget.refund();
+        }
         match end {
             AttemptEnd::NotSent | AttemptEnd::StaleConnection => {
                 req.unsent += 1;
                 req.met_stale_connection |= end == AttemptEnd::StaleConnection;
-                if attempt.counts_against_limit {
-                    self.server_limits.refund(now, attempt.plan.primary);
-                }
-                // No server received the request, so the retry added no load.
-                if attempt.is_retry {
-                    self.budget.refund();
-                }
-            }
-            AttemptEnd::NoMemory => {
-                if attempt.counts_against_limit {
-                    self.server_limits.refund(now, attempt.plan.primary);
-                }
-                if attempt.is_retry {
-                    self.budget.refund();
-                }
             }
             AttemptEnd::Completed => {
                 self.absences.remove(attempt.plan.primary);
                 self.crashes.on_finished(now, req.spec.signature);
-                if let Some(first) = arrivals.first.filter(|_| !arrivals.goes_on) {
+                if let Some(first) = progress.first.filter(|_| !progress.goes_on) {
                     self.on_answer_goes_on(now, req, first);
                 }
             }
             AttemptEnd::Broken => {
-                let at_start = !arrivals.goes_on;
+                let at_start = !progress.goes_on;
                 self.crashes
                     .on_broken(now, &attempt.primary, &req.spec, at_start);
             }
--- a/crates/oleanderpass_gateway/tests/gateway.rs
+++ b/crates/oleanderpass_gateway/tests/gateway.rs
@@ -462,6 +462,22 @@
     attempt(gateway.next(at(2_001), &mut req));
 }
 
+/// Guards against cutting a stream because paused helpers of other requests didn't answer their
+/// orders in time: such an attempt sends nothing, but its retry stays withdrawn from the budget.
+#[test]
+fn retry_that_a_silent_helper_held_up_costs_nothing() {
+    let mut gateway = gateway(14);
+    for number in 0..60 {
+        let mut req = begin(&mut gateway, at(number), "/chat/1", 5_000);
+        req.spec.signature = Signature(number);
+        let first = attempt(gateway.next(at(number), &mut req));
+        gateway.on_sent(&mut req, &first);
+        gateway.on_attempt_end(at(number), &mut req, &first, AttemptEnd::Failed);
+        let again = attempt(gateway.next(at(number), &mut req));
+        gateway.on_attempt_end(at(number), &mut req, &again, AttemptEnd::HelperFailed);
+    }
+}
+
 /// Guards against a draining instance that admits requests which the end of its process then breaks
 /// off (seen at site `mispill`, run `mix`, seed 399523074786).
 #[test]
