Don't count what a superseded attempt meets against its server

Cause: a hedge that loses is still polled once. It took the last event that the caller had when its head arrived, not when it was sent, so the events of its server looked out of order. Change: an attempt continues after the event that its request named, and the end of a superseded attempt is always `superseded`. Evidence: `first_attempt_with_an_answer_supersedes_the_other` asserts the end, which the code before did not decide (`on_attempt_end` returned nothing).

--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -1542,14 +1542,19 @@
         }
     }
 
-    /// Record the end of an attempt.
+    /// Record the end of an attempt. Return the end that counts: whatever a superseded attempt met
+    /// says nothing about its server.
     pub fn on_attempt_end(
         &mut self,
         now: Timestamp,
         req: &mut Request,
         attempt: &Attempt,
         end: AttemptEnd,
-    ) {
+    ) -> AttemptEnd {
+        let end = match req.attempts.is_superseded(attempt.id) {
+            true => AttemptEnd::Superseded,
+            false => end,
+        };
         self.load.remove(attempt.plan.keys(), attempt.id);
         req.attempts.on_end(now, attempt.id);
         let progress = req.progress.swap_remove(&attempt.id).unwrap_or_default();
@@ -1635,6 +1640,7 @@
                 req.tried.remove(index);
             }
         }
+        end
     }
 }
 
--- a/crates/oleanderpass_gateway/tests/gateway.rs
+++ b/crates/oleanderpass_gateway/tests/gateway.rs
@@ -388,7 +388,7 @@
     );
 }
 
-/// Guards against two answers in one, and against an answer of the server that was slower.
+/// Guards against two answers in one, and against evidence of a crash from an attempt that was dropped.
 #[test]
 fn first_attempt_with_an_answer_supersedes_the_other() {
     for hedge_is_first in [true, false] {
@@ -403,7 +403,8 @@
         assert!(req.attempts.on_answer(winner.id));
         assert!(!req.attempts.on_answer(loser.id));
         assert!(req.attempts.is_superseded(loser.id));
-        gateway.on_attempt_end(at(1_200), &mut req, loser, AttemptEnd::Superseded);
+        let end = gateway.on_attempt_end(at(1_200), &mut req, loser, AttemptEnd::Broken);
+        assert_eq!(end, AttemptEnd::Superseded, "counted as a crash");
         assert!(req.attempts.is_lead(winner.id));
     }
 }
--- a/crates/oleanderpass_gateway_io/src/attempt.rs
+++ b/crates/oleanderpass_gateway_io/src/attempt.rs
@@ -85,6 +85,12 @@
             return;
         }
         let instance = &self.exchange.instance;
+        let end = instance.gateway.borrow_mut().on_attempt_end(
+            instance.now(),
+            &mut self.exchange.req.borrow_mut(),
+            self.attempt,
+            end,
+        );
         let progress = self.progress.get();
         tracing::info!(
             request = %self.exchange.req.borrow().spec.id,
@@ -102,12 +108,6 @@
             last_event = self.exchange.last_delivered.get(),
             "an attempt ended"
         );
-        instance.gateway.borrow_mut().on_attempt_end(
-            instance.now(),
-            &mut self.exchange.req.borrow_mut(),
-            self.attempt,
-            end,
-        );
         if matches!(end, AttemptEnd::Broken | AttemptEnd::Silent) {
             self.check_reach();
         }
@@ -237,12 +237,7 @@
 
 impl Drop for RunningAttempt<'_> {
     fn drop(&mut self) {
-        let attempts = self.exchange.req.borrow().attempts;
-        self.end(if attempts.is_superseded(self.attempt.id) {
-            AttemptEnd::Superseded
-        } else {
-            AttemptEnd::Cancelled
-        });
+        self.end(AttemptEnd::Cancelled);
     }
 }
 
@@ -368,7 +363,8 @@
     let instance = &exchange.instance;
     // Nothing was sent and the server is not at fault, so a request that can't be encoded ends its
     // attempt like a stale connection.
-    let req = encode_request(exchange, attempt, reservations).map_err(|error| {
+    let last_event = exchange.last_delivered.get().or(exchange.last_event);
+    let req = encode_request(exchange, attempt, reservations, last_event).map_err(|error| {
         tracing::error!(error = format!("{error:#}"), "could not encode a request");
         AttemptEnd::StaleConnection
     })?;
@@ -407,7 +403,7 @@
     }
     let kind = exchange.req.borrow().admission.route.kind;
     if answer.status().is_success() && kind.is_stream() {
-        let end = relay(exchange, running, &head, answer).await?;
+        let end = relay(exchange, running, &head, answer, last_event).await?;
         return Ok((Outcome::Delivered(head.status), end, head));
     }
     let (parts, body) = answer.into_parts();
@@ -526,17 +522,17 @@
     ));
 }
 
-/// Relay a stream of events to the caller. Only whole events are sent, so that another server can
-/// continue the stream after the last one.
+/// Relay a stream of events to the caller, from the one after `last_event` on. Only whole events are
+/// sent, so that another server can continue the stream after the last one.
 async fn relay(
     exchange: &Exchange,
     running: &RunningAttempt<'_>,
     head: &AnswerHead,
     answer: Response<Incoming>,
+    last_event: Option<u64>,
 ) -> Result<AttemptEnd, AttemptEnd> {
     let (parts, mut body) = answer.into_parts();
-    let last = exchange.last_delivered.get().or(exchange.last_event);
-    let mut events = EventSplitter::after(last, &exchange.instance.memory);
+    let mut events = EventSplitter::after(last_event, &exchange.instance.memory);
     loop {
         let frame = match running.wait(body.frame()).await {
             Some(Some(Ok(frame))) => frame,
@@ -592,6 +588,7 @@
     exchange: &Exchange,
     attempt: &Attempt,
     reservations: &[Option<Rc<Reservation>>],
+    last_event: Option<u64>,
 ) -> eyre::Result<Request<Full<Bytes>>> {
     let req = exchange.req.borrow();
     let helpers: Vec<(SocketAddr, Option<SmolStr>)> = attempt
@@ -605,7 +602,7 @@
         server: &attempt.primary.id,
         time_left: time_left(exchange.instance.now(), req.spec.deadline),
         organisation: organisation.map(|organisation| &organisation.id),
-        last_event: exchange.last_delivered.get().or(exchange.last_event),
+        last_event,
         helpers: &helpers,
         priority: req.admission.engine_priority(attempt.scheduling),
     };
