Pause engines during a planned stop in the soak

The soak stopped instances, changed the configuration and disturbed servers, but one after the other, its streams lasted about 30 ms except during the planned stops, and its servers never paused and went on. So no stream was in progress when its engine fell silent. Six streams are in progress at one instance when it gets SIGTERM; a new configuration follows, then each engine pauses once for 0.9 to 1.4 s, while the engines are healthy, pause too, refuse, fail or hang for whatever reaches them next. All streams must be whole. The code that sends and checks streams is shared with the check of planned stops, whose figures and checks are the same.

--- a/crates/oleanderpass/tests/soak/run.rs
+++ b/crates/oleanderpass/tests/soak/run.rs
@@ -10,11 +10,16 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use oleanderpass_platform_stand_in::backend_server::BackendServer;
+use oleanderpass_platform_stand_in::backend_server::Mode;
+use oleanderpass_platform_stand_in::caller::Answer;
 use oleanderpass_platform_stand_in::caller::Call;
 use oleanderpass_platform_stand_in::store::Mode as StoreMode;
 use rand::RngExt;
+use rand::seq::IndexedRandom;
 use rand_pcg::Pcg64Mcg;
 use rustix::process::Signal;
+use tokio::task::JoinHandle;
 
 use crate::back_ends;
 use crate::check;
@@ -40,6 +45,17 @@
 /// which what it lost is written again.
 const RESTORE_TIME: Duration = Duration::from_millis(500);
 
+/// The number of streams in progress when an instance stops, and the time from the first one to the
+/// stop.
+const STREAMS: u64 = 6;
+const STOP_DELAY: Duration = Duration::from_millis(600);
+
+/// The limit of the wait until these streams have reached an engine. Only a run that fails reaches it.
+const ARRIVAL_LIMIT: Duration = Duration::from_secs(5);
+
+/// The part of a seed that chooses the pauses of engines (see [`rng_for`]).
+const PAUSES_PART: u64 = 7;
+
 /// The share of requests that must be served once the faults are over.
 const SERVED_PERCENT: usize = 95;
 
@@ -115,6 +131,8 @@
     check_restored_store(&mut fleet, &mut violations).await;
     check_recovery(&fleet, &mut violations).await;
     check_planned_stop(&mut fleet, &records, &mut violations).await;
+    let mut rng = rng_for(seed, PAUSES_PART);
+    injected.push(check_pauses(&mut fleet, &mut rng, &records, &mut violations).await);
     tokio::time::sleep(RELEASE_BOUND).await;
     for server in &fleet.servers {
         for (id, _) in server.stand_in.reservations() {
@@ -149,8 +167,8 @@
     }
 }
 
-/// Return the random number generator of one part of a seed: 0 for the faults, or the number of a
-/// caller.
+/// Return the random number generator of one part of a seed: 0 for the faults, the number of a
+/// caller, or [`PAUSES_PART`].
 ///
 /// The generator makes its state odd, so the states `2 * n` and `2 * n + 1` would give the same
 /// numbers.
@@ -273,36 +291,102 @@
         server.stand_in.set_stream(6, Duration::from_millis(250));
     }
     for number in 0..fleet.instances.len() {
-        let addr = fleet.instances[number].caller_addr();
-        let calls: Vec<_> = (0..6)
-            .map(|index| {
-                let mut call = Call::new(&format!("s{number}-{index}"), "/chat/1");
-                call.key = "key-new".to_owned();
-                tokio::spawn(async move {
-                    tokio::time::sleep(Duration::from_millis(index * 250)).await;
-                    let answer = call.send(addr).await.ok();
-                    (call, answer)
-                })
-            })
-            .collect();
-        tokio::time::sleep(Duration::from_millis(600)).await;
+        let calls = send_streams(&format!("s{number}"), fleet.instances[number].caller_addr());
+        tokio::time::sleep(STOP_DELAY).await;
         fleet.instances[number].signal(Signal::TERM);
-        for handle in calls {
-            let (call, answer) = handle.await.unwrap();
-            let complete = answer
-                .as_ref()
-                .is_some_and(|a| a.status == 200 && a.complete);
-            if !complete {
-                violations.push(format!("{}: cut by a planned stop: {answer:?}", call.id));
-            }
-            records.lock().unwrap().push(CallRecord {
-                call,
-                answer,
-                elapsed_ms: 0,
-            });
+        check_streams(calls, records, violations).await;
+        start_again(fleet, number).await;
+    }
+}
+
+/// Check that no stream is cut because its engine pauses once during a planned stop, with a new
+/// configuration in force and faults of the engines that could continue it. Return a description of
+/// what was injected.
+async fn check_pauses(
+    fleet: &mut Fleet,
+    rng: &mut Pcg64Mcg,
+    records: &Records,
+    violations: &mut Vec<String>,
+) -> String {
+    let number = rng.random_range(0..fleet.instances.len());
+    let pause = Mode::Pause {
+        event: rng.random_range(1..=6),
+        length: Duration::from_millis(rng.random_range(900..1_400)),
+    };
+    let later = *[pause, Mode::Healthy, Mode::Refuse, Mode::Fail, Mode::Hang]
+        .choose(rng)
+        .unwrap();
+    let engines: Vec<BackendServer> = (fleet.servers.iter())
+        .filter(|server| server.service == "engines")
+        .map(|server| server.stand_in.clone())
+        .collect();
+    for engine in &engines {
+        engine.set_stream(6, Duration::from_millis(400));
+        engine.set_mode(pause);
+    }
+    let calls = send_streams("p", fleet.instances[number].caller_addr());
+    tokio::time::sleep(STOP_DELAY).await;
+    fleet.instances[number].signal(Signal::TERM);
+    let arrived = |id: &str| {
+        let mut arrivals = engines.iter().flat_map(BackendServer::arrivals);
+        arrivals.any(|arrival| arrival.request.header("attempt-id") == id)
+    };
+    let start = Instant::now();
+    while !(0..STREAMS).all(|index| arrived(&format!("p-{index}")))
+        && start.elapsed() < ARRIVAL_LIMIT
+    {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    fleet.publish_configuration();
+    // Only engines that get a stream from now on are at fault.
+    engines.iter().for_each(|engine| engine.set_mode(later));
+    check_streams(calls, records, violations).await;
+    engines
+        .iter()
+        .for_each(|engine| engine.set_mode(Mode::Healthy));
+    start_again(fleet, number).await;
+    format!("stop {number}, engines: {pause:?}, then {later:?}")
+}
+
+/// A call in progress, which ends with the caller's answer.
+type PendingCall = JoinHandle<(Call, Option<Answer>)>;
+
+/// Send streams to an instance one after the other. The ids begin with `prefix`.
+fn send_streams(prefix: &str, addr: SocketAddr) -> Vec<PendingCall> {
+    (0..STREAMS)
+        .map(|index| {
+            let mut call = Call::new(&format!("{prefix}-{index}"), "/chat/1");
+            call.key = "key-new".to_owned();
+            tokio::spawn(async move {
+                tokio::time::sleep(Duration::from_millis(index * 250)).await;
+                let answer = call.send(addr).await.ok();
+                (call, answer)
+            })
+        })
+        .collect()
+}
+
+/// Check that streams through an instance that stops are whole.
+async fn check_streams(calls: Vec<PendingCall>, records: &Records, violations: &mut Vec<String>) {
+    for handle in calls {
+        let (call, answer) = handle.await.unwrap();
+        let complete = answer
+            .as_ref()
+            .is_some_and(|a| a.status == 200 && a.complete);
+        if !complete {
+            violations.push(format!("{}: cut by a planned stop: {answer:?}", call.id));
         }
-        fleet.instances[number].wait_for_exit().await;
-        fleet.instances[number].spawn();
-        fleet.wait_until_ready().await;
+        records.lock().unwrap().push(CallRecord {
+            call,
+            answer,
+            elapsed_ms: 0,
+        });
     }
 }
+
+/// Start an instance again that has got SIGTERM.
+async fn start_again(fleet: &mut Fleet, number: usize) {
+    fleet.instances[number].wait_for_exit().await;
+    fleet.instances[number].spawn();
+    fleet.wait_until_ready().await;
+}
