Begin a hedge only beside a server that is still silent, and at any other one

Cause: (1) after a try without a server the timer stayed armed, so a hedge could begin beside a server that had gone on, and use up the request's last attempt; (2) an attempt in flight wasn't counted as a possible run, so a hedge could begin after a newer configuration had made the request one that runs once; (3) a server that failed a hedge without being sent the request was not tried again while the first attempt ran; (4) with three or more servers allowed, a silent hedge ended although no other server was left; (5) an attempt that was dropped before it was polled kept its load booked. Change: `hedge` asks whether one is due; an attempt in flight counts as `Unknown`; only servers in flight are left out, and untried ones preferred; a silent hedge ends only for an untried server; the guard of an attempt exists before its future is polled. (5) is by reading.

--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -186,8 +186,10 @@
 }
 
 /// How far one attempt got.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 struct Progress {
+    /// The primary server.
+    server: BackendKey,
     /// Whether the server was sent the request.
     is_sent: bool,
     /// When the first event arrived.
@@ -233,6 +235,19 @@
     is_part_trial: bool,
 }
 
+impl Progress {
+    /// Create the state of an attempt that begins.
+    fn new(server: BackendKey) -> Self {
+        Self {
+            server,
+            is_sent: false,
+            first: None,
+            arrivals: 0,
+            goes_on: false,
+        }
+    }
+}
+
 impl Request {
     /// Return what the request requires of an engine at `now`.
     fn generation(&self, now: Timestamp) -> GenerationSpec {
@@ -245,6 +260,15 @@
         }
     }
 
+    /// Return the highest [`Execution`] of all attempts, also of those in flight.
+    fn execution(&self) -> Execution {
+        if self.attempts.is_running() {
+            self.worst_execution.max(Execution::Unknown)
+        } else {
+            self.worst_execution
+        }
+    }
+
     fn is_short(&self) -> bool {
         self.generation(self.spec.received).is_short()
     }
@@ -958,7 +982,8 @@
     /// Return an attempt to run beside one whose server is silent, or `None` if no other server can
     /// get the request now. The silent attempt goes on in either case.
     pub fn hedge(&mut self, now: Timestamp, req: &mut Request) -> Option<Box<Attempt>> {
-        if !req.attempts.has_hedge()
+        let is_due = req.attempts.hedge_due(now).is_some_and(|due| due <= now);
+        if is_due
             && self.may_hedge(req)
             && let Next::Send(attempt) = self.next(now, req)
         {
@@ -1186,7 +1211,8 @@
         let service = &req.admission.service;
         let mut candidates = self.candidates(now, service);
         let untried = |c: &Candidate| req.retry_server.is_some() || !req.tried.contains(&c.key);
-        if req.attempts.is_running() || candidates.iter().any(untried) {
+        candidates.retain(|c| req.progress.values().all(|other| other.server != c.key));
+        if candidates.iter().any(untried) {
             candidates.retain(untried);
         }
         let config = self.config.clone()?;
@@ -1318,7 +1344,7 @@
         }
         req.tried.push(plan.primary);
         req.attempts.begin(id);
-        req.progress.insert(id, Progress::default());
+        req.progress.insert(id, Progress::new(plan.primary));
         let counts_against_limit = self.server_limits.take(now, plan.primary);
         Some(Attempt {
             id,
@@ -1358,7 +1384,9 @@
         if req.retry_server.take() != Some(attempt.plan.primary) {
             req.sent += 1;
         }
-        req.progress.entry(attempt.id).or_default().is_sent = true;
+        if let Some(progress) = req.progress.get_mut(&attempt.id) {
+            progress.is_sent = true;
+        }
     }
 
     /// Record the time between two events of one stream, in milliseconds. It is about the time of
@@ -1379,6 +1407,13 @@
         may_repeat && bar(req).is_none() && !self.budget.is_empty()
     }
 
+    /// Return whether a server that the request was not sent to may run it now instead of a silent
+    /// hedge.
+    pub fn may_replace_hedge(&self, now: Timestamp, req: &Request) -> bool {
+        let candidates = self.candidates(now, &req.admission.service);
+        self.may_hedge(req) && candidates.iter().any(|c| !req.tried.contains(&c.key))
+    }
+
     /// Record the limit on its request rate that a server named in an answer, or `None` if it named
     /// none.
     pub fn on_server_limit(&mut self, now: Timestamp, key: BackendKey, rate: Option<RequestRate>) {
@@ -1415,7 +1450,9 @@
     pub fn on_events(&mut self, now: Timestamp, req: &mut Request, attempt: &Attempt) {
         // Connections that failed before don't count against what follows this answer.
         req.unsent = 0;
-        let progress = req.progress.entry(attempt.id).or_default();
+        let Some(progress) = req.progress.get_mut(&attempt.id) else {
+            return;
+        };
         let first = *progress.first.get_or_insert(now);
         progress.arrivals += 1;
         let goes_on = now.since(first) >= START_TIME && progress.arrivals >= START_ARRIVALS;
@@ -1557,7 +1594,8 @@
         };
         self.load.remove(attempt.plan.keys(), attempt.id);
         req.attempts.on_end(now, attempt.id);
-        let progress = req.progress.swap_remove(&attempt.id).unwrap_or_default();
+        let progress = req.progress.swap_remove(&attempt.id);
+        let progress = progress.unwrap_or(Progress::new(attempt.plan.primary));
         let execution = match end {
             AttemptEnd::NotSent
             | AttemptEnd::StaleConnection
@@ -1653,7 +1691,7 @@
         Some(Bar::HelperFailures)
     } else if req.unsent >= MAX_UNSENT {
         Some(Bar::Unsent)
-    } else if !may_retry(route.kind, req.worst_execution) {
+    } else if !may_retry(route.kind, req.execution()) {
         Some(Bar::Kind)
     } else {
         None
--- a/crates/oleanderpass_gateway/tests/gateway.rs
+++ b/crates/oleanderpass_gateway/tests/gateway.rs
@@ -4,15 +4,20 @@
 
 mod common;
 
+use std::rc::Rc;
+
 use oleanderpass_gateway::absence::Absence;
 use oleanderpass_gateway::backend::AnnouncedState;
 use oleanderpass_gateway::backend::BackendKey;
+use oleanderpass_gateway::config::Configuration;
 use oleanderpass_gateway::gateway::Attempt;
 use oleanderpass_gateway::gateway::AttemptEnd;
 use oleanderpass_gateway::gateway::Gateway;
 use oleanderpass_gateway::gateway::Next;
 use oleanderpass_gateway::gateway::Rejection;
 use oleanderpass_gateway::gateway::Request;
+use oleanderpass_gateway::route::Route;
+use oleanderpass_gateway::route::RouteKind;
 use oleanderpass_quarantine::evidence::Signature;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::clock::Timestamp;
@@ -29,6 +34,7 @@
 use crate::common::gateway;
 use crate::common::gateway_named;
 use crate::common::introduce;
+use crate::common::route;
 use crate::common::server;
 use crate::common::status;
 
@@ -433,6 +439,54 @@
     assert!(gateway.hedge(at(1_100), &mut req).is_none());
 }
 
+/// Guards against a second attempt beside a server that has gone on, which uses up the retry budget.
+#[test]
+fn server_that_goes_on_before_a_hedge_gets_none() {
+    let mut gateway = gateway(4);
+    let (mut req, first) = silent_stream(&mut gateway);
+    assert!(req.attempts.on_answer(first.id));
+    gateway.on_events(at(1_200), &mut req, &first);
+    assert!(gateway.hedge(at(1_350), &mut req).is_none());
+}
+
+/// Guards against a second run of a request that a newer configuration allows to run only once.
+#[test]
+fn request_that_becomes_non_idempotent_gets_no_hedge() {
+    let mut gateway = gateway(4);
+    let (mut req, _first) = silent_stream(&mut gateway);
+    let current = configuration(2, &[KEY]);
+    let chat = route("chat", RouteKind::NonIdempotent, "engines");
+    let chat = Route {
+        max_attempts: 2,
+        ..chat
+    };
+    let services = current.services.clone();
+    let config = Configuration::new(current.version, current.limits, services, [chat], None);
+    assert!(gateway.on_configuration(config));
+    assert!(gateway.hedge(at(1_100), &mut req).is_none());
+}
+
+/// Guards against waiting for a dead server because the only other one could not take a request at
+/// first.
+#[test_case(AttemptEnd::NotSent, 2; "it could not be reached")]
+#[test_case(AttemptEnd::Refused, 3; "it refused the request")]
+fn server_that_failed_a_hedge_gets_another_one(end: AttemptEnd, max_attempts: u32) {
+    let mut gateway = gateway(2);
+    let (mut req, first) = silent_stream(&mut gateway);
+    req.admission.route = Rc::new(Route {
+        max_attempts,
+        ..Route::clone(&req.admission.route)
+    });
+    let hedge = gateway.hedge(at(1_100), &mut req).unwrap();
+    if end == AttemptEnd::Refused {
+        gateway.on_sent(&mut req, &hedge);
+    }
+    gateway.on_attempt_end(at(1_110), &mut req, &hedge, end);
+    assert!(gateway.may_hedge(&req));
+    let again = gateway.hedge(at(3_000), &mut req).unwrap();
+    assert_ne!(again.primary.id, first.primary.id);
+}
+
 /// Guards against a request that ends because a server closed all its idle connections.
 #[test]
 fn stale_connection_is_followed_by_a_new_one() {
--- a/crates/oleanderpass_gateway_io/src/attempt.rs
+++ b/crates/oleanderpass_gateway_io/src/attempt.rs
@@ -55,7 +55,7 @@
 /// end, because the caller left, it is reported as cancelled.
 struct RunningAttempt<'a> {
     exchange: &'a Exchange,
-    attempt: &'a Attempt,
+    attempt: Box<Attempt>,
     /// Whether a whole event has arrived.
     has_events: Cell<bool>,
     /// Whether the end has been reported.
@@ -88,7 +88,7 @@
         let end = instance.gateway.borrow_mut().on_attempt_end(
             instance.now(),
             &mut self.exchange.req.borrow_mut(),
-            self.attempt,
+            &self.attempt,
             end,
         );
         let progress = self.progress.get();
@@ -131,7 +131,7 @@
         let now = exchange.instance.now();
         let is_new = {
             let mut gateway = exchange.instance.gateway.borrow_mut();
-            gateway.on_silent(now, &mut exchange.req.borrow_mut(), self.attempt)
+            gateway.on_silent(now, &mut exchange.req.borrow_mut(), &self.attempt)
         };
         if is_new {
             tracing::info!(
@@ -165,12 +165,12 @@
         let gateway = &self.exchange.instance.gateway;
         gateway
             .borrow_mut()
-            .on_events(now, &mut req.borrow_mut(), self.attempt);
+            .on_events(now, &mut req.borrow_mut(), &self.attempt);
         if self.has_events.replace(true) {
             return;
         }
         let instance = &self.exchange.instance;
-        instance.gateway.borrow_mut().on_first_event(self.attempt);
+        instance.gateway.borrow_mut().on_first_event(&self.attempt);
         instance.load_changed.notify_one();
         let mut req = self.exchange.req.borrow_mut();
         if !req.delivering {
@@ -215,24 +215,29 @@
             if now >= deadline {
                 return None;
             }
-            let (is_silent, is_lead, may_hedge) = {
-                let gateway = exchange.instance.gateway.borrow();
-                let req = exchange.req.borrow();
-                let is_gone = gateway.is_gone(now, self.attempt.plan.primary);
-                let is_lead = req.attempts.is_lead(self.attempt.id);
-                (
-                    now >= silence_end || is_gone,
-                    is_lead,
-                    gateway.may_hedge(&req),
-                )
-            };
-            match (is_silent && may_hedge, is_lead) {
-                (false, _) => {}
-                (true, true) => self.on_silent(),
-                (true, false) => return None,
+            let is_lead = exchange.req.borrow().attempts.is_lead(self.attempt.id);
+            if !self.may_go_elsewhere(now, silence_end, is_lead) {
+                continue;
             }
+            if !is_lead {
+                return None;
+            }
+            self.on_silent();
         }
     }
+
+    /// Return whether the server is silent or gone, and another one may get the request: beside the
+    /// lead, or in place of a hedge.
+    fn may_go_elsewhere(&self, now: Timestamp, silence_end: Timestamp, is_lead: bool) -> bool {
+        let gateway = self.exchange.instance.gateway.borrow();
+        let req = self.exchange.req.borrow();
+        let is_silent = now >= silence_end || gateway.is_gone(now, self.attempt.plan.primary);
+        is_silent
+            && match is_lead {
+                true => gateway.may_hedge(&req),
+                false => gateway.may_replace_hedge(now, &req),
+            }
+    }
 }
 
 impl Drop for RunningAttempt<'_> {
@@ -241,9 +246,9 @@
     }
 }
 
-/// Run an attempt and report its end to the gateway.
-pub(crate) async fn run(exchange: &Exchange, attempt: Box<Attempt>) -> Outcome {
-    let attempt = &*attempt;
+/// Run an attempt and report its end to the gateway, also if the future is dropped before it is
+/// polled.
+pub(crate) fn run(exchange: &Exchange, attempt: Box<Attempt>) -> impl Future<Output = Outcome> {
     let began = exchange.instance.now();
     let running = RunningAttempt {
         exchange,
@@ -254,6 +259,12 @@
         last_sign: Cell::new(began),
         progress: Cell::new(Progress::default()),
     };
+    async move { run_to_end(&running).await }
+}
+
+async fn run_to_end(running: &RunningAttempt<'_>) -> Outcome {
+    let exchange = running.exchange;
+    let attempt = &*running.attempt;
     let reservations = match reserve_on_helpers(exchange, attempt).await {
         Ok(reservations) => reservations,
         Err(end) => {
@@ -570,14 +581,14 @@
             }
         })?;
         if count > 0 {
-            exchange.claim(running.attempt).await;
+            exchange.claim(&running.attempt).await;
             running.on_events(count);
             exchange.begin_stream(parts.status, answer::caller_headers(&parts.headers));
             exchange.last_delivered.set(events.last());
             exchange.send(StreamChunk::Data(whole)).await;
         }
     }
-    exchange.claim(running.attempt).await;
+    exchange.claim(&running.attempt).await;
     exchange.begin_stream(parts.status, answer::caller_headers(&parts.headers));
     exchange.send(StreamChunk::End).await;
     Ok(AttemptEnd::Completed)
