Don't take a server for gone that sends events, or by findings without links

A server found gone gets its hedge at once, so it has to be right. An instance kept what it had found while its own links were lost and reported it to all peers as soon as one connection opened. And a peer's report outweighed events that the server was sending to this instance: only a whole answer within the last second counted against it. Change: findings made since a connection was last opened are dropped when lost links are back (`Unreachable` only). An event counts as an answer does, for one second, until a connection to the server breaks.

--- a/crates/oleanderpass_gateway/src/absence.rs
+++ b/crates/oleanderpass_gateway/src/absence.rs
@@ -86,6 +86,14 @@
         }
     }
 
+    /// Drop what this instance found while its links were lost. It then reaches no server, and peers
+    /// may not answer in time. `last_opened` is when the links last worked, if they ever did.
+    pub fn on_links_regained(&mut self, last_opened: Option<Timestamp>) {
+        self.own.retain(|_, finding| {
+            finding.absence != Absence::Unreachable || last_opened.is_some_and(|at| finding.at < at)
+        });
+    }
+
     /// Forget a server that answered a request or is no longer listed.
     pub fn remove(&mut self, key: BackendKey) {
         self.own.swap_remove(&key);
--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -864,11 +864,11 @@
             .collect()
     }
 
-    /// Return whether a server is gone although it is listed.
+    /// Return whether a server is gone although it is listed. One that sends something to this
+    /// instance isn't, whatever peers report.
     pub fn is_gone(&self, now: Timestamp, key: BackendKey) -> bool {
         let health = self.health.get(&key);
-        self.absences.is_gone(now, key)
-            && !health.is_some_and(|health| health.succeeded_recently(now))
+        self.absences.is_gone(now, key) && !health.is_some_and(|health| health.shows_life(now))
     }
 
     /// Return the servers to which a connection has to be tried, to see whether they are back.
@@ -1450,6 +1450,8 @@
     pub fn on_events(&mut self, now: Timestamp, req: &mut Request, attempt: &Attempt) {
         // Connections that failed before don't count against what follows this answer.
         req.unsent = 0;
+        let health = self.health.entry(attempt.plan.primary).or_default();
+        health.on_event(now);
         let Some(progress) = req.progress.get_mut(&attempt.id) else {
             return;
         };
@@ -1519,6 +1521,9 @@
     /// Record that a direct connection to a server was opened.
     pub fn on_opened(&mut self, now: Timestamp, key: BackendKey) {
         self.bulletin_pending |= self.reach.is_isolated();
+        if self.reach.is_lost() {
+            self.absences.on_links_regained(self.reach.last_opened());
+        }
         self.reach.on_opened(now, key);
         self.absences.on_opened(key);
     }
@@ -1633,6 +1638,9 @@
         if let Some(observation) = observation {
             let health = self.health.entry(attempt.plan.primary).or_default();
             health.record(now, observation);
+            if end == AttemptEnd::Broken {
+                health.on_broken();
+            }
         }
         if end == AttemptEnd::HelperFailed {
             req.helper_failures += 1;
--- a/crates/oleanderpass_gateway/src/health.rs
+++ b/crates/oleanderpass_gateway/src/health.rs
@@ -36,7 +36,8 @@
 /// repeat the report while it holds.
 const PEER_REPORT_PAUSE: Millis = Millis::new(600);
 
-/// The time for which a success of this instance's own request overrides a peer's report.
+/// The time for which a success of this instance's own request, or an event of one, overrides a
+/// peer's report.
 const OWN_SUCCESS_LIFETIME: Millis = Millis::new(1_000);
 
 /// The length of one window over which the shortest pass is recorded. Two windows contain at least
@@ -64,6 +65,8 @@
     /// Whether the pause comes from a request of this instance rather than from a peer's report.
     own_pause: bool,
     last_success: Option<Timestamp>,
+    /// When the last event arrived, unless a connection to the server broke since.
+    last_event: Option<Timestamp>,
     /// When the server last refused to reserve memory.
     refused_memory: Option<Timestamp>,
     passes: ShortestPass,
@@ -158,9 +161,28 @@
             .is_some_and(|at| now.since(at) < OWN_SUCCESS_LIFETIME)
     }
 
+    /// Return whether the server sent an answer or an event to this instance a short time ago.
+    pub fn shows_life(&self, now: Timestamp) -> bool {
+        let sent_event = self
+            .last_event
+            .is_some_and(|at| now.since(at) < OWN_SUCCESS_LIFETIME);
+        sent_event || self.succeeded_recently(now)
+    }
+
+    /// Record that an event arrived.
+    pub fn on_event(&mut self, now: Timestamp) {
+        self.last_event = Some(now);
+    }
+
+    /// Record that a connection broke. The events before it don't show that the server still lives.
+    pub fn on_broken(&mut self) {
+        self.last_event = None;
+    }
+
     /// Record the time between two events of one stream, in milliseconds. It is about the time of
     /// one pass of the engine.
     pub fn on_pass(&mut self, now: Timestamp, pass_ms: f64) {
+        self.on_event(now);
         self.passes.record(now, pass_ms);
     }
 
--- a/crates/oleanderpass_gateway/src/reach.rs
+++ b/crates/oleanderpass_gateway/src/reach.rs
@@ -67,6 +67,11 @@
         self.failed.len() >= LOST_SERVERS
     }
 
+    /// Return when a connection was last opened directly.
+    pub fn last_opened(&self) -> Option<Timestamp> {
+        self.last_opened
+    }
+
     /// Record that a direct connection to a server was opened.
     pub fn on_opened(&mut self, now: Timestamp, key: BackendKey) {
         if self.is_lost() {
--- a/crates/oleanderpass_gateway/tests/gone_servers.rs
+++ b/crates/oleanderpass_gateway/tests/gone_servers.rs
@@ -174,3 +174,27 @@
     fleet.tick(at(200), 0..INSTANCES);
     assert!(!fleet.gateways[1].is_gone(at(300), first_server().key()));
 }
+
+/// Guards against requests that other instances give up at a server which lives, because an
+/// instance whose own links were lost found it gone and says so once they are back.
+#[test]
+fn finding_of_an_instance_without_links_is_dropped_when_they_are_back() {
+    let mut fleet = Fleet::new();
+    let keys: Vec<_> = (0..3)
+        .map(|number| server(&format!("e{number}"), "engines", 1, number).key())
+        .collect();
+    let isolated = &mut fleet.gateways[0];
+    for key in &keys[..2] {
+        isolated.on_open_failed(at(1_000), *key, "timeout");
+    }
+    for key in &keys[..2] {
+        isolated.on_server_gone(at(1_400), *key, Absence::Unreachable);
+    }
+    isolated.on_opened(at(1_500), keys[2]);
+    for step in 0..5 {
+        fleet.tick(at(1_600 + step * 100), 0..INSTANCES);
+    }
+    for gateway in &fleet.gateways[1..] {
+        assert!(!gateway.is_gone(at(2_050), keys[0]));
+    }
+}
