Don't end an answer that has begun with another server's failure

What callers saw: a stream of a paused engine that ended without its last events because a second engine answered 400 to its continuation. The log said `delivered`. Cause: only a 5xx of a server led to another attempt; any other failure was taken as the answer, also for a request whose caller has events. Change: a failure in place of further events ends its attempt as `failed`, whatever its status.

--- a/crates/oleanderpass_gateway_io/src/attempt.rs
+++ b/crates/oleanderpass_gateway_io/src/attempt.rs
@@ -285,7 +285,7 @@
             return Outcome::Undelivered;
         }
     };
-    let sending = send(exchange, attempt, &running, &mut connection, &reservations);
+    let sending = send(exchange, attempt, running, &mut connection, &reservations);
     let event_count = || running.progress.get().events;
     let result = tokio::select! {
         biased;
@@ -427,8 +427,10 @@
         return Err(record_refusal(exchange, attempt, &head));
     }
     if !parts.status.is_success() {
+        // Nothing but further events can follow those that the caller has.
+        let has_events = exchange.req.borrow().delivering;
         let may_retry = parts.status.is_server_error() && exchange.may_go_on();
-        if may_retry {
+        if has_events || may_retry {
             return Err(AttemptEnd::Failed);
         }
         deliver(exchange, attempt, parts, body).await;
