--- a/crates/oleanderpass_gateway/tests/running_requests.rs
+++ b/crates/oleanderpass_gateway/tests/running_requests.rs
@@ -6,13 +6,22 @@
 
 use oleanderpass_gateway::absence::Absence;
 use oleanderpass_gateway::gateway::AttemptEnd;
+use oleanderpass_gateway::gateway::Next;
+use oleanderpass_types::clock::Millis;
+use oleanderpass_types::size::RequestRate;
+use test_case::test_case;
 
 use crate::common::at;
 use crate::common::attempt;
 use crate::common::begin;
+use crate::common::gateway;
 use crate::common::gateway_named;
 use crate::common::introduce;
 
+/// The time after the last event for which callers wait for the next one. Source: the callers'
+/// published behaviour.
+const CALLER_PATIENCE: Millis = Millis::new(2_000);
+
 /// Guards against giving up a stream whose events arrive, because a peer could not connect to its
 /// server.
 #[test]
@@ -52,3 +61,42 @@
     own.on_attempt_end(at(1_910), &mut req, &first, AttemptEnd::Broken);
     assert!(own.is_gone(at(1_910), key));
 }
+
+/// Guards against cutting a stream whose caller waits longer than the servers' limits on their
+/// request rates hold it up.
+#[test_case(2_000; "two requests per second")]
+#[test_case(800; "less than one request per second")]
+fn stream_that_broke_off_waits_for_a_rate_limit(thousandths: u32) {
+    let mut gateway = gateway(2);
+    let mut req = begin(&mut gateway, at(0), "/chat/1", 5_000);
+    let first = attempt(gateway.next(at(0), &mut req));
+    gateway.on_sent(&mut req, &first);
+    req.delivering = true;
+    let rate = RequestRate::from_thousandths(thousandths);
+    let keys: Vec<_> = gateway.registry().iter().map(|(key, _)| key).collect();
+    for key in keys {
+        gateway.on_server_limit(at(1_000), key, Some(rate));
+    }
+    gateway.on_tick(at(1_000), &mut Vec::new());
+    gateway.on_attempt_end(at(1_010), &mut req, &first, AttemptEnd::Broken);
+    let next = gateway.next(at(1_010), &mut req);
+    let waits = matches!(next, Next::Wait(until) if until < at(1_010) + CALLER_PATIENCE);
+    assert!(waits, "{next:?}");
+}
+
+/// Guards against cutting a stream of a prompt that needs several engines, because their memory is
+/// taken at the moment in which its server breaks it off.
+#[test]
+fn stream_that_broke_off_waits_for_memory() {
+    let mut gateway = gateway(3);
+    let mut req = begin(&mut gateway, at(0), "/review/1", 400_000);
+    let first = attempt(gateway.next(at(0), &mut req));
+    gateway.on_sent(&mut req, &first);
+    req.delivering = true;
+    gateway.on_attempt_end(at(5_000), &mut req, &first, AttemptEnd::Broken);
+    let mut other = begin(&mut gateway, at(5_000), "/review/2", 400_000);
+    attempt(gateway.next(at(5_000), &mut other));
+    let next = gateway.next(at(5_001), &mut req);
+    let waits = matches!(next, Next::Wait(until) if until < at(5_001) + CALLER_PATIENCE);
+    assert!(waits, "{next:?}");
+}
