Add review case 6: ticket ids come again after a restart

An instance numbers its attempts from 1 in each lifetime and names tickets after its own name and that number. After a loss of power it uses the tickets of its earlier lifetime, whose requests still run.

Add a script with stand-ins of the store and of engines.

--- /dev/null
+++ b/review/stand_ins_2/main.rs
@@ -0,0 +1,41 @@
+//! Run a case of the review against the project's own processes. See `review/REPORT-2.md`.
+//!
+//! usage: stand_ins CASE DIR TEMP, with `TROUBLE=0` in the environment for a run without the
+//! disruption. The exit code is 1 if the rule was broken, 0 if it held, 2 if the case can't run.
+
+mod engine;
+mod gateway;
+mod http;
+mod record;
+mod store;
+mod tickets;
+
+use std::path::Path;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use crate::record::Record;
+use crate::tickets::Outcome;
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().collect();
+    let [_, case, dir, temp] = &args[..] else {
+        eprintln!("usage: stand_ins CASE DIR TEMP");
+        return ExitCode::from(2);
+    };
+    let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let (dir, temp) = (Path::new(dir), Path::new(temp));
+    let record = Arc::new(Record::create(dir));
+    record.note(format!("case {case}, with the disruption: {trouble}"));
+    let outcome = match case.as_str() {
+        "tickets" => tickets::run(temp, trouble, &record),
+        _ => Outcome::CannotRun,
+    };
+    let (text, code) = match outcome {
+        Outcome::Broken => ("the rule was broken", 1),
+        Outcome::Held => ("the rule held", 0),
+        Outcome::CannotRun => ("the case could not run", 2),
+    };
+    record.note(text);
+    ExitCode::from(code)
+}
