Add review case 6: a removed route lets a charge run twice

A request that is tried again is checked against the configuration in force and takes over the kind of the route that it finds there. If the non-idempotent route of a charge was removed meanwhile and its path falls to an idempotent route, a charge whose answer was lost is sent again.

--- a/review/stand_ins_2/main.rs
+++ b/review/stand_ins_2/main.rs
@@ -1,12 +1,15 @@
 //! Run a case of the review against the project's own processes. See `review/REPORT-2.md`.
 //!
 //! usage: stand_ins CASE DIR TEMP, with `TROUBLE=0` in the environment for a run without the
-//! disruption. The exit code is 1 if the rule was broken, 0 if it held, 2 if the case can't run.
+//! disruption, and `TROUBLE=part` for one with only a part of it, where a case has parts. The exit
+//! code is 1 if the rule was broken, 0 if it held, 2 if the case can't run.
 
 mod engine;
 mod gateway;
 mod http;
+mod plain;
 mod record;
+mod routes;
 mod store;
 mod tickets;
 
@@ -15,7 +18,21 @@
 use std::sync::Arc;
 
 use crate::record::Record;
-use crate::tickets::Outcome;
+
+/// The outcome of a case.
+pub enum Outcome {
+    Broken,
+    Held,
+    CannotRun,
+}
+
+/// The disruption of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    None,
+    Part,
+    All,
+}
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().collect();
@@ -23,12 +40,17 @@
         eprintln!("usage: stand_ins CASE DIR TEMP");
         return ExitCode::from(2);
     };
-    let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let trouble = match std::env::var("TROUBLE").as_deref() {
+        Ok("0") => Trouble::None,
+        Ok("part") => Trouble::Part,
+        _ => Trouble::All,
+    };
     let (dir, temp) = (Path::new(dir), Path::new(temp));
     let record = Arc::new(Record::create(dir));
-    record.note(format!("case {case}, with the disruption: {trouble}"));
+    record.note(format!("case {case}, disruption: {trouble:?}"));
     let outcome = match case.as_str() {
-        "tickets" => tickets::run(temp, trouble, &record),
+        "routes" => routes::run(temp, trouble, &record),
+        "tickets" => tickets::run(temp, trouble != Trouble::None, &record),
         _ => Outcome::CannotRun,
     };
     let (text, code) = match outcome {
--- a/review/stand_ins_2/tickets.rs
+++ b/review/stand_ins_2/tickets.rs
@@ -17,6 +17,7 @@
 use std::thread;
 use std::time::Duration;
 
+use crate::Outcome;
 use crate::engine::Engines;
 use crate::gateway;
 use crate::gateway::Deployment;
@@ -45,13 +46,6 @@
     }
 }
 
-/// The outcome of the case.
-pub enum Outcome {
-    Broken,
-    Held,
-    CannotRun,
-}
-
 struct Case {
     record: Arc<Record>,
     engines: Arc<Engines>,
