Review case 7: wait until the others' load is known again

Once in 13 runs on a busy machine the new lifetime did not yet know the load of the others and chose another engine, so that the rule held.

--- a/review/stand_ins_2/tickets.rs
+++ b/review/stand_ins_2/tickets.rs
@@ -183,7 +183,8 @@
         }
         record.note(format!("{} is ready again", instance.name));
     }
-    thread::sleep(Duration::from_millis(100));
+    // Each of the others has told its load to the new lifetime by then.
+    thread::sleep(Duration::from_millis(500));
     let second = case.send(&instance, "second", "/review/", LONG_PROMPT, 5)?;
     wait_for(Duration::from_secs(4), || engines.run("second").is_some_and(|run| run.ended));
     let (one, two) = (engines.run("first")?, engines.run("second"));
