Add review cases 7 and 9: unreadable entries of another writer

Case 7: an instance that takes its peers' copy of the store gets no further once the changes that it lacks have no room in one answer. It goes on to accept a key that was taken away.

Case 9: each instance keeps the undecoded values of all items, also of entries that name no server, until its memory is over that of its machine, and again after each restart.

--- a/review/stand_ins_2/gateway.rs
+++ b/review/stand_ins_2/gateway.rs
@@ -31,6 +31,8 @@
     pub zones: &'a [&'a str],
     /// The number of instances that may be started.
     pub instances: u8,
+    /// The memory of each machine, in MB.
+    pub memory_mb: u32,
 }
 
 /// A running instance. It is killed when this is dropped.
@@ -80,7 +82,7 @@
             ("Bounds.RetryBudgetRatio", "0.2".to_owned()),
             ("Bounds.RetrySlack", "102".to_owned()),
             ("Bounds.HoldMaxMs", "20000".to_owned()),
-            ("Limits.MemoryMb", "260".to_owned()),
+            ("Limits.MemoryMb", self.memory_mb.to_string()),
             ("Limits.MaxFds", "4100".to_owned()),
             ("Bounds.EvacuateMs", String::new()),
             ("Bounds.ColdOverrun", String::new()),
@@ -129,6 +131,15 @@
         answer.is_ok_and(|answer| answer.status() == 200)
     }
 
+    /// Return the resident memory of the process, in MB, or 0 if it has ended.
+    pub fn resident_mb(&self) -> u32 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kb = line.and_then(|line| line.trim().strip_suffix("kB")?.trim().parse::<u32>().ok());
+        kb.unwrap_or(0) / 1024
+    }
+
     /// Send SIGKILL and wait for the end of the process.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
--- a/review/stand_ins_2/main.rs
+++ b/review/stand_ins_2/main.rs
@@ -4,7 +4,9 @@
 //! disruption, and `TROUBLE=part` for one with only a part of it, where a case has parts. The exit
 //! code is 1 if the rule was broken, 0 if it held, 2 if the case can't run.
 
+mod copies;
 mod engine;
+mod entries;
 mod gateway;
 mod http;
 mod plain;
@@ -49,6 +51,8 @@
     let record = Arc::new(Record::create(dir));
     record.note(format!("case {case}, disruption: {trouble:?}"));
     let outcome = match case.as_str() {
+        "copies" => copies::run(temp, trouble != Trouble::None, &record),
+        "entries" => entries::run(temp, trouble != Trouble::None, &record),
         "routes" => routes::run(temp, trouble, &record),
         "tickets" => tickets::run(temp, trouble != Trouble::None, &record),
         _ => Outcome::CannotRun,
--- a/review/stand_ins_2/routes.rs
+++ b/review/stand_ins_2/routes.rs
@@ -47,7 +47,7 @@
     store.put("op/config", &config(7, true));
     let net = gateway::free_net(1);
     let zones = [ZONE];
-    let deployment = Deployment { dir: temp, net, store: store_addr, zones: &zones, instances: 1 };
+    let deployment = Deployment { dir: temp, net, store: store_addr, zones: &zones, instances: 1, memory_mb: 260 };
     let mut instance = deployment.start(1, ZONE);
     if !wait_for(Duration::from_secs(10), || instance.is_ready()) {
         record.note("the instance is not ready");
--- a/review/stand_ins_2/store.rs
+++ b/review/stand_ins_2/store.rs
@@ -1,5 +1,6 @@
 //! A stand-in of the platform's store: it can be read and watched.
 
+use std::collections::BTreeMap;
 use std::io::BufReader;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -13,6 +14,9 @@
 
 use crate::http;
 
+/// The size from which a page takes no further item. Source: the platform's page.
+const PAGE_BYTES: usize = 1_000_000;
+
 /// One write: the key, and the value or `None` for a removal. Its revision is its index, from 1.
 type Write = (String, Option<String>);
 
@@ -57,9 +61,9 @@
         loop {
             let req = http::read(&mut reader).ok()?;
             let (_, target) = req.request();
-            let prefix = req.param("Prefix").replace("%2F", "/");
+            let prefix = decode(req.param("Prefix"));
             let answer = match target.split('?').next() {
-                Some("/oleanderpass/kv-range") => self.range(&prefix),
+                Some("/oleanderpass/kv-range") => self.range(&prefix, &decode(req.param("After"))),
                 Some("/oleanderpass/kv-watch") => self.watch(&req, &prefix),
                 _ => None,
             };
@@ -70,17 +74,25 @@
         }
     }
 
-    /// Return the newest write of each present key. The stand-ins write fewer items than fill a page.
-    fn range(&self, prefix: &str) -> Option<String> {
+    /// Return the next page of the newest writes of present keys, in the order of the keys.
+    fn range(&self, prefix: &str, after: &str) -> Option<String> {
         let state = self.state.lock().unwrap();
         let writes = state.writes.iter().enumerate();
-        let newest = writes.filter(|(at, (key, value))| {
-            let later = &state.writes[at + 1..];
-            key.starts_with(prefix) && value.is_some() && later.iter().all(|(k, _)| k != key)
-        });
-        let items: Vec<String> = newest.map(|(at, write)| item(at, write)).collect();
-        let at = state.writes.len();
-        Some(format!("{{\"Entries\":[{}],\"HasMore\":false,\"At\":{at}}}", items.join(",")))
+        let newest: BTreeMap<&str, (usize, &Write)> =
+            writes.map(|(at, write)| (write.0.as_str(), (at, write))).collect();
+        let mut items: Vec<String> = Vec::new();
+        let mut has_more = false;
+        for (key, (at, write)) in newest {
+            if key.starts_with(prefix) && key > after && write.1.is_some() {
+                has_more = items.iter().map(String::len).sum::<usize>() >= PAGE_BYTES;
+                if has_more {
+                    break;
+                }
+                items.push(item(at, write));
+            }
+        }
+        let (items, at) = (items.join(","), state.writes.len());
+        Some(format!("{{\"Entries\":[{items}],\"HasMore\":{has_more},\"At\":{at}}}"))
     }
 
     fn watch(&self, req: &http::Message, prefix: &str) -> Option<String> {
@@ -113,6 +125,19 @@
     }
 }
 
+/// Decode a value of a query.
+fn decode(text: &str) -> String {
+    let mut parts = text.split('%');
+    let mut decoded = parts.next().unwrap_or("").to_owned();
+    for part in parts {
+        let (code, rest) = part.split_at(part.len().min(2));
+        let byte = u8::from_str_radix(code, 16).unwrap_or(b'?');
+        decoded.push(char::from(byte));
+        decoded += rest;
+    }
+    decoded
+}
+
 fn base64(data: &[u8]) -> String {
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
--- a/review/stand_ins_2/tickets.rs
+++ b/review/stand_ins_2/tickets.rs
@@ -119,7 +119,7 @@
     }
     store.put("op/config", &config());
     let net = gateway::free_net(5);
-    let deployment = Deployment { dir: temp, net, store: store_addr, zones: &ZONES, instances: 5 };
+    let deployment = Deployment { dir: temp, net, store: store_addr, zones: &ZONES, instances: 5, memory_mb: 260 };
     let mut others: Vec<Gateway> = Vec::new();
     for (host, zone) in (1..).zip(ZONES) {
         others.push(deployment.start(host, zone));
