--- a/review/stand_ins_2/copies.rs
+++ b/review/stand_ins_2/copies.rs
@@ -49,8 +49,14 @@
     store.put("op/config", &config(7, &[KEPT_KEY, REVOKED_KEY]));
     let net = gateway::free_net(3);
     let zones = [ZONE];
-    let deployment =
-        Deployment { dir: temp, net, store: store_addr, zones: &zones, instances: 3, memory_mb: MEMORY_MB };
+    let deployment = Deployment {
+        dir: temp,
+        net,
+        store: store_addr,
+        zones: &zones,
+        instances: 3,
+        memory_mb: MEMORY_MB,
+    };
     let mut instances: Vec<Gateway> = (1..=3).map(|host| deployment.start(host, ZONE)).collect();
     let knows_all = |g: &Gateway| g.is_ready() && g.status("peers") == "2";
     if !wait_for(Duration::from_secs(10), || instances.iter().all(knows_all)) {
@@ -75,20 +81,30 @@
         for instance in &instances {
             let id = format!("late-{number}-{}", instance.name);
             let answer = send(instance.caller_addr(), &id, REVOKED_KEY);
-            record.note(format!("client's answer to {id}, with the revoked key: {answer}"));
+            record.note(format!(
+                "client's answer to {id}, with the revoked key: {answer}"
+            ));
             stale += service.runs(&id);
         }
     }
     for instance in &mut instances {
         let version = instance.status("config_version");
-        let text = format!("{}: version {version}, {} MB", instance.name, instance.resident_mb());
+        let text = format!(
+            "{}: version {version}, {} MB",
+            instance.name,
+            instance.resident_mb()
+        );
         record.note(text);
         if instance.has_ended() {
             record.note(format!("{} has ended by itself", instance.name));
         }
     }
     record.note(format!("{stale} requests ran with the revoked key"));
-    if stale > 0 { Outcome::Broken } else { Outcome::Held }
+    if stale > 0 {
+        Outcome::Broken
+    } else {
+        Outcome::Held
+    }
 }
 
 fn send(addr: SocketAddr, id: &str, key: &str) -> String {
@@ -101,7 +117,10 @@
         ).as_bytes())?;
         http::read(&mut BufReader::new(stream))
     };
-    exchange().map_or_else(|error: std::io::Error| error.to_string(), |answer| answer.start)
+    exchange().map_or_else(
+        |error: std::io::Error| error.to_string(),
+        |answer| answer.start,
+    )
 }
 
 /// Return a version of the configuration in which each key is that of a tenant.
--- a/review/stand_ins_2/engine.rs
+++ b/review/stand_ins_2/engine.rs
@@ -68,14 +68,22 @@
 impl Engines {
     /// Create a deployment without engines, each of which will have memory for `capacity` tokens.
     pub fn new(capacity: u64, record: Arc<Record>) -> Arc<Self> {
-        Arc::new(Self { state: Mutex::default(), capacity, record })
+        Arc::new(Self {
+            state: Mutex::default(),
+            capacity,
+            record,
+        })
     }
 
     /// Start an engine and return its address.
     pub fn start(self: &Arc<Self>, id: &str, zone: &str) -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0").expect("bind an engine");
         let addr = listener.local_addr().expect("the address of an engine");
-        let engine = Engine { id: id.to_owned(), zone: zone.to_owned(), ..Engine::default() };
+        let engine = Engine {
+            id: id.to_owned(),
+            zone: zone.to_owned(),
+            ..Engine::default()
+        };
         self.state.lock().unwrap().engines.insert(addr, engine);
         let engines = self.clone();
         thread::spawn(move || {
@@ -100,12 +108,23 @@
     /// Return the last run of a request.
     pub fn run(&self, request: &str) -> Option<Run> {
         let state = self.state.lock().unwrap();
-        state.runs.iter().rev().find(|run| run.request == request).cloned()
+        state
+            .runs
+            .iter()
+            .rev()
+            .find(|run| run.request == request)
+            .cloned()
     }
 
     /// Return how many `reserve` orders came for a ticket.
     pub fn orders(&self, ticket: &str) -> u32 {
-        self.state.lock().unwrap().orders.get(ticket).copied().unwrap_or(0)
+        self.state
+            .lock()
+            .unwrap()
+            .orders
+            .get(ticket)
+            .copied()
+            .unwrap_or(0)
     }
 
     pub fn conflicts(&self) -> Vec<String> {
@@ -152,7 +171,14 @@
                         None if tokens > free => "409 Conflict",
                         None => {
                             let users = Vec::new();
-                            engine.tickets.insert(id.clone(), Ticket { tokens, expires, users });
+                            engine.tickets.insert(
+                                id.clone(),
+                                Ticket {
+                                    tokens,
+                                    expires,
+                                    users,
+                                },
+                            );
                             "200 OK"
                         }
                     };
@@ -166,7 +192,8 @@
                 _ => "400 Bad Request",
             }
         };
-        self.record.note(format!("{} order {body} -> {status}", self.name(addr)));
+        self.record
+            .note(format!("{} order {body} -> {status}", self.name(addr)));
         http::json(out, status, "{\"Free\":0}")
     }
 
@@ -176,14 +203,24 @@
             let engine = state.engines.get_mut(&addr).unwrap();
             engine.drop_expired();
             let entries = engine.tickets.iter().map(|(id, ticket)| {
-                let used = if ticket.users.is_empty() { "held" } else { "used" };
+                let used = if ticket.users.is_empty() {
+                    "held"
+                } else {
+                    "used"
+                };
                 let tokens = ticket.tokens;
-                format!("{{\"Id\":\"{id}\",\"TokenCount\":{tokens},\"State\":\"{used}\",\"AgeMs\":1}}")
+                format!(
+                    "{{\"Id\":\"{id}\",\"TokenCount\":{tokens},\"State\":\"{used}\",\"AgeMs\":1}}"
+                )
             });
             entries.collect()
         };
         let tickets = tickets.join(",");
-        http::json(out, "200 OK", &format!("{{\"Stage\":\"unified\",\"Tickets\":[{tickets}]}}"))
+        http::json(
+            out,
+            "200 OK",
+            &format!("{{\"Stage\":\"unified\",\"Tickets\":[{tickets}]}}"),
+        )
     }
 
     /// Run a request, or refuse it. Fail if its connection has to be closed.
@@ -203,7 +240,10 @@
             self.begin(&mut state, addr, &id, prompt, &helpers, req)
         };
         if let Err((status, headers)) = refusal {
-            self.record.note(format!("{} answers request {id} with {status}", self.name(addr)));
+            self.record.note(format!(
+                "{} answers request {id} with {status}",
+                self.name(addr)
+            ));
             return http::answer(out, status, &format!("{id_header}{headers}"), "");
         }
         let events: u32 = req.param("events").parse().unwrap_or(5);
@@ -222,7 +262,8 @@
                 break;
             }
             if !self.holds_memory(&id, &helpers) {
-                self.record.note(format!("request {id} is cut off: its memory has expired"));
+                self.record
+                    .note(format!("request {id} is cut off: its memory has expired"));
                 result = Err(io::ErrorKind::Other.into());
                 break;
             }
@@ -246,7 +287,10 @@
         const BUSY: &str = "503 Service Unavailable";
         let own = &state.engines[&addr];
         if req.get("expect-instance") != own.id {
-            return Err(("421 Misdirected Request", format!("Instance-Id: {}\r\n", own.id)));
+            return Err((
+                "421 Misdirected Request",
+                format!("Instance-Id: {}\r\n", own.id),
+            ));
         }
         let mut in_tickets = 0;
         for (helper, ticket) in helpers {
@@ -266,7 +310,9 @@
         own.requests.insert(id.to_owned(), needed);
         for (helper, ticket) in helpers {
             let engine = state.engines.get_mut(helper).unwrap();
-            let Some(ticket) = ticket.as_ref() else { continue };
+            let Some(ticket) = ticket.as_ref() else {
+                continue;
+            };
             let entry = engine.tickets.get_mut(ticket).unwrap();
             if let Some(other) = entry.users.first() {
                 let text = format!(
@@ -278,7 +324,12 @@
             }
             entry.users.push(id.to_owned());
         }
-        let run = Run { request: id.to_owned(), engine: addr, helpers: helpers.to_vec(), ended: false };
+        let run = Run {
+            request: id.to_owned(),
+            engine: addr,
+            helpers: helpers.to_vec(),
+            ended: false,
+        };
         state.runs.push(run);
         Ok(())
     }
@@ -290,7 +341,9 @@
             let engine = state.engines.get_mut(helper).unwrap();
             engine.drop_expired();
             let holds = |ticket: &Ticket| ticket.users.iter().any(|user| user == id);
-            ticket.as_ref().is_none_or(|ticket| engine.tickets.get(ticket).is_some_and(holds))
+            ticket
+                .as_ref()
+                .is_none_or(|ticket| engine.tickets.get(ticket).is_some_and(holds))
         })
     }
 
@@ -307,7 +360,8 @@
             run.ended = true;
         }
         drop(state);
-        self.record.note(format!("request {id} ends at {}", self.name(addr)));
+        self.record
+            .note(format!("request {id} ends at {}", self.name(addr)));
     }
 
     fn name(&self, addr: SocketAddr) -> String {
--- a/review/stand_ins_2/entries.rs
+++ b/review/stand_ins_2/entries.rs
@@ -50,11 +50,21 @@
     }
     store.put("op/config", &config());
     let net = gateway::free_net(3);
-    let deployment =
-        Deployment { dir: temp, net, store: store_addr, zones: &ZONES, instances: 3, memory_mb: MEMORY_MB };
-    let mut instances: Vec<Gateway> =
-        (1..).zip(ZONES).map(|(host, zone)| deployment.start(host, zone)).collect();
-    if !wait_for(Duration::from_secs(10), || instances.iter().all(Gateway::is_ready)) {
+    let deployment = Deployment {
+        dir: temp,
+        net,
+        store: store_addr,
+        zones: &ZONES,
+        instances: 3,
+        memory_mb: MEMORY_MB,
+    };
+    let mut instances: Vec<Gateway> = (1..)
+        .zip(ZONES)
+        .map(|(host, zone)| deployment.start(host, zone))
+        .collect();
+    if !wait_for(Duration::from_secs(10), || {
+        instances.iter().all(Gateway::is_ready)
+    }) {
         record.note("the instances are not ready");
         return Outcome::CannotRun;
     }
@@ -98,27 +108,42 @@
         thread::sleep(Duration::from_millis(20));
     }
     let served = |late: bool| {
-        let of: Vec<bool> = answers.iter().filter(|(l, _)| *l == late).map(|(_, ok)| *ok).collect();
+        let of: Vec<bool> = answers
+            .iter()
+            .filter(|(l, _)| *l == late)
+            .map(|(_, ok)| *ok)
+            .collect();
         format!("{} of {}", of.iter().filter(|ok| **ok).count(), of.len())
     };
-    record.note(format!("lookups answered with success: {} while entries were written", served(false)));
-    record.note(format!("lookups answered with success: {} after that", served(true)));
+    record.note(format!(
+        "lookups answered with success: {} while entries were written",
+        served(false)
+    ));
+    record.note(format!(
+        "lookups answered with success: {} after that",
+        served(true)
+    ));
     record.note(format!("the processes ended {ends:?} times"));
     let at_fault = ends.iter().filter(|count| **count >= MAX_ENDS).count();
-    if at_fault >= 2 { Outcome::Broken } else { Outcome::Held }
+    if at_fault >= 2 {
+        Outcome::Broken
+    } else {
+        Outcome::Held
+    }
 }
 
 /// Send a lookup. Return whether it is answered with success.
 fn lookup(addr: SocketAddr, number: usize) -> bool {
-    let exchange = || {
-        let mut stream = TcpStream::connect_timeout(&addr, Duration::from_millis(500))?;
-        stream.set_read_timeout(Some(Duration::from_millis(1_500)))?;
-        stream.write_all(format!(
+    let exchange =
+        || {
+            let mut stream = TcpStream::connect_timeout(&addr, Duration::from_millis(500))?;
+            stream.set_read_timeout(Some(Duration::from_millis(1_500)))?;
+            stream.write_all(format!(
             "GET /lookup/{number} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: lookup-{number}\r\n\
              Deadline-Ms: 1500\r\n\r\n"
         ).as_bytes())?;
-        http::read(&mut BufReader::new(stream))
-    };
+            http::read(&mut BufReader::new(stream))
+        };
     exchange().is_ok_and(|answer: http::Message| answer.status() == 200)
 }
 
--- a/review/stand_ins_2/gateway.rs
+++ b/review/stand_ins_2/gateway.rs
@@ -50,10 +50,14 @@
     let ports = [CALLER_PORT, READY_PORT, METRICS_PORT, PEER_PORT];
     let is_free = |net: &[u8; 2]| {
         (1..=instances).all(|host| {
-            ports.iter().all(|port| TcpListener::bind((addr(*net, host), *port)).is_ok())
+            ports
+                .iter()
+                .all(|port| TcpListener::bind((addr(*net, host), *port)).is_ok())
         })
     };
-    nets.into_iter().find(is_free).expect("a loopback network with free ports")
+    nets.into_iter()
+        .find(is_free)
+        .expect("a loopback network with free ports")
 }
 
 fn addr(net: [u8; 2], host: u8) -> Ipv4Addr {
@@ -68,7 +72,11 @@
         let seeds: Vec<String> = (1..=self.instances.min(3))
             .map(|host| format!("{}:{CONTROL_PORT}", addr(self.net, host)))
             .collect();
-        let zones: Vec<String> = self.zones.iter().map(|z| format!("\"{z}\":\"region\"")).collect();
+        let zones: Vec<String> = self
+            .zones
+            .iter()
+            .map(|z| format!("\"{z}\":\"region\""))
+            .collect();
         let values = [
             ("NodeName", name.clone()),
             ("Zone", zone.to_owned()),
@@ -96,7 +104,11 @@
         let path = self.dir.join(format!("{name}.yaml"));
         fs::write(&path, settings).expect("write the settings");
         let log = self.dir.join(format!("{name}.log"));
-        let log = File::options().create(true).append(true).open(log).expect("open a log");
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(log)
+            .expect("open a log");
         let child = Command::new("target/release/oleanderpass")
             .arg("gateway")
             .env("OLEANDERPASS_SETTINGS", &path)
@@ -108,7 +120,12 @@
         // The script ends the processes by these ids if it is stopped itself.
         let pid = child.id().to_string();
         fs::write(self.dir.join(format!("{name}.pid")), pid).expect("write the process id");
-        Gateway { name, zone: zone.to_owned(), ip, child }
+        Gateway {
+            name,
+            zone: zone.to_owned(),
+            ip,
+            child,
+        }
     }
 }
 
@@ -122,7 +139,9 @@
         let answer = http::fetch(SocketAddr::new(self.ip, METRICS_PORT), "/status");
         let text = answer.map(|answer| String::from_utf8_lossy(&answer.body).into_owned());
         let text = text.unwrap_or_default();
-        let line = text.lines().find_map(|line| line.strip_prefix(&format!("{name}: ")));
+        let line = text
+            .lines()
+            .find_map(|line| line.strip_prefix(&format!("{name}: ")));
         line.unwrap_or("").to_owned()
     }
 
--- a/review/stand_ins_2/http.rs
+++ b/review/stand_ins_2/http.rs
@@ -43,7 +43,11 @@
         let (_, target) = self.request();
         let query = target.split_once('?').map_or("", |(_, query)| query);
         let found = query.split('&').filter_map(|pair| pair.split_once('='));
-        found.filter(|(key, _)| *key == name).map(|(_, value)| value).next().unwrap_or("")
+        found
+            .filter(|(key, _)| *key == name)
+            .map(|(_, value)| value)
+            .next()
+            .unwrap_or("")
     }
 }
 
@@ -57,7 +61,10 @@
 
 /// Read the head of a message.
 pub fn read_head(reader: &mut BufReader<TcpStream>) -> io::Result<Message> {
-    let mut message = Message { start: line(reader)?, ..Message::default() };
+    let mut message = Message {
+        start: line(reader)?,
+        ..Message::default()
+    };
     loop {
         let header = line(reader)?;
         if header.is_empty() {
@@ -84,7 +91,10 @@
 /// Read a message whose body has a length, chunks, or none.
 pub fn read(reader: &mut BufReader<TcpStream>) -> io::Result<Message> {
     let mut message = read_head(reader)?;
-    if message.get("transfer-encoding").eq_ignore_ascii_case("chunked") {
+    if message
+        .get("transfer-encoding")
+        .eq_ignore_ascii_case("chunked")
+    {
         loop {
             let chunk = read_chunk(reader)?;
             if chunk.is_empty() {
--- a/review/stand_ins_2/plain.rs
+++ b/review/stand_ins_2/plain.rs
@@ -26,7 +26,12 @@
 
 impl Service {
     pub fn new(work: Duration, lost: Option<&'static str>, record: Arc<Record>) -> Arc<Self> {
-        Arc::new(Self { work, lost, runs: Mutex::default(), record })
+        Arc::new(Self {
+            work,
+            lost,
+            runs: Mutex::default(),
+            record,
+        })
     }
 
     /// Start a server and return its address.
@@ -62,11 +67,16 @@
                 http::answer(&mut out, "421 Misdirected Request", &headers, "")?;
                 continue;
             }
-            self.record.note(format!("server {id} runs {request}: {}", req.start));
-            self.runs.lock().unwrap().push((request.clone(), id.to_owned()));
+            self.record
+                .note(format!("server {id} runs {request}: {}", req.start));
+            self.runs
+                .lock()
+                .unwrap()
+                .push((request.clone(), id.to_owned()));
             thread::sleep(self.work);
             if self.lost == Some(request.as_str()) && self.runs(&request) == 1 {
-                self.record.note(format!("server {id} has run {request}; its answer is lost"));
+                self.record
+                    .note(format!("server {id} has run {request}; its answer is lost"));
                 return Ok(());
             }
             self.record.note(format!("server {id} answers {request}"));
--- a/review/stand_ins_2/record.rs
+++ b/review/stand_ins_2/record.rs
@@ -16,7 +16,10 @@
     /// Create `record.txt` in a folder.
     pub fn create(dir: &Path) -> Self {
         let file = File::create(dir.join("record.txt")).expect("create record.txt");
-        Self { began: Instant::now(), file: Mutex::new(file) }
+        Self {
+            began: Instant::now(),
+            file: Mutex::new(file),
+        }
     }
 
     /// Write a line with the time since the start.
--- a/review/stand_ins_2/routes.rs
+++ b/review/stand_ins_2/routes.rs
@@ -34,7 +34,11 @@
 const CHANGE_AFTER: Duration = Duration::from_millis(100);
 
 pub fn run(temp: &Path, trouble: Trouble, record: &Arc<Record>) -> Outcome {
-    let service = Service::new(WORK, (trouble != Trouble::None).then_some(CHARGE), record.clone());
+    let service = Service::new(
+        WORK,
+        (trouble != Trouble::None).then_some(CHARGE),
+        record.clone(),
+    );
     let (store, store_addr) = Store::start();
     for number in 1..=3 {
         let id = format!("i-{number}");
@@ -47,7 +51,14 @@
     store.put("op/config", &config(7, true));
     let net = gateway::free_net(1);
     let zones = [ZONE];
-    let deployment = Deployment { dir: temp, net, store: store_addr, zones: &zones, instances: 1, memory_mb: 260 };
+    let deployment = Deployment {
+        dir: temp,
+        net,
+        store: store_addr,
+        zones: &zones,
+        instances: 1,
+        memory_mb: 260,
+    };
     let mut instance = deployment.start(1, ZONE);
     if !wait_for(Duration::from_secs(10), || instance.is_ready()) {
         record.note("the instance is not ready");
@@ -63,8 +74,12 @@
     });
     let lookups: Vec<_> = lookups.collect();
     let answered = lookups.into_iter().filter_map(|lookup| lookup.join().ok());
-    let answered = answered.filter(|answer| answer.starts_with("HTTP/1.1 200")).count();
-    record.note(format!("{answered} of {LOOKUPS} lookups are answered with success"));
+    let answered = answered
+        .filter(|answer| answer.starts_with("HTTP/1.1 200"))
+        .count();
+    record.note(format!(
+        "{answered} of {LOOKUPS} lookups are answered with success"
+    ));
     let sender = record.clone();
     let charge = thread::spawn(move || send(addr, &sender, CHARGE, "POST", "/orders/charge/1"));
     if !wait_for(Duration::from_secs(1), || service.runs(CHARGE) > 0) {
@@ -80,11 +95,17 @@
     thread::sleep(2 * WORK);
     let runs = service.runs(CHARGE);
     let version = instance.status("config_version");
-    record.note(format!("{CHARGE} ran {runs} times; configuration in force: {version}"));
+    record.note(format!(
+        "{CHARGE} ran {runs} times; configuration in force: {version}"
+    ));
     if instance.has_ended() {
         record.note("the instance has ended by itself");
     }
-    if runs > 1 { Outcome::Broken } else { Outcome::Held }
+    if runs > 1 {
+        Outcome::Broken
+    } else {
+        Outcome::Held
+    }
 }
 
 /// Send a request, record what happens, and return the first line of the answer.
@@ -92,7 +113,11 @@
     record.note(format!("client sends {id}: {method} {path}"));
     let exchange = || {
         let mut stream = TcpStream::connect(addr)?;
-        let body = if method == "POST" { "Content-Length: 3\r\n\r\n100" } else { "\r\n" };
+        let body = if method == "POST" {
+            "Content-Length: 3\r\n\r\n100"
+        } else {
+            "\r\n"
+        };
         stream.write_all(format!(
             "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {id}\r\nDeadline-Ms: 1500\r\n\
              Authorization: Bearer {KEY}\r\n{body}"
--- a/review/stand_ins_2/store.rs
+++ b/review/stand_ins_2/store.rs
@@ -36,7 +36,10 @@
     pub fn start() -> (Arc<Self>, SocketAddr) {
         let listener = TcpListener::bind("127.0.0.1:0").expect("bind the store");
         let addr = listener.local_addr().expect("the address of the store");
-        let store = Arc::new(Self { state: Mutex::default(), changed: Condvar::new() });
+        let store = Arc::new(Self {
+            state: Mutex::default(),
+            changed: Condvar::new(),
+        });
         let shared = store.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -78,8 +81,9 @@
     fn range(&self, prefix: &str, after: &str) -> Option<String> {
         let state = self.state.lock().unwrap();
         let writes = state.writes.iter().enumerate();
-        let newest: BTreeMap<&str, (usize, &Write)> =
-            writes.map(|(at, write)| (write.0.as_str(), (at, write))).collect();
+        let newest: BTreeMap<&str, (usize, &Write)> = writes
+            .map(|(at, write)| (write.0.as_str(), (at, write)))
+            .collect();
         let mut items: Vec<String> = Vec::new();
         let mut has_more = false;
         for (key, (at, write)) in newest {
@@ -92,7 +96,9 @@
             }
         }
         let (items, at) = (items.join(","), state.writes.len());
-        Some(format!("{{\"Entries\":[{items}],\"HasMore\":{has_more},\"At\":{at}}}"))
+        Some(format!(
+            "{{\"Entries\":[{items}],\"HasMore\":{has_more},\"At\":{at}}}"
+        ))
     }
 
     fn watch(&self, req: &http::Message, prefix: &str) -> Option<String> {
@@ -142,7 +148,9 @@
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for group in data.chunks(3) {
-        let bits = group.iter().fold(0_u32, |bits, byte| bits << 8 | u32::from(*byte));
+        let bits = group
+            .iter()
+            .fold(0_u32, |bits, byte| bits << 8 | u32::from(*byte));
         let bits = bits << (8 * (3 - group.len()));
         for place in 0..4 {
             match place <= group.len() {
--- a/review/stand_ins_2/tickets.rs
+++ b/review/stand_ins_2/tickets.rs
@@ -54,7 +54,10 @@
 impl Case {
     /// Send a request and leave its answer to a thread that records the end.
     fn send(&self, to: &Gateway, id: &str, path: &str, prompt: u32, events: u32) -> Option<Caller> {
-        self.record.note(format!("client sends {id} ({prompt} prompt tokens, {path}) to {}", to.name));
+        self.record.note(format!(
+            "client sends {id} ({prompt} prompt tokens, {path}) to {}",
+            to.name
+        ));
         let addr: SocketAddr = to.caller_addr();
         let mut stream = TcpStream::connect(addr).ok()?;
         let head = format!(
@@ -74,7 +77,9 @@
             record.note(format!("client's answer to {id}: {status}"));
             loop {
                 match http::read_chunk(&mut reader) {
-                    Ok(chunk) if chunk.is_empty() => return record.note(format!("{id} is complete")),
+                    Ok(chunk) if chunk.is_empty() => {
+                        return record.note(format!("{id} is complete"));
+                    }
                     Ok(_) => {}
                     Err(error) => return record.note(format!("{id} ends early: {error}")),
                 }
@@ -119,29 +124,50 @@
     }
     store.put("op/config", &config());
     let net = gateway::free_net(5);
-    let deployment = Deployment { dir: temp, net, store: store_addr, zones: &ZONES, instances: 5, memory_mb: 260 };
+    let deployment = Deployment {
+        dir: temp,
+        net,
+        store: store_addr,
+        zones: &ZONES,
+        instances: 5,
+        memory_mb: 260,
+    };
     let mut others: Vec<Gateway> = Vec::new();
     for (host, zone) in (1..).zip(ZONES) {
         others.push(deployment.start(host, zone));
     }
     let limit = Duration::from_secs(10);
-    let all_ready = || others.iter().all(|g| g.is_ready() && g.status("peers") == "3");
+    let all_ready = || {
+        others
+            .iter()
+            .all(|g| g.is_ready() && g.status("peers") == "3")
+    };
     if !wait_for(limit, all_ready) {
         record.note("the instances are not ready");
         return None;
     }
-    let case = Case { record: record.clone(), engines: engines.clone() };
+    let case = Case {
+        record: record.clone(),
+        engines: engines.clone(),
+    };
 
     // The engine of the short streams; K is in the zone of the instance under test.
     let (probe, short) = case.place(&others[0], "probe", "/short/", 2_000, 2)?;
     drop(probe);
     let long: Vec<&Gateway> = others.iter().filter(|g| g.zone != short).collect();
     let (k, m, n) = (long[0], long[1], long[2]);
-    record.note(format!("short streams: {short}; K: {}, M: {}, N: {}", k.zone, m.zone, n.zone));
+    record.note(format!(
+        "short streams: {short}; K: {}, M: {}, N: {}",
+        k.zone, m.zone, n.zone
+    ));
     let mut callers = Vec::new();
     for (to, id, prompt) in [
-        (n, "n1", 10_000), (n, "n2", 10_000), (n, "n3", 10_000),
-        (k, "k1", 8_000), (k, "k2", 3_000), (m, "m1", 6_000),
+        (n, "n1", 10_000),
+        (n, "n2", 10_000),
+        (n, "n3", 10_000),
+        (k, "k1", 8_000),
+        (k, "k2", 3_000),
+        (m, "m1", 6_000),
     ] {
         let (caller, zone) = case.place(to, id, "/review/", prompt, 280)?;
         if zone != to.zone {
@@ -186,7 +212,9 @@
     // Each of the others has told its load to the new lifetime by then.
     thread::sleep(Duration::from_millis(500));
     let second = case.send(&instance, "second", "/review/", LONG_PROMPT, 5)?;
-    wait_for(Duration::from_secs(4), || engines.run("second").is_some_and(|run| run.ended));
+    wait_for(Duration::from_secs(4), || {
+        engines.run("second").is_some_and(|run| run.ended)
+    });
     let (one, two) = (engines.run("first")?, engines.run("second"));
     record.note(format!("first: {one:?}"));
     record.note(format!("second: {two:?}"));
@@ -196,7 +224,11 @@
     }
     let conflicts = engines.conflicts();
     record.note(format!("{} conflicts", conflicts.len()));
-    Some(if conflicts.is_empty() { Outcome::Held } else { Outcome::Broken })
+    Some(if conflicts.is_empty() {
+        Outcome::Held
+    } else {
+        Outcome::Broken
+    })
 }
 
 /// Return the configuration: a route for short streams and one for long ones.
@@ -209,7 +241,10 @@
              \"Resumable\":true,\"GapTargetMs\":{gap}}}"
         )
     };
-    let routes = [route("short", 300, 250, 10_000), route("review", 3_000, 1_000, 15_000)];
+    let routes = [
+        route("short", 300, 250, 10_000),
+        route("review", 3_000, 1_000, 15_000),
+    ];
     format!(
         "{{\"Version\":7,\"RouteTable\":[{}],\"Services\":[{{\"Name\":\"skald\",\
          \"HealthPath\":\"/healthz\",\"MaxConnections\":648,\"Protocol\":\"h1\",\"Tls\":false,\
