Log and count how much of a peer's copy arrives

Both lines about copies now have the bytes and the elapsed time, and two metrics count copies asked for and served. Nothing decides differently.

--- a/crates/oleanderpass_gateway/src/lib.rs
+++ b/crates/oleanderpass_gateway/src/lib.rs
@@ -37,3 +37,4 @@
 pub mod store;
 pub mod store_reader;
 pub(crate) mod token_bucket;
+pub mod transfer;
--- a/crates/oleanderpass_gateway_io/src/internal_http.rs
+++ b/crates/oleanderpass_gateway_io/src/internal_http.rs
@@ -8,7 +8,6 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -25,6 +24,7 @@
 use crate::explain;
 use crate::instance::SharedInstance;
 use crate::relay;
+use crate::served_body::ServedBody;
 
 const METRICS_PATH: &str = "/metrics";
 const STATUS_PATH: &str = "/status";
@@ -62,7 +62,7 @@
                 let instance = instance.clone();
                 async move {
                     let answer = if tunnels == Tunnels::Accepted && relay::is_connect(&req) {
-                        relay::serve(&instance, req).await
+                        relay::serve(&instance, req).await.map(ServedBody::from)
                     } else {
                         answer(&instance, &req)
                     };
@@ -78,15 +78,20 @@
 }
 
 /// Answer a request.
-fn answer(instance: &SharedInstance, req: &Request<Incoming>) -> Response<Full<Bytes>> {
+fn answer(instance: &SharedInstance, req: &Request<Incoming>) -> Response<ServedBody> {
     let (status, body) = match req.uri().path() {
-        READINESS_PATH if instance.gateway.borrow().is_ready() => (StatusCode::OK, Bytes::new()),
-        READINESS_PATH => (StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
-        METRICS_PATH => metrics(instance),
-        STATUS_PATH => (StatusCode::OK, status(instance).into()),
+        READINESS_PATH if instance.gateway.borrow().is_ready() => {
+            (StatusCode::OK, ServedBody::default())
+        }
+        READINESS_PATH => (StatusCode::SERVICE_UNAVAILABLE, ServedBody::default()),
+        METRICS_PATH => {
+            let (status, text) = metrics(instance);
+            (status, text.into())
+        }
+        STATUS_PATH => (StatusCode::OK, Bytes::from(status(instance)).into()),
         explain::PATH if req.method() == Method::GET => {
             let (status, text) = explain::answer(instance, req.headers(), req.uri().query());
-            (status, text.into())
+            (status, Bytes::from(text).into())
         }
         STORE_COPY_PATH => {
             // Without a position, the peer gets everything.
@@ -95,11 +100,13 @@
                 .gateway
                 .borrow()
                 .store_changes(instance.now(), after.unwrap_or_default());
-            (StatusCode::OK, changes.encode_to_vec().into())
+            let copies = instance.metrics.served_copies.clone();
+            let body = ServedBody::copy(changes.encode_to_vec().into(), copies);
+            (StatusCode::OK, body)
         }
-        _ => (StatusCode::NOT_FOUND, Bytes::new()),
+        _ => (StatusCode::NOT_FOUND, ServedBody::default()),
     };
-    let mut answer = Response::new(Full::new(body));
+    let mut answer = Response::new(body);
     *answer.status_mut() = status;
     answer
 }
--- a/crates/oleanderpass_gateway_io/src/lib.rs
+++ b/crates/oleanderpass_gateway_io/src/lib.rs
@@ -25,4 +25,5 @@
 mod receive;
 mod relay;
 mod reservation;
+mod served_body;
 mod store;
--- a/crates/oleanderpass_gateway_io/src/metrics.rs
+++ b/crates/oleanderpass_gateway_io/src/metrics.rs
@@ -35,6 +35,10 @@
     pub(crate) attempts: IntCounterVec,
     /// Calls to the platform's store, by call and result: the HTTP status, or `failed`.
     pub(crate) store_calls: IntCounterVec,
+    /// Copies of the store that were asked of peers, by result.
+    pub(crate) peer_copies: IntCounterVec,
+    /// Copies of the store that are being sent to peers.
+    pub(crate) served_copies: IntGauge,
     /// Orders to engines that reserve, renew or release memory, by operation and result.
     pub(crate) orders: IntCounterVec,
     /// The time from the arrival of a request to its first event, by prompt length.
@@ -101,6 +105,15 @@
                 "Calls to the platform's store.",
                 &["call", "result"],
             )?,
+            peer_copies: counter_vec(
+                "peer_copies_total",
+                "Copies of the store that were asked of peers.",
+                &["result"],
+            )?,
+            served_copies: IntGauge::new(
+                "oleanderpass_served_copies",
+                "Copies of the store that are being sent to peers.",
+            )?,
             orders: counter_vec(
                 "orders_total",
                 "Orders to engines.",
@@ -178,6 +191,8 @@
         registry.register(Box::new(metrics.cut_streams.clone()))?;
         registry.register(Box::new(metrics.attempts.clone()))?;
         registry.register(Box::new(metrics.store_calls.clone()))?;
+        registry.register(Box::new(metrics.peer_copies.clone()))?;
+        registry.register(Box::new(metrics.served_copies.clone()))?;
         registry.register(Box::new(metrics.orders.clone()))?;
         registry.register(Box::new(metrics.first_event.clone()))?;
         registry.register(Box::new(metrics.request_time.clone()))?;
--- a/crates/oleanderpass_gateway_io/src/peer.rs
+++ b/crates/oleanderpass_gateway_io/src/peer.rs
@@ -1,5 +1,6 @@
 //! Exchange datagrams with peers and fetch their copies of the store.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -9,6 +10,7 @@
 use http::Request;
 use oleanderpass_gateway::memory::AnswerMemory;
 use oleanderpass_gateway::store::StorePosition;
+use oleanderpass_gateway::transfer::Transfer;
 use oleanderpass_membership::packet::MAX_DATAGRAM_BYTES;
 use oleanderpass_proto::peer::Packet;
 use oleanderpass_proto::peer::StoreCopy;
@@ -107,13 +109,14 @@
 }
 
 /// Fetch what changed in a peer's copy of the store after a position. The default fetches
-/// everything.
+/// everything. What arrives is recorded in `transfer`.
 ///
 /// # Errors
 ///
 /// Return why the copy could not be fetched.
 pub(crate) async fn fetch_copy(
     memory: &AnswerMemory,
+    transfer: &Cell<Transfer>,
     addr: SocketAddr,
     after: StorePosition,
 ) -> Result<StoreCopy> {
@@ -126,7 +129,7 @@
         if !answer.status().is_success() {
             bail!("peer {addr} answered {}", answer.status());
         }
-        let (body, _share) = receive::document(answer.into_body(), memory)
+        let (body, _share) = receive::document_of(transfer, answer.into_body(), memory)
             .await
             .wrap_err("read the copy")?;
         StoreCopy::decode(body).wrap_err("decode the copy")
--- a/crates/oleanderpass_gateway_io/src/receive.rs
+++ b/crates/oleanderpass_gateway_io/src/receive.rs
@@ -17,6 +17,7 @@
 use oleanderpass_gateway::memory::AnswerMemory;
 use oleanderpass_gateway::memory::NoRoom;
 use oleanderpass_gateway::memory::Share;
+use oleanderpass_gateway::transfer::Transfer;
 use oleanderpass_types::size::Bytes as Size;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
@@ -84,13 +85,20 @@
 /// # Errors
 ///
 /// Return why it could not be received.
-pub(crate) async fn body(
+pub(crate) async fn body(body: Incoming, memory: &AnswerMemory) -> Result<Pieces, ReceiveError> {
+    body_with(body, memory, |_| {}).await
+}
+
+/// Receive a whole body, and report the size of each part as it arrives.
+async fn body_with(
     mut body: Incoming,
     memory: &AnswerMemory,
+    on_received: impl Fn(Size),
 ) -> Result<Pieces, ReceiveError> {
     let mut pieces = Pieces::new(memory);
     while let Some(frame) = body.frame().await {
         if let Ok(data) = frame?.into_data() {
+            on_received(Size::new(data.len() as u64));
             pieces.append(&data)?;
         }
     }
@@ -110,6 +118,25 @@
     Ok(body(document, memory).await?.into_document()?)
 }
 
+/// Do the same as [`document`], and record what arrives in `transfer`.
+///
+/// # Errors
+///
+/// Return why it could not be received.
+pub(crate) async fn document_of(
+    transfer: &Cell<Transfer>,
+    document: Incoming,
+    memory: &AnswerMemory,
+) -> Result<(Bytes, Share), ReceiveError> {
+    let on_received = |size| {
+        let mut progress = transfer.get();
+        progress.on_received(size);
+        transfer.set(progress);
+    };
+    let pieces = body_with(document, memory, on_received).await?;
+    Ok(pieces.into_document()?)
+}
+
 /// Counts the bytes that arrive on a connection between a request and the end of the head of its
 /// answer. They are all held until the head is complete, and its headers after that.
 #[derive(Debug)]
--- a/crates/oleanderpass_gateway_io/src/relay.rs
+++ b/crates/oleanderpass_gateway_io/src/relay.rs
@@ -14,7 +14,6 @@
 use http::Response;
 use http::StatusCode;
 use http_body_util::Empty;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::upgrade::Upgraded;
@@ -93,10 +92,7 @@
 }
 
 /// Answer the CONNECT request of a peer, and keep its tunnel in the background.
-pub(crate) async fn serve(
-    instance: &SharedInstance,
-    req: Request<Incoming>,
-) -> Response<Full<Bytes>> {
+pub(crate) async fn serve(instance: &SharedInstance, req: Request<Incoming>) -> Response<Bytes> {
     match connect_for_peer(instance, &req).await {
         Ok((server, buffers)) => {
             let instance = instance.clone();
@@ -109,11 +105,11 @@
                 tunnels.set(tunnels.get() - 1);
                 drop(buffers);
             });
-            Response::new(Full::default())
+            Response::default()
         }
         Err(error) => {
             tracing::debug!(error = format!("{error:#}"), "no connection for a peer");
-            let mut answer = Response::new(Full::default());
+            let mut answer = Response::default();
             *answer.status_mut() = StatusCode::BAD_GATEWAY;
             answer
         }
--- a/crates/oleanderpass_gateway_io/src/store.rs
+++ b/crates/oleanderpass_gateway_io/src/store.rs
@@ -1,5 +1,6 @@
 //! Read the platform's store and watch it for changes, or fetch changes from peers that do.
 
+use std::cell::Cell;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,6 +18,7 @@
 use oleanderpass_gateway::store_reader::READER_CHECK_INTERVAL;
 use oleanderpass_gateway::store_reader::Step;
 use oleanderpass_gateway::store_reader::StoreReader;
+use oleanderpass_gateway::transfer::Transfer;
 use oleanderpass_platform::announcement;
 use oleanderpass_platform::configuration;
 use oleanderpass_platform::store;
@@ -298,11 +300,19 @@
 /// Fetch and apply a peer's copy of the store. Pause if that fails.
 async fn copy_from_peer(instance: &SharedInstance, source: CopySource) {
     let began = instance.now();
-    let copy = match peer::fetch_copy(&instance.memory, source.addr, source.after).await {
+    let transfer = Cell::new(Transfer::new(began));
+    let fetched = peer::fetch_copy(&instance.memory, &transfer, source.addr, source.after).await;
+    let result = if fetched.is_ok() { "taken" } else { "failed" };
+    let counter = &instance.metrics.peer_copies;
+    counter.with_label_values(&[result]).inc();
+    let transfer = transfer.get();
+    let copy = match fetched {
         Ok(copy) => copy,
         Err(error) => {
             tracing::info!(
                 error = format!("{error:#}"),
+                received_bytes = transfer.received().get(),
+                elapsed_ms = transfer.elapsed(instance.now()).get(),
                 "could not fetch a copy of the store from a peer"
             );
             tokio::time::sleep(COPY_PAUSE).await;
@@ -335,6 +345,8 @@
         peer = %source.addr,
         store_era = position.era,
         store_revision = position.revision,
+        received_bytes = transfer.received().get(),
+        elapsed_ms = transfer.elapsed(now).get(),
         "took a peer's copy of the store"
     );
 }
