--- a/crates/oleanderpass_gateway/tests/common/store.rs
+++ b/crates/oleanderpass_gateway/tests/common/store.rs
@@ -44,7 +44,12 @@
 const READ_TIMEOUT_MS: u64 = 800;
 const WATCH_CHECK_MS: u64 = 300;
 const BEHIND_GRACE_MS: u64 = 250;
+const COPY_TIMEOUT_MS: u64 = 800;
 const COPY_PAUSE_MS: u64 = 100;
+/// The interval at which transfers advance, in milliseconds.
+const TRANSFER_STEP_MS: u64 = 10;
+/// The size of an item of the store, other than the configuration, in bytes.
+const ITEM_BYTES: f64 = 250.0;
 /// The number of availability zones.
 pub(crate) const ZONES: usize = 3;
 /// The time within which a confirmed change is in force, in milliseconds.
@@ -151,6 +156,26 @@
     Silent,
 }
 
+/// The links of all instances and what they carry.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Links {
+    /// What a link carries in each direction.
+    pub(crate) bytes_per_ms: f64,
+    /// The size of the configuration.
+    pub(crate) configuration_bytes: f64,
+}
+
+/// An answer on its way to an instance.
+#[derive(Debug)]
+struct Transfer {
+    /// The instance that sends it, or `None` for the store.
+    from: Option<usize>,
+    to: usize,
+    step: u64,
+    left_bytes: f64,
+    reply: Reply,
+}
+
 /// Who writes into the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Writer {
@@ -179,6 +204,8 @@
     /// An instance decides, unless it has done so since.
     Decide(usize, u64),
     Answer(usize, u64, Reply),
+    /// Answers on their way advance.
+    Advance,
     /// An instance checks whether its watch has to be a shorter one.
     Renew(usize, u64),
     /// An instance was behind its peers a short time ago.
@@ -351,6 +378,11 @@
     /// The number of copies that instances fetched from peers.
     pub(crate) copies: u64,
     seen: Vec<u64>,
+    /// The time within which a confirmed change is in force, in milliseconds.
+    apply_ms: u64,
+    /// `None` if answers take no longer when they are large.
+    links: Option<Links>,
+    transfers: Vec<Transfer>,
 }
 
 impl StoreFleet {
@@ -375,6 +407,9 @@
             calls_begun: Vec::new(),
             copies: 0,
             seen: vec![0; instances],
+            apply_ms: APPLY_MS,
+            links: None,
+            transfers: Vec::new(),
         };
         for write in writes {
             fleet.store.acknowledged.push((0, write.clone()));
@@ -402,6 +437,13 @@
         fleet
     }
 
+    /// Let answers take the time that links need for them, and allow changes of the configuration
+    /// this time until they are in force.
+    pub(crate) fn set_links(&mut self, links: Links, apply_ms: u64) {
+        self.links = Some(links);
+        self.apply_ms = apply_ms;
+    }
+
     /// Let something be written, or written as soon as the store is back.
     pub(crate) fn write(&mut self, at: u64, write: Write) {
         self.push(at, Event::Write(write));
@@ -494,6 +536,7 @@
             Event::Fault(..)
             | Event::Write(_)
             | Event::WriteAgain(_)
+            | Event::Advance
             | Event::Down(_)
             | Event::Up(_) => None,
         };
@@ -530,6 +573,7 @@
                 }
             }
             Event::Decide(..) | Event::Answer(..) | Event::Renew(..) | Event::Behind(..) => {}
+            Event::Advance => self.advance_transfers(),
             Event::Fault(instance, fault) => self.apply(instance, fault),
             Event::Write(write) => {
                 if self.store.outage.is_some() {
@@ -692,7 +736,9 @@
                     Some(Outage::Reset) => (1, Reply::Failed),
                     None => (2 * CALL_MS, self.store.read_all()),
                 };
-                self.push(self.now + delay, Event::Answer(number, step, reply));
+                let timeout = Event::Answer(number, step, Reply::Failed);
+                self.push(self.now + READ_TIMEOUT_MS, timeout);
+                self.send_answer(None, number, step, delay, reply);
             }
             Step::Watch {
                 after,
@@ -738,9 +784,80 @@
                 let reply = Reply::Copy(position, copy.partial, items.collect(), known);
                 (CALL_MS, reply)
             }
-            None => (READ_TIMEOUT_MS, Reply::CopyFailed),
+            None => (COPY_TIMEOUT_MS, Reply::CopyFailed),
+        };
+        let timeout = Event::Answer(number, step, Reply::CopyFailed);
+        self.push(self.now + COPY_TIMEOUT_MS, timeout);
+        self.send_answer(peer, number, step, delay, reply);
+    }
+
+    /// Return the bytes of an answer of which links decide how long it takes, or `None` for others.
+    fn transfer_bytes(&self, reply: &Reply) -> Option<f64> {
+        let links = self.links?;
+        let items = match reply {
+            Reply::All(_, items) | Reply::Changes(_, items) | Reply::Copy(_, _, items, _) => items,
+            Reply::HistoryLost | Reply::Failed | Reply::CopyFailed => return None,
+        };
+        let is_large = |item: &StoreItem| matches!(item.content, Content::Configuration(Some(_)));
+        let large = items.iter().filter(|item| is_large(item)).count() as f64;
+        let small = items.len() as f64 - large;
+        (large > 0.0).then_some(large * links.configuration_bytes + small * ITEM_BYTES)
+    }
+
+    /// Send an answer to an instance, after `delay` and the time that links need for it.
+    fn send_answer(&mut self, from: Option<usize>, to: usize, step: u64, delay: u64, reply: Reply) {
+        let Some(left_bytes) = self.transfer_bytes(&reply) else {
+            self.push(self.now + delay, Event::Answer(to, step, reply));
+            return;
         };
-        self.push(self.now + delay, Event::Answer(number, step, reply));
+        if self.transfers.is_empty() {
+            self.push(self.now + TRANSFER_STEP_MS, Event::Advance);
+        }
+        self.transfers.push(Transfer {
+            from,
+            to,
+            step,
+            left_bytes,
+            reply,
+        });
+    }
+
+    /// Let the answers on their way share the links of their ends. Those that an instance has given
+    /// up end.
+    fn advance_transfers(&mut self) {
+        let Some(links) = self.links else { return };
+        let mut transfers = std::mem::take(&mut self.transfers);
+        transfers.retain(|transfer| self.instances[transfer.to].step == transfer.step);
+        let mut sent = vec![0_u64; self.instances.len()];
+        let mut received = vec![0_u64; self.instances.len()];
+        for transfer in &transfers {
+            if let Some(from) = transfer.from {
+                sent[from] += 1;
+            }
+            received[transfer.to] += 1;
+        }
+        let is_still =
+            |number: usize| self.instances[number].frozen_until > self.now || self.is_cut(number);
+        for transfer in &mut transfers {
+            let streams = transfer.from.map_or(0, |from| sent[from]);
+            let streams = streams.max(received[transfer.to]);
+            if !is_still(transfer.to) && !transfer.from.is_some_and(is_still) {
+                let bytes = links.bytes_per_ms * TRANSFER_STEP_MS as f64;
+                transfer.left_bytes -= bytes / streams as f64;
+            }
+        }
+        let (done, left): (Vec<_>, Vec<_>) =
+            transfers.into_iter().partition(|t| t.left_bytes <= 0.0);
+        self.transfers = left;
+        if !self.transfers.is_empty() {
+            self.push(self.now + TRANSFER_STEP_MS, Event::Advance);
+        }
+        for transfer in done {
+            self.push(
+                self.now,
+                Event::Answer(transfer.to, transfer.step, transfer.reply),
+            );
+        }
     }
 
     /// Answer the watch of an instance if there is something to answer.
@@ -755,7 +872,7 @@
             && !instance.hangs
             && let Some(reply) = self.store.watch(after.revision)
         {
-            self.push(self.now + CALL_MS, Event::Answer(number, step, reply));
+            self.send_answer(None, number, step, CALL_MS, reply);
         }
     }
 
@@ -867,7 +984,7 @@
                 .store
                 .acknowledged
                 .iter()
-                .filter(|(at, _)| due(*at, APPLY_MS));
+                .filter(|(at, _)| due(*at, self.apply_ms));
             let wanted = wanted.filter_map(|(_, write)| match write {
                 Write::Configuration(version) => Some(*version),
                 Write::Server(_) | Write::Evacuation(_) | Write::Removal(_) => None,
