--- /dev/null
+++ b/crates/oleanderpass_gateway/src/configuration_source.rs
@@ -0,0 +1,115 @@
+//! Choose the peer from which a configuration is fetched.
+//!
+//! Peers that have a configuration send it to few others at a time and refuse the rest. Whoever is
+//! refused asks another one soon, by then perhaps one that has got it meanwhile. Copies stay within an
+//! availability zone as long as it has a peer that sends them.
+
+use std::net::SocketAddr;
+
+use indexmap::IndexMap;
+use oleanderpass_types::clock::Millis;
+use oleanderpass_types::clock::Timestamp;
+use rand::Rng;
+use rand::RngExt;
+
+/// The shortest and the longest time for which a peer that refused is not asked again. Bulletins
+/// about a new holder take about as long, and random times keep those that were refused together
+/// from asking together.
+const REFUSED_REST_MS: std::ops::Range<u64> = 50..150;
+
+/// The time for which a peer is not asked again after a copy from it failed.
+const FAILED_REST: Millis = Millis::new(1_000);
+
+/// The number of refusals in a row after which peers of other availability zones are asked as well.
+const MAX_LOCAL_REFUSALS: u32 = 4;
+
+/// A peer that has a newer configuration in force than this instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// Its address.
+    pub addr: SocketAddr,
+    /// The version in force there.
+    pub version: u64,
+    /// Whether it is in the availability zone of this instance.
+    pub is_local: bool,
+}
+
+/// What to do to get a newer configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Choice {
+    /// Ask this peer.
+    Ask(SocketAddr),
+    /// Choose again at this time. All that may be asked refused or failed a moment ago.
+    Wait(Timestamp),
+    /// Nothing. No peer has a newer one.
+    Nothing,
+}
+
+/// Why a peer is not asked for now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reason {
+    Refused,
+    Failed,
+}
+
+/// The peers that refused or failed to send a configuration.
+#[derive(Clone, Debug, Default)]
+pub struct ConfigurationSources {
+    resting: IndexMap<SocketAddr, (Timestamp, Reason)>,
+    /// The number of refusals since the last copy.
+    refusals: u32,
+}
+
+impl ConfigurationSources {
+    /// Choose the peer to ask among those with a newer configuration: one with the newest version.
+    pub fn choose(
+        &mut self,
+        now: Timestamp,
+        candidates: &[Candidate],
+        rng: &mut impl Rng,
+    ) -> Choice {
+        self.resting.retain(|_, (until, _)| *until > now);
+        let has_failed = |candidate: &&Candidate| {
+            let resting = self.resting.get(&candidate.addr);
+            resting.is_some_and(|(_, reason)| *reason == Reason::Failed)
+        };
+        let sound_local = |candidate: &&Candidate| candidate.is_local && !has_failed(candidate);
+        let stays_local = self.refusals < MAX_LOCAL_REFUSALS
+            && candidates.iter().any(|candidate| sound_local(&candidate));
+        let allowed = candidates.iter();
+        let allowed = allowed.filter(|candidate| candidate.is_local || !stays_local);
+        let awake = allowed.clone();
+        let awake = awake.filter(|candidate| !self.resting.contains_key(&candidate.addr));
+        let newest = awake.clone().map(|candidate| candidate.version).max();
+        let newest: Vec<SocketAddr> = awake
+            .filter(|candidate| Some(candidate.version) == newest)
+            .map(|candidate| candidate.addr)
+            .collect();
+        if !newest.is_empty() {
+            return Choice::Ask(newest[rng.random_range(0..newest.len())]);
+        }
+        let ends = allowed.filter_map(|candidate| self.resting.get(&candidate.addr));
+        match ends.map(|(until, _)| *until).min() {
+            Some(until) => Choice::Wait(until),
+            None => Choice::Nothing,
+        }
+    }
+
+    /// Record that a peer refused, because it sends enough copies.
+    pub fn on_refused(&mut self, now: Timestamp, addr: SocketAddr, rng: &mut impl Rng) {
+        self.refusals += 1;
+        let rest = Millis::new(rng.random_range(REFUSED_REST_MS));
+        self.resting.insert(addr, (now + rest, Reason::Refused));
+    }
+
+    /// Record that no copy arrived from a peer.
+    pub fn on_failed(&mut self, now: Timestamp, addr: SocketAddr) {
+        self.resting
+            .insert(addr, (now + FAILED_REST, Reason::Failed));
+    }
+
+    /// Record that a copy arrived.
+    pub fn on_taken(&mut self) {
+        self.refusals = 0;
+    }
+}
--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -7,9 +7,7 @@
 use oleanderpass_limits::retry::RetryBudget;
 use oleanderpass_membership::membership::Identity;
 use oleanderpass_proto::peer::Bulletin;
-use oleanderpass_proto::peer::Evacuations as RawEvacuations;
 use oleanderpass_proto::peer::Packet;
-use oleanderpass_proto::peer::StoreCopy;
 use oleanderpass_quarantine::evidence::Signature;
 use oleanderpass_quarantine::parts::PartRule;
 use oleanderpass_quarantine::parts::START_ARRIVALS;
@@ -43,6 +41,8 @@
 use crate::cold::Instances;
 use crate::config::Configuration;
 use crate::config::Organisation;
+use crate::configuration_source::ConfigurationSources;
+use crate::copy_slots::CopySlots;
 use crate::crashes::CrashTracker;
 use crate::crashes::list;
 use crate::drain::Drain;
@@ -89,11 +89,15 @@
 use crate::server_limits::decode_limit;
 use crate::server_limits::encode_limit;
 use crate::store::Content;
-use crate::store::CopySource;
+use crate::store::LeftOut;
 use crate::store::LocalCopy;
 use crate::store::StoreItem;
 use crate::store::StorePosition;
 
+mod copies;
+
+pub use copies::ServedConfiguration;
+
 /// The number of attempts without a sent byte since the last event after which a request ends.
 const MAX_UNSENT: u32 = 5;
 
@@ -501,6 +505,10 @@
     attempts: u64,
     /// What was read from the platform's store, by this instance or by peers.
     store: LocalCopy,
+    /// The last configuration that a peer's copy left out.
+    left_out: Option<LeftOut>,
+    configuration_sources: ConfigurationSources,
+    copy_slots: CopySlots,
     /// Whether this instance reads the store itself and can reach it.
     reads_store: bool,
     /// When servers began to leave, for bulletins.
@@ -543,6 +551,9 @@
             budget: RetryBudget::default(),
             attempts: 0,
             store: LocalCopy::default(),
+            left_out: None,
+            configuration_sources: ConfigurationSources::default(),
+            copy_slots: CopySlots::default(),
             reads_store: false,
             leaving_notices: Vec::new(),
             last_expiry: now,
@@ -773,21 +784,6 @@
         })
     }
 
-    /// Return where to fetch evacuations that a restored store may have lost, if a live peer knows
-    /// others of earlier eras than this instance.
-    pub fn evacuation_source(&self, now: Timestamp) -> Option<CopySource> {
-        let own = self.store_position();
-        let own_hash = self.evacuations.earlier_hash(own.era);
-        let mut live = self.fleet.live_peers(now).map(|(_, peer)| peer);
-        let differs = live.find(|peer| {
-            peer.store_position.era == own.era && peer.earlier_evacuations != own_hash
-        })?;
-        Some(CopySource {
-            addr: differs.addr,
-            after: own,
-        })
-    }
-
     /// Replace all backend servers by the items of a list that was read at `position`.
     pub fn on_store_list(
         &mut self,
@@ -803,90 +799,6 @@
         self.on_list(now, position, list.collect());
     }
 
-    /// Apply a peer's copy of the store up to `position`. It holds all items, or the changes after
-    /// [`CopySource::after`] if it is `partial`.
-    pub fn on_peer_copy(
-        &mut self,
-        now: Timestamp,
-        position: StorePosition,
-        partial: bool,
-        items: Vec<StoreItem>,
-    ) {
-        let (servers, others) = items
-            .into_iter()
-            .partition(|item| !partial && matches!(item.content, Content::Server(..)));
-        let mut others: Vec<StoreItem> = others;
-        others.sort_by_key(|item| item.position);
-        for item in others {
-            self.on_store_item(now, item);
-        }
-        if !partial {
-            let mut servers: Vec<StoreItem> = servers;
-            servers.retain(|item| item.value.is_some());
-            self.on_store_list(now, position, servers);
-        }
-        self.on_store_position(position);
-    }
-
-    /// Return what changed in the store after a position, for a peer, with all evacuations. The
-    /// default asks for everything.
-    pub fn store_changes(&self, now: Timestamp, after: StorePosition) -> StoreCopy {
-        let evacuations = RawEvacuations {
-            entries: self.evacuations.encode(now),
-        };
-        StoreCopy {
-            evacuations: Some(evacuations),
-            ..self.store.changes(after)
-        }
-    }
-
-    /// Return whether a live peer knows something newer of the store than this instance.
-    pub fn is_behind(&self, now: Timestamp) -> bool {
-        let own = (self.store_position(), self.config_version());
-        let mut live = self.fleet.live_peers(now);
-        live.any(|(_, peer)| peer.store_position > own.0 || peer.config_version > own.1)
-    }
-
-    /// Return where to fetch the newest copy of the store, if a live peer has a newer one than this
-    /// instance. Without a configuration, any live peer's copy will do.
-    pub fn copy_source(&self, now: Timestamp) -> Option<CopySource> {
-        let own = self.store_position();
-        let live = self.fleet.live_peers(now).map(|(_, peer)| peer);
-        let newest = live.max_by_key(|peer| peer.store_position)?;
-        if self.config.is_none() {
-            return Some(CopySource {
-                addr: newest.addr,
-                after: StorePosition::default(),
-            });
-        }
-        if newest.store_position > own {
-            return Some(CopySource {
-                addr: newest.addr,
-                after: own,
-            });
-        }
-        self.configuration_source(now)
-    }
-
-    /// Return where to fetch a newer configuration than the store has, or evacuations that it lacks,
-    /// or `None` if it has the newest ones. A store that was restored from a copy has older ones
-    /// until operators write the newest again.
-    pub fn configuration_source(&self, now: Timestamp) -> Option<CopySource> {
-        let own = self.store_position();
-        let live = self.fleet.live_peers(now).map(|(_, peer)| peer);
-        let newest = live
-            .filter(|peer| peer.store_position <= own)
-            .max_by_key(|peer| peer.config_version)
-            .filter(|peer| peer.config_version > self.config_version());
-        match newest {
-            Some(newest) => Some(CopySource {
-                addr: newest.addr,
-                after: StorePosition::default(),
-            }),
-            None => self.evacuation_source(now),
-        }
-    }
-
     /// Return the version of the configuration in force, or 0 before the first one was read.
     fn config_version(&self) -> u64 {
         let config = self.config.as_ref();
--- /dev/null
+++ b/crates/oleanderpass_gateway/src/gateway/copies.rs
@@ -0,0 +1,247 @@
+//! Exchange what was read from the platform's store with peers.
+//!
+//! Copies of the list of backend servers are small and come from the peer with the newest position.
+//! A large configuration is left out of them and fetched apart, from any peer that has it in force.
+
+use std::net::SocketAddr;
+
+use oleanderpass_proto::peer::Evacuations as RawEvacuations;
+use oleanderpass_proto::peer::LeftOutConfiguration;
+use oleanderpass_proto::peer::StoreCopy;
+use oleanderpass_types::clock::Timestamp;
+
+use super::Gateway;
+use crate::configuration_source::Candidate;
+use crate::configuration_source::Choice;
+use crate::copy_slots::CopySlots;
+use crate::copy_slots::SlotId;
+use crate::peers::PeerView;
+use crate::store::Content;
+use crate::store::CopySource;
+use crate::store::LeftOut;
+use crate::store::MAX_INLINE_BYTES;
+use crate::store::Parts;
+use crate::store::StoreItem;
+use crate::store::StorePosition;
+use crate::store::StoredConfiguration;
+
+/// What a peer that asks for a configuration gets.
+#[derive(Debug)]
+pub enum ServedConfiguration {
+    /// The one in force here, to be sent while this slot is held.
+    Copy(StoredConfiguration, SlotId),
+    /// Nothing, because enough copies are being sent.
+    Busy,
+    /// Nothing, because it isn't newer than the peer's.
+    NotNewer,
+}
+
+impl Gateway {
+    /// Return where to fetch evacuations that a restored store may have lost, if a live peer knows
+    /// others of earlier eras than this instance.
+    pub fn evacuation_source(&self, now: Timestamp) -> Option<CopySource> {
+        let own = self.store_position();
+        let own_hash = self.evacuations.earlier_hash(own.era);
+        let mut live = self.fleet.live_peers(now).map(|(_, peer)| peer);
+        let differs = live.find(|peer| {
+            peer.store_position.era == own.era && peer.earlier_evacuations != own_hash
+        })?;
+        Some(CopySource {
+            addr: differs.addr,
+            after: own,
+        })
+    }
+
+    /// Apply a peer's copy of the store up to `position`. It holds all items, or the changes after
+    /// [`CopySource::after`] if it is `partial`.
+    pub fn on_peer_copy(
+        &mut self,
+        now: Timestamp,
+        position: StorePosition,
+        partial: bool,
+        items: Vec<StoreItem>,
+    ) {
+        let (servers, others) = items
+            .into_iter()
+            .partition(|item| !partial && matches!(item.content, Content::Server(..)));
+        let mut others: Vec<StoreItem> = others;
+        others.sort_by_key(|item| item.position);
+        for item in others {
+            self.on_store_item(now, item);
+        }
+        if !partial {
+            let mut servers: Vec<StoreItem> = servers;
+            servers.retain(|item| item.value.is_some());
+            self.on_store_list(now, position, servers);
+        }
+        self.on_store_position(position);
+    }
+
+    /// Return what changed in the store after a position, for a peer, with all evacuations. The
+    /// default asks for everything.
+    pub fn store_changes(&self, now: Timestamp, after: StorePosition) -> StoreCopy {
+        self.changes(now, after, Parts::All)
+    }
+
+    fn changes(&self, now: Timestamp, after: StorePosition, parts: Parts) -> StoreCopy {
+        let evacuations = RawEvacuations {
+            entries: self.evacuations.encode(now),
+        };
+        StoreCopy {
+            evacuations: Some(evacuations),
+            ..self.store.changes(after, parts)
+        }
+    }
+
+    /// Do the same as [`Gateway::store_changes`] for a peer that fetches large configurations apart.
+    pub fn store_changes_apart(&self, now: Timestamp, after: StorePosition) -> StoreCopy {
+        let Some(left_out) = self.configuration_apart() else {
+            return self.changes(now, after, Parts::All);
+        };
+        let mut copy = self.changes(now, after, Parts::AllButConfiguration);
+        if !copy.partial || left_out.position > after {
+            copy.left_out = Some(LeftOutConfiguration {
+                era: left_out.position.era,
+                revision: left_out.position.revision,
+                version: left_out.version,
+            });
+        }
+        copy
+    }
+
+    /// Return the newest configuration that this instance knows of, if peers have to fetch it apart:
+    /// it is large, or this instance doesn't have it yet.
+    fn configuration_apart(&self) -> Option<LeftOut> {
+        if self.misses_configuration() {
+            return self.left_out;
+        }
+        let stored = self.store.configuration();
+        let large = stored.filter(|stored| stored.value.len() > MAX_INLINE_BYTES);
+        large.map(|stored| LeftOut {
+            position: stored.position,
+            version: self.config_version(),
+        })
+    }
+
+    /// Record that a peer's copy left out a configuration.
+    pub fn on_left_out(&mut self, left_out: LeftOut) {
+        let known = self.left_out.map_or(0, |known| known.version);
+        if left_out.version > known.max(self.config_version()) {
+            self.left_out = Some(left_out);
+        }
+    }
+
+    /// Record that everything was read from the store, which has no newer configuration than this
+    /// instance.
+    pub(crate) fn on_everything_read(&mut self) {
+        self.left_out = None;
+    }
+
+    /// Return whether this instance knows of a newer configuration than it has, and its position in
+    /// the store may be beyond it.
+    pub fn misses_configuration(&self) -> bool {
+        let left_out = self.left_out.as_ref();
+        left_out.is_some_and(|left_out| left_out.version > self.config_version())
+    }
+
+    /// Return whether this instance misses a configuration that no live peer has either. Then only the
+    /// store has it, and a watch from this position doesn't return it.
+    pub fn has_lost_configuration(&self, now: Timestamp) -> bool {
+        let missing = self.left_out.filter(|_| self.misses_configuration());
+        missing.is_some_and(|missing| {
+            let mut live = self.fleet.live_peers(now);
+            live.all(|(_, peer)| peer.config_version < missing.version)
+        })
+    }
+
+    /// Return the live peers from which a newer configuration has to be fetched apart. One that the list
+    /// of changes brings isn't among them; a store that was restored from a copy doesn't bring it
+    /// until operators write it again.
+    fn configuration_holders(&self, now: Timestamp) -> impl Iterator<Item = &PeerView> {
+        let (own, version) = (self.store_position(), self.config_version());
+        let misses = self.misses_configuration();
+        let live = self.fleet.live_peers(now).map(|(_, peer)| peer);
+        live.filter(move |peer| {
+            peer.config_version > version && (misses || peer.store_position <= own)
+        })
+    }
+
+    /// Return whether a newer configuration has to be fetched apart and a live peer has it.
+    pub fn lacks_configuration(&self, now: Timestamp) -> bool {
+        self.configuration_holders(now).next().is_some()
+    }
+
+    /// Return where to fetch a newer configuration than the one in force.
+    pub fn choose_configuration_source(&mut self, now: Timestamp) -> Choice {
+        let candidates = self.configuration_holders(now).map(|peer| Candidate {
+            addr: peer.addr,
+            version: peer.config_version,
+            is_local: peer.zone == self.identity.zone,
+        });
+        let candidates: Vec<Candidate> = candidates.collect();
+        let sources = &mut self.configuration_sources;
+        sources.choose(now, &candidates, &mut self.rng)
+    }
+
+    /// Apply a configuration that was fetched apart.
+    pub fn on_configuration_copy(&mut self, now: Timestamp, item: StoreItem) {
+        self.configuration_sources.on_taken();
+        self.on_store_item(now, item);
+    }
+
+    /// Record that a peer refused to send its configuration.
+    pub fn on_configuration_refused(&mut self, now: Timestamp, peer: SocketAddr) {
+        let sources = &mut self.configuration_sources;
+        sources.on_refused(now, peer, &mut self.rng);
+    }
+
+    /// Record that a peer's configuration could not be fetched.
+    pub fn on_configuration_failed(&mut self, now: Timestamp, peer: SocketAddr) {
+        self.configuration_sources.on_failed(now, peer);
+    }
+
+    /// Return the configuration in force for a peer that has this version.
+    pub fn serve_configuration(&mut self, now: Timestamp, version: u64) -> ServedConfiguration {
+        let stored = self.store.configuration();
+        let Some(stored) = stored.filter(|_| self.config_version() > version) else {
+            return ServedConfiguration::NotNewer;
+        };
+        match self.copy_slots.begin(now) {
+            Some(slot) => ServedConfiguration::Copy(stored, slot),
+            None => ServedConfiguration::Busy,
+        }
+    }
+
+    /// Return the copies of the configuration that are being sent to peers.
+    pub fn copy_slots(&mut self) -> &mut CopySlots {
+        &mut self.copy_slots
+    }
+
+    /// Return whether a live peer has read more of the store than this instance.
+    pub fn is_behind(&self, now: Timestamp) -> bool {
+        let own = self.store_position();
+        let mut live = self.fleet.live_peers(now);
+        live.any(|(_, peer)| peer.store_position > own)
+    }
+
+    /// Return where to fetch the newest copy of the store, if a live peer has a newer one than this
+    /// instance. Without any copy, any live peer's will do.
+    pub fn copy_source(&self, now: Timestamp) -> Option<CopySource> {
+        let own = self.store_position();
+        let live = self.fleet.live_peers(now).map(|(_, peer)| peer);
+        let newest = live.max_by_key(|peer| peer.store_position)?;
+        if own == StorePosition::default() {
+            return Some(CopySource {
+                addr: newest.addr,
+                after: StorePosition::default(),
+            });
+        }
+        if newest.store_position > own {
+            return Some(CopySource {
+                addr: newest.addr,
+                after: own,
+            });
+        }
+        self.evacuation_source(now)
+    }
+}
--- a/crates/oleanderpass_gateway/src/store.rs
+++ b/crates/oleanderpass_gateway/src/store.rs
@@ -21,6 +21,10 @@
 /// everything.
 const MAX_REMOVALS: usize = 256;
 
+/// The largest configuration that is part of copies of the store. Larger ones are fetched apart, so
+/// that the list of backend servers doesn't wait for them.
+pub(crate) const MAX_INLINE_BYTES: usize = 16 * 1024;
+
 /// A position in the history of the store.
 ///
 /// A store that is restored from an older copy of itself starts another history, in which it gives
@@ -101,13 +105,49 @@
     pub after: StorePosition,
 }
 
+/// A configuration that a copy leaves out, because it is large and fetched apart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeftOut {
+    /// The position of its item.
+    pub position: StorePosition,
+    /// Its version.
+    pub version: u64,
+}
+
+/// The item of the configuration in force, undecoded.
+#[derive(Clone, Debug)]
+pub struct StoredConfiguration {
+    /// The key.
+    pub key: SmolStr,
+    /// The position of its last change.
+    pub position: StorePosition,
+    /// The value.
+    pub value: Bytes,
+}
+
+/// What an item of the copy describes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    Configuration,
+    Server,
+    Other,
+}
+
+/// Which items a copy for a peer has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Parts {
+    /// All.
+    All,
+    /// All but the configuration.
+    AllButConfiguration,
+}
+
 /// A present item of the copy.
 #[derive(Debug)]
 struct Held {
     position: StorePosition,
     value: Bytes,
-    /// Whether the item describes a backend server.
-    is_server: bool,
+    kind: Kind,
 }
 
 /// A copy of the items of the store, undecoded.
@@ -135,12 +175,14 @@
 
     /// Return what changed after a position, for a peer. Return everything if `after` is the
     /// default, or if removals since then are no longer kept.
-    pub(crate) fn changes(&self, after: StorePosition) -> StoreCopy {
+    pub(crate) fn changes(&self, after: StorePosition, parts: Parts) -> StoreCopy {
         let partial = after > StorePosition::default() && after >= self.removals_complete_after;
         let is_wanted = |position: StorePosition| !partial || position > after;
+        let is_part = |held: &Held| parts == Parts::All || held.kind != Kind::Configuration;
         let present = self
             .items
             .iter()
+            .filter(|(_, held)| is_part(held))
             .map(|(key, held)| encode(key, held.position, Some(&held.value)));
         let removed = self
             .removed
@@ -155,9 +197,21 @@
                 .collect(),
             partial,
             evacuations: None,
+            left_out: None,
         }
     }
 
+    /// Return the item of the configuration.
+    pub(crate) fn configuration(&self) -> Option<StoredConfiguration> {
+        let mut items = self.items.iter();
+        let (key, held) = items.find(|(_, held)| held.kind == Kind::Configuration)?;
+        Some(StoredConfiguration {
+            key: key.clone(),
+            position: held.position,
+            value: held.value.clone(),
+        })
+    }
+
     /// Apply a change, unless a newer one of the same item was applied before. Evacuations are kept
     /// elsewhere, because they outlast what a restored store has.
     pub(crate) fn apply(&mut self, item: &StoreItem) {
@@ -168,7 +222,11 @@
                 let held = Held {
                     position: item.position,
                     value: value.clone(),
-                    is_server: matches!(item.content, Content::Server(..)),
+                    kind: match item.content {
+                        Content::Configuration(_) => Kind::Configuration,
+                        Content::Server(..) => Kind::Server,
+                        Content::Evacuation(_) | Content::Other => Kind::Other,
+                    },
                 };
                 self.items.insert(item.key.clone(), held);
             }
@@ -182,7 +240,7 @@
         let missing: Vec<SmolStr> = self
             .items
             .iter()
-            .filter(|(_, held)| held.is_server && held.position <= position)
+            .filter(|(_, held)| held.kind == Kind::Server && held.position <= position)
             .filter(|(key, _)| items.iter().all(|item| item.key != **key))
             .map(|(key, _)| key.clone())
             .collect();
--- a/crates/oleanderpass_gateway/src/store_reader.rs
+++ b/crates/oleanderpass_gateway/src/store_reader.rs
@@ -134,6 +134,10 @@
             return self.follow_peers(now, gateway);
         }
         self.notice_readers(now, gateway);
+        if self.position.is_some() && gateway.has_lost_configuration(now) {
+            tracing::info!("no peer has the newest configuration; reading everything");
+            self.position = None;
+        }
         if self.follows_peers {
             self.follows_peers = false;
             tracing::info!("this instance reads the store");
@@ -141,7 +145,7 @@
         let source = if self.store_lost && now < self.next_call {
             gateway.copy_source(now)
         } else {
-            gateway.configuration_source(now)
+            gateway.evacuation_source(now)
         };
         if let Some(source) = source.filter(|source| self.may_copy(now, gateway, source)) {
             return self.copy(now, gateway, source);
@@ -234,13 +238,15 @@
     }
 
     /// Return whether the watch in flight is given up for a shorter one, because the instance has
-    /// become the first reader since it began, or because a peer knows evacuations that a restored
-    /// store has lost.
+    /// become the first reader since it began, because a peer knows evacuations that a restored
+    /// store has lost, or because the watch doesn't return a configuration that this instance misses.
     pub fn renews_watch(&self, now: Timestamp, gateway: &Gateway) -> bool {
         let is_first = now.since(self.watch_began) >= FIRST_WATCH_WAIT + WATCH_MARGIN
             && gateway.fleet().is_first_reader(now);
         let source = gateway.evacuation_source(now);
-        is_first || source.is_some_and(|source| self.may_copy(now, gateway, &source))
+        is_first
+            || gateway.has_lost_configuration(now)
+            || source.is_some_and(|source| self.may_copy(now, gateway, &source))
     }
 
     /// Return whether peers read the store for this instance.
@@ -262,6 +268,7 @@
         for item in operator_items {
             gateway.on_store_item(now, item);
         }
+        gateway.on_everything_read();
         gateway.on_evacuation_list(now, position, &evacuated);
         if self.store_lost {
             gateway.on_store_recovered(now);
--- a/crates/oleanderpass_gateway/tests/common/store.rs
+++ b/crates/oleanderpass_gateway/tests/common/store.rs
@@ -8,12 +8,16 @@
 use oleanderpass_gateway::backend::AnnouncedState;
 use oleanderpass_gateway::backend::Announcement;
 use oleanderpass_gateway::cold::ColdBound;
+use oleanderpass_gateway::configuration_source::Choice;
+use oleanderpass_gateway::copy_slots::SlotId;
 use oleanderpass_gateway::evacuation::PeerEvacuation;
 use oleanderpass_gateway::gateway::Bounds;
 use oleanderpass_gateway::gateway::Gateway;
+use oleanderpass_gateway::gateway::ServedConfiguration;
 use oleanderpass_gateway::registry::Standing;
 use oleanderpass_gateway::store::Content;
 use oleanderpass_gateway::store::CopySource;
+use oleanderpass_gateway::store::LeftOut;
 use oleanderpass_gateway::store::StoreItem;
 use oleanderpass_gateway::store::StorePosition;
 use oleanderpass_gateway::store_reader::Step;
@@ -123,7 +127,10 @@
     let text = value
         .as_ref()
         .map(|value| String::from_utf8(value.to_vec()).unwrap());
-    let words: Vec<&str> = text.iter().flat_map(|text| text.split(' ')).collect();
+    let words: Vec<&str> = text
+        .iter()
+        .flat_map(|text| text.split_whitespace())
+        .collect();
     let content = match (key, &words[..]) {
         ("config", [version]) => {
             let version = version.parse().unwrap();
@@ -172,8 +179,12 @@
 struct Delivery {
     /// The instance that sends it, or `None` for the store.
     from: Option<usize>,
+    /// The incarnation of the sender.
+    incarnation: u64,
     to: usize,
     step: u64,
+    /// The place among the copies that the sender sends, if this is a configuration alone.
+    slot: Option<SlotId>,
     left_bytes: f64,
     progress: Transfer,
     reply: Reply,
@@ -186,14 +197,28 @@
     Servers,
 }
 
+/// A peer's copy of the store.
+#[derive(Clone, Debug)]
+struct Copy {
+    position: StorePosition,
+    partial: bool,
+    items: Vec<StoreItem>,
+    evacuations: Vec<PeerEvacuation>,
+    left_out: Option<LeftOut>,
+}
+
 #[derive(Clone, Debug)]
 enum Reply {
     All(StorePosition, Vec<StoreItem>),
     Changes(StorePosition, Vec<StoreItem>),
     HistoryLost,
     Failed,
-    Copy(StorePosition, bool, Vec<StoreItem>, Vec<PeerEvacuation>),
+    Copy(Box<Copy>),
     CopyFailed,
+    /// A configuration that is fetched apart.
+    Configuration(Box<StoreItem>),
+    ConfigurationRefused,
+    ConfigurationFailed,
 }
 
 #[derive(Debug)]
@@ -207,6 +232,10 @@
     /// An instance decides, unless it has done so since.
     Decide(usize, u64),
     Answer(usize, u64, Reply),
+    /// An instance chooses where to fetch a configuration, unless it has done so since.
+    Fetch(usize, u64),
+    /// What became of that.
+    Fetched(usize, u64, SocketAddr, Reply),
     /// Answers on their way advance.
     Advance,
     /// An instance checks whether its watch has to be a shorter one.
@@ -236,6 +265,10 @@
     doing: Doing,
     /// The number of the current step. Events of earlier steps are ignored.
     step: u64,
+    /// The number of the current step towards a configuration that is fetched apart.
+    fetch_step: u64,
+    /// Whether no such step is due.
+    fetches_nothing: bool,
     /// Whether the connection of the current call is open and dead.
     hangs: bool,
     /// Whether the store resets the connections of this instance.
@@ -256,6 +289,8 @@
     changes: Vec<(u64, u64, Write)>,
     /// When each write was first acknowledged.
     acknowledged: Vec<(u64, Write)>,
+    /// The size of configurations, if it matters.
+    configuration_bytes: usize,
 }
 
 impl Store {
@@ -282,7 +317,13 @@
 
     fn item(&self, revision: u64, write: &Write) -> StoreItem {
         let position = StorePosition::new(self.position.era, revision);
-        decode(&write.key(), position, write.value())
+        let mut value = write.value();
+        if let (Write::Configuration(_), Some(value)) = (write, &mut value) {
+            let mut padded = value.to_vec();
+            padded.resize(self.configuration_bytes.max(value.len()), b' ');
+            *value = padded.into();
+        }
+        decode(&write.key(), position, value)
     }
 
     fn read_all(&self) -> Reply {
@@ -380,6 +421,8 @@
     pub(crate) calls_begun: Vec<(u64, usize)>,
     /// The number of copies that instances fetched from peers.
     pub(crate) copies: u64,
+    /// The number of times that instances asked peers for a configuration alone.
+    pub(crate) configuration_copies: u64,
     seen: Vec<u64>,
     /// The time within which a confirmed change is in force, in milliseconds.
     apply_ms: u64,
@@ -403,12 +446,14 @@
                 history_start: 0,
                 changes: Vec::new(),
                 acknowledged: Vec::new(),
+                configuration_bytes: 0,
             },
             store_calm_since: 0,
             violations: Vec::new(),
             store_calls: 0,
             calls_begun: Vec::new(),
             copies: 0,
+            configuration_copies: 0,
             seen: vec![0; instances],
             apply_ms: APPLY_MS,
             links: None,
@@ -424,6 +469,8 @@
                 reader: StoreReader::default(),
                 doing: Doing::Waiting,
                 step: 0,
+                fetch_step: 0,
+                fetches_nothing: false,
                 hangs: false,
                 refused: false,
                 incarnation: 0,
@@ -444,6 +491,7 @@
     /// this time until they are in force.
     pub(crate) fn set_links(&mut self, links: Links, apply_ms: u64) {
         self.links = Some(links);
+        self.store.configuration_bytes = links.configuration_bytes as usize;
         self.apply_ms = apply_ms;
     }
 
@@ -533,6 +581,8 @@
             Event::Tick(instance)
             | Event::Decide(instance, _)
             | Event::Answer(instance, ..)
+            | Event::Fetch(instance, _)
+            | Event::Fetched(instance, ..)
             | Event::Renew(instance, _)
             | Event::Behind(instance, _) => Some(*instance),
             Event::Deliver { to, .. } => Some(*to),
@@ -579,7 +629,20 @@
                     self.push(self.now + WATCH_CHECK_MS, Event::Renew(number, step));
                 }
             }
-            Event::Decide(..) | Event::Answer(..) | Event::Renew(..) | Event::Behind(..) => {}
+            Event::Fetch(number, step) if self.instances[number].fetch_step == step => {
+                self.fetch(number);
+            }
+            Event::Fetched(number, step, peer, reply)
+                if self.instances[number].fetch_step == step =>
+            {
+                self.on_fetched(number, peer, reply);
+            }
+            Event::Decide(..)
+            | Event::Answer(..)
+            | Event::Renew(..)
+            | Event::Behind(..)
+            | Event::Fetch(..)
+            | Event::Fetched(..) => {}
             Event::Advance => self.advance_deliveries(),
             Event::Fault(instance, fault) => self.apply(instance, fault),
             Event::Write(write) => {
@@ -624,6 +687,7 @@
         let instance = &mut self.instances[number];
         instance.incarnation += 1;
         instance.step += 1;
+        instance.fetch_step += 1;
         instance.doing = Doing::Waiting;
         instance.reader = StoreReader::default();
         instance.calm_since = if self.now == 0 { 0 } else { self.now };
@@ -654,8 +718,10 @@
             }
         }
         self.instances[number].gateway = Some(gateway);
-        let step = self.instances[number].step;
+        let instance = &self.instances[number];
+        let (step, fetch_step) = (instance.step, instance.fetch_step);
         self.push(self.now, Event::Decide(number, step));
+        self.push(self.now, Event::Fetch(number, fetch_step));
     }
 
     fn tick(&mut self, number: usize) {
@@ -696,6 +762,7 @@
         }
         let (doing, step) = (instance.doing, instance.step);
         self.post(to, out);
+        self.wake_fetch(to);
         match doing {
             Doing::Waiting if behind => self.push(self.now, Event::Decide(to, step)),
             Doing::Watching(_) if behind => {
@@ -780,15 +847,24 @@
         let gateway = reachable.and_then(|peer| self.instances[peer].gateway.as_ref());
         let (delay, reply) = match gateway {
             Some(gateway) => {
-                let copy = gateway.store_changes(at(self.now), source.after);
-                let position = StorePosition::new(copy.era, copy.revision);
-                let known = evacuations(&copy);
+                let copy = gateway.store_changes_apart(at(self.now), source.after);
+                let evacuations = evacuations(&copy);
+                let left_out = copy.left_out.as_ref().map(|raw| LeftOut {
+                    position: StorePosition::new(raw.era, raw.revision),
+                    version: raw.version,
+                });
                 let items = copy.items.into_iter().map(|raw| {
                     let position = StorePosition::new(raw.era, raw.revision);
                     let value = (!raw.removed).then(|| raw.value.into());
                     decode(&raw.key, position, value)
                 });
-                let reply = Reply::Copy(position, copy.partial, items.collect(), known);
+                let reply = Reply::Copy(Box::new(Copy {
+                    position: StorePosition::new(copy.era, copy.revision),
+                    partial: copy.partial,
+                    items: items.collect(),
+                    evacuations,
+                    left_out,
+                }));
                 (CALL_MS, reply)
             }
             None => (READ_TIMEOUT_MS, Reply::CopyFailed),
@@ -801,9 +877,15 @@
     /// Return the bytes of an answer of which links decide how long it takes, or `None` for others.
     fn transfer_bytes(&self, reply: &Reply) -> Option<f64> {
         let links = self.links?;
-        let items = match reply {
-            Reply::All(_, items) | Reply::Changes(_, items) | Reply::Copy(_, _, items, _) => items,
-            Reply::HistoryLost | Reply::Failed | Reply::CopyFailed => return None,
+        let items: &[StoreItem] = match reply {
+            Reply::All(_, items) | Reply::Changes(_, items) => items,
+            Reply::Copy(copy) => &copy.items,
+            Reply::Configuration(item) => std::slice::from_ref(&**item),
+            Reply::HistoryLost
+            | Reply::Failed
+            | Reply::CopyFailed
+            | Reply::ConfigurationRefused
+            | Reply::ConfigurationFailed => return None,
         };
         let is_large = |item: &StoreItem| matches!(item.content, Content::Configuration(Some(_)));
         let large = items.iter().filter(|item| is_large(item)).count() as f64;
@@ -817,34 +899,137 @@
             self.push(self.now + delay, Event::Answer(to, step, reply));
             return;
         };
+        self.begin_delivery(from, to, step, None, left_bytes, reply);
+    }
+
+    fn begin_delivery(
+        &mut self,
+        from: Option<usize>,
+        to: usize,
+        step: u64,
+        slot: Option<SlotId>,
+        left_bytes: f64,
+        reply: Reply,
+    ) {
         if self.deliveries.is_empty() {
             self.push(self.now + TRANSFER_STEP_MS, Event::Advance);
         }
         let mut progress = Transfer::new(at(self.now), STALL_TIME);
-        progress.on_head(at(self.now + delay));
+        progress.on_head(at(self.now));
         self.deliveries.push(Delivery {
             from,
+            incarnation: from.map_or(0, |from| self.instances[from].incarnation),
             to,
             step,
+            slot,
             left_bytes,
             progress,
             reply,
         });
     }
 
+    /// Let an instance choose where to fetch a configuration if it does nothing of the kind.
+    fn wake_fetch(&mut self, number: usize) {
+        let instance = &self.instances[number];
+        let gateway = instance.gateway.as_ref();
+        if instance.fetches_nothing
+            && gateway.is_some_and(|gateway| gateway.lacks_configuration(at(self.now)))
+        {
+            self.push(self.now, Event::Fetch(number, instance.fetch_step));
+        }
+    }
+
+    /// Begin the next step of an instance towards a configuration that is fetched apart.
+    fn fetch(&mut self, number: usize) {
+        let now = at(self.now);
+        let instance = &mut self.instances[number];
+        let Some(gateway) = &mut instance.gateway else {
+            return;
+        };
+        instance.fetch_step += 1;
+        let step = instance.fetch_step;
+        let choice = gateway.choose_configuration_source(now);
+        instance.fetches_nothing = choice == Choice::Nothing;
+        let version = gateway.configuration().map_or(0, |c| c.version.get());
+        let addr = match choice {
+            Choice::Ask(addr) => addr,
+            Choice::Wait(until) => {
+                let wait = now.until(until).get();
+                self.push(self.now + wait, Event::Fetch(number, step));
+                return;
+            }
+            Choice::Nothing => {
+                self.push(self.now + WATCH_CHECK_MS, Event::Fetch(number, step));
+                return;
+            }
+        };
+        self.configuration_copies += 1;
+        let peer = (0..self.instances.len()).find(|peer| addr_of(*peer) == addr);
+        let reachable = peer.filter(|peer| {
+            let frozen = self.instances[*peer].frozen_until > self.now;
+            !frozen && !self.is_cut(*peer) && !self.is_cut(number)
+        });
+        let gateway = reachable.and_then(|peer| self.instances[peer].gateway.as_mut());
+        let (delay, reply) = match gateway.map(|g| g.serve_configuration(now, version)) {
+            Some(ServedConfiguration::Copy(stored, slot)) => {
+                let item = decode(&stored.key, stored.position, Some(stored.value));
+                let reply = Reply::Configuration(Box::new(item));
+                let bytes = self.transfer_bytes(&reply).unwrap_or_default();
+                self.begin_delivery(peer, number, step, Some(slot), bytes, reply);
+                return;
+            }
+            Some(ServedConfiguration::Busy) => (CALL_MS, Reply::ConfigurationRefused),
+            Some(ServedConfiguration::NotNewer) => (CALL_MS, Reply::ConfigurationFailed),
+            None => (READ_TIMEOUT_MS, Reply::ConfigurationFailed),
+        };
+        self.push(self.now + delay, Event::Fetched(number, step, addr, reply));
+    }
+
+    fn on_fetched(&mut self, number: usize, peer: SocketAddr, reply: Reply) {
+        let now = at(self.now);
+        let Some(gateway) = &mut self.instances[number].gateway else {
+            return;
+        };
+        match reply {
+            Reply::Configuration(item) => gateway.on_configuration_copy(now, *item),
+            Reply::ConfigurationRefused => gateway.on_configuration_refused(now, peer),
+            _ => gateway.on_configuration_failed(now, peer),
+        }
+        let mut out = Vec::new();
+        gateway.send_bulletin(now, &mut out);
+        self.post(number, out);
+        self.fetch(number);
+    }
+
+    /// Return the gateway that sends a configuration alone, and the place of its copy.
+    fn sender(&mut self, delivery: &Delivery) -> Option<(&mut Gateway, SlotId)> {
+        let sender = &mut self.instances[delivery.from?];
+        let gateway = sender.gateway.as_mut()?;
+        let slot = delivery.slot?;
+        (sender.incarnation == delivery.incarnation).then_some((gateway, slot))
+    }
+
     /// Return whether the answer to the current call of an instance is arriving.
     fn is_delivered(&self, to: usize, step: u64) -> bool {
         let is_current = self.instances[to].step == step;
-        is_current && (self.deliveries.iter()).any(|d| d.to == to && d.step == step)
+        is_current
+            && (self.deliveries.iter()).any(|d| d.to == to && d.step == step && d.slot.is_none())
     }
 
     /// Let the answers on their way share the links of their ends. Those that an instance has given
     /// up end.
     fn advance_deliveries(&mut self) {
-        let Some(links) = self.links else { return };
         let now = at(self.now);
-        let mut deliveries = std::mem::take(&mut self.deliveries);
-        deliveries.retain(|delivery| self.instances[delivery.to].step == delivery.step);
+        let bytes_per_ms = self.links.map_or(f64::MAX, |links| links.bytes_per_ms);
+        let is_current = |delivery: &Delivery| {
+            let to = &self.instances[delivery.to];
+            let current = delivery.slot.map_or(to.step, |_| to.fetch_step);
+            let from = delivery.from.map(|from| self.instances[from].incarnation);
+            delivery.step == current && from.is_none_or(|from| from == delivery.incarnation)
+        };
+        let deliveries = std::mem::take(&mut self.deliveries);
+        let (mut deliveries, mut over): (Vec<_>, Vec<_>) =
+            deliveries.into_iter().partition(is_current);
         let mut sent = vec![0_u64; self.instances.len()];
         let mut received = vec![0_u64; self.instances.len()];
         for delivery in &deliveries {
@@ -853,32 +1038,46 @@
             }
             received[delivery.to] += 1;
         }
-        let is_still =
-            |number: usize| self.instances[number].frozen_until > self.now || self.is_cut(number);
         for delivery in &mut deliveries {
             let streams = delivery.from.map_or(0, |from| sent[from]);
             let streams = streams.max(received[delivery.to]);
+            let is_still = |number: usize| {
+                self.instances[number].frozen_until > self.now || self.is_cut(number)
+            };
             if !is_still(delivery.to) && !delivery.from.is_some_and(is_still) {
-                let bytes = links.bytes_per_ms * TRANSFER_STEP_MS as f64 / streams as f64;
+                let bytes = bytes_per_ms * TRANSFER_STEP_MS as f64 / streams as f64;
                 delivery.left_bytes -= bytes;
                 delivery.progress.on_received(now, Size::new(bytes as u64));
+                if let Some((gateway, slot)) = self.sender(delivery) {
+                    gateway.copy_slots().on_taken(now, slot);
+                }
             }
         }
         let is_over = |delivery: &Delivery| {
             delivery.left_bytes <= 0.0 || delivery.progress.stalls_at() <= now
         };
-        let (over, left): (Vec<_>, Vec<_>) = deliveries.into_iter().partition(is_over);
+        let (ended, left): (Vec<_>, Vec<_>) = deliveries.into_iter().partition(is_over);
+        over.extend(ended);
         self.deliveries = left;
         if !self.deliveries.is_empty() {
             self.push(self.now + TRANSFER_STEP_MS, Event::Advance);
         }
         for delivery in over {
+            if let Some((gateway, slot)) = self.sender(&delivery) {
+                gateway.copy_slots().end(slot);
+            }
+            let (to, step) = (delivery.to, delivery.step);
             let reply = match delivery.reply {
                 reply if delivery.left_bytes <= 0.0 => reply,
-                Reply::Copy(..) => Reply::CopyFailed,
+                Reply::Configuration(_) => Reply::ConfigurationFailed,
+                Reply::Copy(_) => Reply::CopyFailed,
                 _ => Reply::Failed,
             };
-            self.push(self.now, Event::Answer(delivery.to, delivery.step, reply));
+            let event = match (delivery.slot, delivery.from) {
+                (Some(_), Some(from)) => Event::Fetched(to, step, addr_of(from), reply),
+                _ => Event::Answer(to, step, reply),
+            };
+            self.push(self.now, event);
         }
     }
 
@@ -930,14 +1129,19 @@
                 let jitter = (number % 7) as f64 / 7.0;
                 instance.reader.on_failure(now, gateway, "failed", jitter);
             }
-            Reply::Copy(position, partial, items, known) => {
-                gateway.on_peer_evacuations(now, position, &known);
-                gateway.on_peer_copy(now, position, partial, items);
+            Reply::Copy(copy) => {
+                gateway.on_peer_evacuations(now, copy.position, &copy.evacuations);
+                if let Some(left_out) = copy.left_out {
+                    gateway.on_left_out(left_out);
+                }
+                gateway.on_peer_copy(now, copy.position, copy.partial, copy.items);
             }
+            Reply::Configuration(_) | Reply::ConfigurationRefused | Reply::ConfigurationFailed => {}
             Reply::CopyFailed => pause = COPY_PAUSE_MS,
         }
+        let step = instance.step;
+        self.wake_fetch(number);
         if pause > 0 {
-            let step = instance.step;
             self.push(self.now + pause, Event::Decide(number, step));
         } else {
             self.decide(number);
--- a/crates/oleanderpass_gateway_io/src/daemon.rs
+++ b/crates/oleanderpass_gateway_io/src/daemon.rs
@@ -25,6 +25,7 @@
 use crate::callers::Callers;
 use crate::clock;
 use crate::clock::sleep_until;
+use crate::configuration_copy;
 use crate::connection::Pool;
 use crate::frontend;
 use crate::instance::Instance;
@@ -100,6 +101,7 @@
         peer_socket,
         load_changed: Notify::new(),
         store_behind: Notify::new(),
+        configuration_behind: Notify::new(),
         shutdown: watch::Sender::new(ShutdownPhase::Serving),
         settings,
     });
@@ -124,6 +126,7 @@
     tokio::task::spawn_local(peer::tick(instance.clone()));
     tokio::task::spawn_local(peer::send_bulletins(instance.clone()));
     tokio::task::spawn_local(store::run(instance.clone()));
+    tokio::task::spawn_local(configuration_copy::run(instance.clone()));
     wait_for_stop(&instance, path).await?;
     stop(&instance).await;
     Ok(())
--- a/crates/oleanderpass_gateway_io/src/instance.rs
+++ b/crates/oleanderpass_gateway_io/src/instance.rs
@@ -53,6 +53,8 @@
     pub(crate) load_changed: Notify,
     /// Notified when a peer knows something newer of the store than this instance.
     pub(crate) store_behind: Notify,
+    /// Notified when a peer has a newer configuration in force than this instance.
+    pub(crate) configuration_behind: Notify,
     /// Changed by the task that stops the instance.
     pub(crate) shutdown: watch::Sender<ShutdownPhase>,
 }
--- a/crates/oleanderpass_gateway_io/src/internal_http.rs
+++ b/crates/oleanderpass_gateway_io/src/internal_http.rs
@@ -4,6 +4,8 @@
 use std::convert::Infallible;
 
 use bytes::Bytes;
+use http::HeaderName;
+use http::HeaderValue;
 use http::Method;
 use http::Request;
 use http::Response;
@@ -13,6 +15,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use oleanderpass_gateway::callers::Phase;
+use oleanderpass_gateway::gateway::ServedConfiguration;
 use oleanderpass_platform::READINESS_PATH;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::size::Bytes as Size;
@@ -33,6 +36,15 @@
 /// they want changes.
 pub(crate) const STORE_COPY_PATH: &str = "/store";
 
+/// A header with which a peer asks for a copy of the store without a large configuration.
+pub(crate) const CONFIGURATION_APART: HeaderName = HeaderName::from_static("configuration-apart");
+
+/// The path of the configuration in force, for peers. The query is the version that they have.
+pub(crate) const CONFIGURATION_COPY_PATH: &str = "/store/configuration";
+
+/// The position of the configuration in the platform's store.
+pub(crate) const STORE_POSITION: HeaderName = HeaderName::from_static("store-position");
+
 /// The pause after a failure to accept a connection.
 const ACCEPT_PAUSE: Millis = Millis::new(10);
 
@@ -96,14 +108,19 @@
         STORE_COPY_PATH => {
             // Without a position, the peer gets everything.
             let after = req.uri().query().and_then(|query| query.parse().ok());
-            let changes = instance
-                .gateway
-                .borrow()
-                .store_changes(instance.now(), after.unwrap_or_default());
-            let copies = instance.metrics.served_copies.clone();
-            let body = ServedBody::copy(changes.encode_to_vec().into(), copies);
-            (StatusCode::OK, body)
+            let after = after.unwrap_or_default();
+            let (now, gateway) = (instance.now(), instance.gateway.borrow());
+            let changes = if req.headers().contains_key(CONFIGURATION_APART) {
+                gateway.store_changes_apart(now, after)
+            } else if gateway.misses_configuration() {
+                // The peer would take this copy for a complete one.
+                return empty_answer(StatusCode::SERVICE_UNAVAILABLE);
+            } else {
+                gateway.store_changes(now, after)
+            };
+            (StatusCode::OK, Bytes::from(changes.encode_to_vec()).into())
         }
+        CONFIGURATION_COPY_PATH => return configuration(instance, req),
         _ => (StatusCode::NOT_FOUND, ServedBody::default()),
     };
     let mut answer = Response::new(body);
@@ -111,6 +128,35 @@
     answer
 }
 
+/// Return an answer without a body.
+fn empty_answer(status: StatusCode) -> Response<ServedBody> {
+    let mut answer = Response::new(ServedBody::default());
+    *answer.status_mut() = status;
+    answer
+}
+
+/// Answer a peer that asks for the configuration in force here.
+fn configuration(instance: &SharedInstance, req: &Request<Incoming>) -> Response<ServedBody> {
+    let version = req.uri().query().and_then(|query| query.parse().ok());
+    let now = instance.now();
+    let served = instance
+        .gateway
+        .borrow_mut()
+        .serve_configuration(now, version.unwrap_or_default());
+    match served {
+        ServedConfiguration::Copy(stored, slot) => {
+            let body = ServedBody::copy(stored.value, instance.clone(), slot);
+            let mut answer = Response::new(body);
+            if let Ok(position) = HeaderValue::from_str(&stored.position.to_string()) {
+                answer.headers_mut().insert(STORE_POSITION, position);
+            }
+            answer
+        }
+        ServedConfiguration::Busy => empty_answer(StatusCode::SERVICE_UNAVAILABLE),
+        ServedConfiguration::NotNewer => empty_answer(StatusCode::NOT_FOUND),
+    }
+}
+
 /// Return the status and the body of the answer to a read of the metrics.
 fn metrics(instance: &SharedInstance) -> (StatusCode, Bytes) {
     let metrics = &instance.metrics;
--- a/crates/oleanderpass_gateway_io/src/lib.rs
+++ b/crates/oleanderpass_gateway_io/src/lib.rs
@@ -14,6 +14,7 @@
 mod attempt;
 mod body;
 mod callers;
+mod configuration_copy;
 mod connection;
 mod exchange;
 mod frontend;
--- a/crates/oleanderpass_gateway_io/src/metrics.rs
+++ b/crates/oleanderpass_gateway_io/src/metrics.rs
@@ -37,7 +37,9 @@
     pub(crate) store_calls: IntCounterVec,
     /// Copies of the store that were asked of peers, by result.
     pub(crate) peer_copies: IntCounterVec,
-    /// Copies of the store that are being sent to peers.
+    /// Configurations that were asked of peers, by result.
+    pub(crate) configuration_copies: IntCounterVec,
+    /// Copies of the configuration that are being sent to peers.
     pub(crate) served_copies: IntGauge,
     /// Orders to engines that reserve, renew or release memory, by operation and result.
     pub(crate) orders: IntCounterVec,
@@ -110,9 +112,14 @@
                 "Copies of the store that were asked of peers.",
                 &["result"],
             )?,
+            configuration_copies: counter_vec(
+                "configuration_copies_total",
+                "Configurations that were asked of peers.",
+                &["result"],
+            )?,
             served_copies: IntGauge::new(
                 "oleanderpass_served_copies",
-                "Copies of the store that are being sent to peers.",
+                "Copies of the configuration that are being sent to peers.",
             )?,
             orders: counter_vec(
                 "orders_total",
@@ -192,6 +199,7 @@
         registry.register(Box::new(metrics.attempts.clone()))?;
         registry.register(Box::new(metrics.store_calls.clone()))?;
         registry.register(Box::new(metrics.peer_copies.clone()))?;
+        registry.register(Box::new(metrics.configuration_copies.clone()))?;
         registry.register(Box::new(metrics.served_copies.clone()))?;
         registry.register(Box::new(metrics.orders.clone()))?;
         registry.register(Box::new(metrics.first_event.clone()))?;
--- a/crates/oleanderpass_gateway_io/src/peer.rs
+++ b/crates/oleanderpass_gateway_io/src/peer.rs
@@ -21,6 +21,7 @@
 use crate::clock::sleep_until;
 use crate::connection;
 use crate::instance::SharedInstance;
+use crate::internal_http::CONFIGURATION_APART;
 use crate::internal_http::STORE_COPY_PATH;
 use crate::reach;
 use crate::receive;
@@ -33,7 +34,8 @@
 const MIN_PAUSE: Millis = Millis::new(1_000);
 
 /// Receive datagrams until the process ends. Notify `store_behind` whenever a peer has read a newer
-/// revision of the store than this instance.
+/// revision of the store than this instance, and `configuration_behind` whenever one has a newer
+/// configuration.
 pub(crate) async fn receive(instance: SharedInstance) {
     let mut buf = vec![0; 2 * MAX_DATAGRAM_BYTES];
     loop {
@@ -52,15 +54,19 @@
             }
         };
         let mut out = Vec::new();
-        let behind = {
+        let (behind, lacks_configuration) = {
+            let now = instance.now();
             let mut gateway = instance.gateway.borrow_mut();
-            gateway.on_packet(instance.now(), source, &packet, &mut out);
-            gateway.is_behind(instance.now())
+            gateway.on_packet(now, source, &packet, &mut out);
+            (gateway.is_behind(now), gateway.lacks_configuration(now))
         };
         instance.send_packets(out);
         if behind {
             instance.store_behind.notify_one();
         }
+        if lacks_configuration {
+            instance.configuration_behind.notify_one();
+        }
     }
 }
 
@@ -121,6 +127,7 @@
         let mut connection = connection::open(memory, addr).await?;
         let req = Request::get(format!("{STORE_COPY_PATH}?{after}"))
             .header(http::header::HOST, addr.to_string())
+            .header(CONFIGURATION_APART, "1")
             .body(RequestBody::default())?;
         let answer = connection.send(req).await?;
         if !answer.status().is_success() {
--- a/crates/oleanderpass_gateway_io/src/served_body.rs
+++ b/crates/oleanderpass_gateway_io/src/served_body.rs
@@ -9,26 +9,33 @@
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
-use prometheus::IntGauge;
+use oleanderpass_gateway::copy_slots::SlotId;
 
+use crate::instance::SharedInstance;
 use crate::pieces::PIECE_BYTES;
 
-/// The body of an answer on an internal endpoint. It is handed over in pieces, so that the memory and
-/// the time that a slow reader takes can be seen.
-#[derive(Debug, Default)]
+/// The body of an answer on an internal endpoint. It is handed over in pieces, which shows whether
+/// its reader goes on.
+#[derive(Default)]
 pub(crate) struct ServedBody {
     left: Bytes,
-    /// Counts the copies that are being sent.
-    copies: Option<IntGauge>,
+    slot: Option<Slot>,
+}
+
+/// A place among the copies of the configuration that are sent at a time. It is given back when this
+/// is dropped.
+struct Slot {
+    instance: SharedInstance,
+    id: SlotId,
 }
 
 impl ServedBody {
-    /// Create the body of a copy that is counted in a gauge until it is sent or given up.
-    pub(crate) fn copy(body: Bytes, copies: IntGauge) -> Self {
-        copies.inc();
+    /// Create the body of a copy of the configuration.
+    pub(crate) fn copy(body: Bytes, instance: SharedInstance, id: SlotId) -> Self {
+        instance.metrics.served_copies.inc();
         Self {
             left: body,
-            copies: Some(copies),
+            slot: Some(Slot { instance, id }),
         }
     }
 }
@@ -37,7 +44,7 @@
     fn from(body: Bytes) -> Self {
         Self {
             left: body,
-            copies: None,
+            slot: None,
         }
     }
 }
@@ -50,6 +57,14 @@
         mut self: Pin<&mut Self>,
         _cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        if let Some(Slot { instance, id }) = &self.slot {
+            let now = instance.now();
+            instance
+                .gateway
+                .borrow_mut()
+                .copy_slots()
+                .on_taken(now, *id);
+        }
         if self.left.is_empty() {
             return Poll::Ready(None);
         }
@@ -66,10 +81,10 @@
     }
 }
 
-impl Drop for ServedBody {
+impl Drop for Slot {
     fn drop(&mut self) {
-        if let Some(copies) = &self.copies {
-            copies.dec();
-        }
+        self.instance.metrics.served_copies.dec();
+        let mut gateway = self.instance.gateway.borrow_mut();
+        gateway.copy_slots().end(self.id);
     }
 }
--- a/crates/oleanderpass_gateway_io/src/store.rs
+++ b/crates/oleanderpass_gateway_io/src/store.rs
@@ -13,6 +13,7 @@
 use oleanderpass_gateway::memory::Share;
 use oleanderpass_gateway::store::Content;
 use oleanderpass_gateway::store::CopySource;
+use oleanderpass_gateway::store::LeftOut;
 use oleanderpass_gateway::store::StoreItem;
 use oleanderpass_gateway::store::StorePosition;
 use oleanderpass_gateway::store_reader::READER_CHECK_INTERVAL;
@@ -212,7 +213,7 @@
 }
 
 /// Decode an item that was read in an era of the store. Log what is invalid.
-fn decode(era: u64, item: Item) -> StoreItem {
+pub(crate) fn decode(era: u64, item: Item) -> StoreItem {
     let content = match (Subject::of(&item.key), &item.value) {
         (Subject::Configuration, Some(value)) => match configuration::decode(value) {
             Ok(config) => Content::Configuration(Some(config)),
@@ -319,6 +320,10 @@
         }
     };
     let position = StorePosition::new(copy.era, copy.revision);
+    let left_out = copy.left_out.map(|raw| LeftOut {
+        position: StorePosition::new(raw.era, raw.revision),
+        version: raw.version,
+    });
     let evacuations = copy.evacuations.map(|evacuations| {
         let entries = evacuations.entries.into_iter();
         let elapsed = instance.now().since(began);
@@ -338,12 +343,17 @@
     if let Some(evacuations) = evacuations {
         gateway.on_peer_evacuations(now, position, &evacuations);
     }
+    if let Some(left_out) = left_out {
+        gateway.on_left_out(left_out);
+    }
     gateway.on_peer_copy(now, position, copy.partial, items.collect());
     drop(gateway);
+    instance.configuration_behind.notify_one();
     tracing::info!(
         peer = %source.addr,
         store_era = position.era,
         store_revision = position.revision,
+        left_out_version = left_out.map(|left_out| left_out.version),
         received_bytes = transfer.received().get(),
         elapsed_ms = transfer.elapsed(now).get(),
         "took a peer's copy of the store"
