Keep a late call to the store in flight beside the next one

A call to the store that wasn't answered within 800 ms (a watch within 500 ms of its end) was dropped and made again, so a store that takes longer for each answer was never heard: an instance that starts stays without a configuration, and readers whose watch fails are without news. Now the call goes on beside the next one, on a connection of its own, and the first answer counts. A new call still shows when a silent store is back, so silences are noticed as before.

changes_come_into_force_while_the_store_is_slow: without late calls (MAX_LATE_CALLS = 0) 8 instances with 2.5 s an answer are without news for 11.5 s, and 295 with 1.6 s for 10.9 s; with them all nine cases hold.

--- a/crates/oleanderpass_gateway/src/store_reader.rs
+++ b/crates/oleanderpass_gateway/src/store_reader.rs
@@ -23,6 +23,11 @@
 /// How much longer than its wait a watch call may take before it times out.
 const WATCH_MARGIN: Millis = Millis::new(500);
 
+/// The most calls that stay in flight after they should have been answered, beside a new one. The
+/// oldest one ends first. A store that is slow answers them, however late; one that is silent or was
+/// left by a dead connection doesn't, and only the new call shows when it is back.
+pub const MAX_LATE_CALLS: usize = 3;
+
 /// The delay between a change and the next watch. Changes within it are returned by one call.
 const WATCH_BATCH_DELAY: Millis = Millis::new(60);
 
@@ -254,6 +259,11 @@
         self.follows_peers
     }
 
+    /// Record that the next answer is that of an earlier call, which began at `began`.
+    pub fn on_late_answer(&mut self, began: Timestamp) {
+        self.watch_began = began;
+    }
+
     /// Apply what was read from the store: all backend servers at `position` or later, and the
     /// operators' items.
     pub fn on_read_all(
@@ -274,15 +284,6 @@
             gateway.on_store_recovered(now);
         }
         gateway.on_store_list(now, position, servers);
-        if self.store_lost {
-            self.store_lost = false;
-            tracing::info!(
-                dependency = "store",
-                store_era = position.era,
-                store_revision = position.revision,
-                "a dependency was regained"
-            );
-        }
         self.on_answer(gateway, position);
     }
 
@@ -302,6 +303,9 @@
         if !items.is_empty() {
             self.next_call = now + WATCH_BATCH_DELAY;
         }
+        if self.store_lost {
+            gateway.on_store_recovered(now);
+        }
         let age = self.answered_call.map(|call| now.since(call));
         for item in items {
             gateway.on_store_change(now, item, age);
@@ -311,6 +315,16 @@
     }
 
     fn on_answer(&mut self, gateway: &mut Gateway, position: StorePosition) {
+        if self.store_lost {
+            self.store_lost = false;
+            self.next_call = Timestamp::ORIGIN;
+            tracing::info!(
+                dependency = "store",
+                store_era = position.era,
+                store_revision = position.revision,
+                "a dependency was regained"
+            );
+        }
         self.position = Some(position);
         self.answered_call = Some(self.watch_began);
         self.backoff = MIN_BACKOFF;
--- a/crates/oleanderpass_gateway/tests/common/store.rs
+++ b/crates/oleanderpass_gateway/tests/common/store.rs
@@ -1,6 +1,7 @@
 //! Simulate a fleet of gateways that read the platform's store, in virtual time.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -20,6 +21,7 @@
 use oleanderpass_gateway::store::LeftOut;
 use oleanderpass_gateway::store::StoreItem;
 use oleanderpass_gateway::store::StorePosition;
+use oleanderpass_gateway::store_reader::MAX_LATE_CALLS;
 use oleanderpass_gateway::store_reader::Step;
 use oleanderpass_gateway::store_reader::StoreReader;
 use oleanderpass_gateway::transfer::STALL_TIME;
@@ -213,6 +215,8 @@
     Changes(StorePosition, Vec<StoreItem>),
     HistoryLost,
     Failed,
+    /// No answer has come in time. The call goes on.
+    Late,
     Copy(Box<Copy>),
     CopyFailed,
     /// A configuration that is fetched apart.
@@ -245,6 +249,8 @@
     Fault(usize, Fault),
     Write(Write),
     Down(Outage),
+    /// From now on the store takes longer to answer: until when, and how long.
+    Slow(u64, u64),
     /// The store is back. It has lost what it acknowledged within the last milliseconds before
     /// the outage, if it was restored from a copy.
     Up(Option<u64>),
@@ -263,8 +269,13 @@
     gateway: Option<Gateway>,
     reader: StoreReader,
     doing: Doing,
-    /// The number of the current step. Events of earlier steps are ignored.
+    /// The number of the current step. Events of earlier steps are ignored, except answers to late
+    /// calls.
     step: u64,
+    /// When the current step began.
+    began: u64,
+    /// The steps of late calls, and when they began.
+    late: VecDeque<(u64, u64)>,
     /// The number of the current step towards a configuration that is fetched apart.
     fetch_step: u64,
     /// Whether no such step is due.
@@ -291,6 +302,8 @@
     acknowledged: Vec<(u64, Write)>,
     /// The size of configurations, if it matters.
     configuration_bytes: usize,
+    /// Until when calls take longer, and how long.
+    slow: Option<(u64, u64)>,
 }
 
 impl Store {
@@ -315,6 +328,12 @@
         self.changes.push((now, self.position.revision, write));
     }
 
+    /// Return the time that a call takes, in milliseconds.
+    fn call_ms(&self, now: u64) -> u64 {
+        let slow = self.slow.filter(|(end, _)| now < *end);
+        slow.map_or(CALL_MS, |(_, call_ms)| call_ms)
+    }
+
     fn item(&self, revision: u64, write: &Write) -> StoreItem {
         let position = StorePosition::new(self.position.era, revision);
         let mut value = write.value();
@@ -447,6 +466,7 @@
                 changes: Vec::new(),
                 acknowledged: Vec::new(),
                 configuration_bytes: 0,
+                slow: None,
             },
             store_calm_since: 0,
             violations: Vec::new(),
@@ -469,6 +489,8 @@
                 reader: StoreReader::default(),
                 doing: Doing::Waiting,
                 step: 0,
+                began: 0,
+                late: VecDeque::new(),
                 fetch_step: 0,
                 fetches_nothing: false,
                 hangs: false,
@@ -506,6 +528,11 @@
         self.push(at + ms, Event::Up(None));
     }
 
+    /// Let each call to the store take `call_ms` for some time.
+    pub(crate) fn slow_down(&mut self, at: u64, ms: u64, call_ms: u64) {
+        self.push(at, Event::Slow(at + ms, call_ms));
+    }
+
     /// Let the store be away and come back from a copy.
     pub(crate) fn restore(&mut self, at: u64, restore: Restore) {
         self.push(at, Event::Down(Outage::Reset));
@@ -591,6 +618,7 @@
             | Event::WriteAgain(_)
             | Event::Advance
             | Event::Down(_)
+            | Event::Slow(..)
             | Event::Up(_) => None,
         };
         if let Some(wake) = instance.map(|instance| self.instances[instance].frozen_until)
@@ -605,18 +633,31 @@
             Event::Decide(instance, step) if self.instances[instance].step == step => {
                 self.decide(instance);
             }
-            Event::Answer(instance, step, Reply::Failed | Reply::CopyFailed)
+            Event::Answer(instance, step, Reply::Failed | Reply::Late | Reply::CopyFailed)
                 if self.is_delivered(instance, step) => {}
             Event::Answer(instance, step, reply) if self.instances[instance].step == step => {
                 self.answer(instance, reply);
             }
+            Event::Answer(
+                number,
+                step,
+                reply @ (Reply::All(..) | Reply::Changes(..) | Reply::HistoryLost),
+            ) if !self.is_cut(number) => {
+                let instance = &mut self.instances[number];
+                let late = instance.late.iter().find(|(late, _)| *late == step);
+                if let Some((_, began)) = late.copied() {
+                    instance.reader.on_late_answer(at(began));
+                    instance.hangs = false;
+                    self.answer(number, reply);
+                }
+            }
             Event::Behind(instance, step) if self.instances[instance].step == step => {
                 let now = at(self.now);
                 let behind = self.instances[instance].gateway.as_ref();
                 if behind.is_some_and(|gateway| gateway.is_behind(now))
                     && !self.is_delivered(instance, step)
                 {
-                    self.answer(instance, Reply::Failed);
+                    self.answer(instance, Reply::Late);
                 }
             }
             Event::Renew(number, step) if self.instances[number].step == step => {
@@ -661,6 +702,7 @@
                 }
             }
             Event::Down(outage) => self.go_down(outage),
+            Event::Slow(end, call_ms) => self.store.slow = Some((end, call_ms)),
             Event::Up(age) => self.come_back(age),
         }
     }
@@ -687,6 +729,7 @@
         let instance = &mut self.instances[number];
         instance.incarnation += 1;
         instance.step += 1;
+        instance.late.clear();
         instance.fetch_step += 1;
         instance.doing = Doing::Waiting;
         instance.reader = StoreReader::default();
@@ -783,6 +826,7 @@
         };
         let next = instance.reader.next(now, gateway);
         instance.step += 1;
+        instance.began = self.now;
         instance.hangs = false;
         let step = instance.step;
         instance.doing = match next {
@@ -805,13 +849,14 @@
             Step::ReadAll => {
                 self.store_calls += 2;
                 let (delay, reply) = match outage {
-                    _ if cut => (READ_TIMEOUT_MS, Reply::Failed),
-                    Some(Outage::Silent) => (READ_TIMEOUT_MS, Reply::Failed),
+                    _ if cut => (READ_TIMEOUT_MS, Reply::Late),
+                    Some(Outage::Silent) => (READ_TIMEOUT_MS, Reply::Late),
                     Some(Outage::Reset) => (1, Reply::Failed),
-                    None => (2 * CALL_MS, self.store.read_all()),
+                    None => (2 * self.store.call_ms(self.now), self.store.read_all()),
                 };
-                let timeout = Event::Answer(number, step, Reply::Failed);
+                let timeout = Event::Answer(number, step, Reply::Late);
                 self.push(self.now + READ_TIMEOUT_MS, timeout);
+                self.instances[number].hangs = cut || outage == Some(Outage::Silent);
                 self.send_answer(None, number, step, delay, reply);
             }
             Step::Watch {
@@ -824,13 +869,14 @@
                 self.instances[number].hangs = cut || outage == Some(Outage::Silent);
                 self.push(
                     self.now + timeout.get(),
-                    Event::Answer(number, step, Reply::Failed),
+                    Event::Answer(number, step, Reply::Late),
                 );
                 if outage == Some(Outage::Reset) && !cut {
                     self.push(self.now + 1, Event::Answer(number, step, Reply::Failed));
                 } else if outage.is_none() && !cut {
                     let empty = Reply::Changes(after, Vec::new());
-                    self.push(self.now + wait.get(), Event::Answer(number, step, empty));
+                    let answered = self.now + wait.get() + self.store.call_ms(self.now);
+                    self.push(answered, Event::Answer(number, step, empty));
                     self.answer_watch(number);
                 }
             }
@@ -883,6 +929,7 @@
             Reply::Configuration(item) => std::slice::from_ref(&**item),
             Reply::HistoryLost
             | Reply::Failed
+            | Reply::Late
             | Reply::CopyFailed
             | Reply::ConfigurationRefused
             | Reply::ConfigurationFailed => return None,
@@ -1093,7 +1140,8 @@
             && !instance.hangs
             && let Some(reply) = self.store.watch(after.revision)
         {
-            self.send_answer(None, number, step, CALL_MS, reply);
+            let delay = self.store.call_ms(self.now);
+            self.send_answer(None, number, step, delay, reply);
         }
     }
 
@@ -1110,6 +1158,9 @@
             instance.hangs = true;
             return;
         }
+        if answers || matches!(reply, Reply::HistoryLost) {
+            instance.late.clear();
+        }
         let mut pause = 0;
         match reply {
             _ if lost => instance.reader.on_failure(now, gateway, "cut", 0.5),
@@ -1125,7 +1176,13 @@
                 instance.reader.on_changes(now, gateway, position, items);
             }
             Reply::HistoryLost => instance.reader.on_history_lost(),
-            Reply::Failed => {
+            Reply::Failed | Reply::Late => {
+                if matches!(reply, Reply::Late) && !instance.hangs {
+                    instance.late.push_back((instance.step, instance.began));
+                    if instance.late.len() > MAX_LATE_CALLS {
+                        instance.late.pop_front();
+                    }
+                }
                 let jitter = (number % 7) as f64 / 7.0;
                 instance.reader.on_failure(now, gateway, "failed", jitter);
             }
@@ -1162,6 +1219,7 @@
         self.store.down_at = self.now;
         for number in 0..self.instances.len() {
             let instance = &mut self.instances[number];
+            instance.late.clear();
             if !matches!(instance.doing, Doing::Watching(_)) {
                 continue;
             }
--- a/crates/oleanderpass_gateway_io/src/receive.rs
+++ b/crates/oleanderpass_gateway_io/src/receive.rs
@@ -150,18 +150,17 @@
     transfer: &Cell<Transfer>,
     end: impl Future<Output = T>,
 ) -> Result<T, Stalled> {
-    tokio::pin!(end);
-    loop {
-        let stalls_at = transfer.get().stalls_at();
-        tokio::select! {
-            biased;
-            value = &mut end => return Ok(value),
-            () = clock::sleep_until(stalls_at) => {
-                if transfer.get().stalls_at() <= clock::now() {
-                    return Err(Stalled);
-                }
-            }
-        }
+    tokio::select! {
+        biased;
+        value = end => Ok(value),
+        () = stalled(transfer) => Err(Stalled),
+    }
+}
+
+/// Wait until a transfer makes no progress.
+pub(crate) async fn stalled(transfer: &Cell<Transfer>) {
+    while clock::now() < transfer.get().stalls_at() {
+        clock::sleep_until(transfer.get().stalls_at()).await;
     }
 }
 
