Send no new work to a server whose answers say that it is leaving

A server that leaves says so in all its answers (Server-Leaving: 1), at times while the store still lists it as sound.

The head of any answer, also to an order or a read of the report, now takes the server out for the rest of its lifetime, and peers hear of it as of other leaving servers. A notice on a 421 counts for nobody, because another server gives it.

--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -23,7 +23,6 @@
 use oleanderpass_types::id::RegionId;
 use oleanderpass_types::id::ServiceId;
 use oleanderpass_types::id::ZoneId;
-use oleanderpass_types::size::RequestRate;
 use oleanderpass_types::size::Tokens;
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
@@ -95,6 +94,8 @@
 use crate::store::StorePosition;
 
 mod copies;
+mod notices;
+mod sending;
 
 pub use copies::ServedConfiguration;
 
@@ -1796,33 +1797,6 @@
         })
     }
 
-    /// Return whether an attempt may still be sent. This is the last check before its first byte is
-    /// written.
-    pub fn may_send(&self, now: Timestamp, req: &Request, attempt: &Attempt) -> bool {
-        let version = self.config.as_ref().map(|config| config.version);
-        let usable = self
-            .registry
-            .get(attempt.plan.primary)
-            .is_some_and(|backend| backend.standing != Standing::Leaving);
-        let parts_allowed = req.is_part_trial || !self.crashes.refuses_part(&req.spec.shared_parts);
-        let within_limit = attempt.counts_against_limit
-            || self.server_limits.allowance(now, attempt.plan.primary) == Allowance::Unlimited;
-        // A server may have become cold since the attempt began.
-        let within_cold_rate = attempt.plan.keys().all(|key| {
-            attempt.cold.contains(&key) || self.cold.allowance(now, key) == Allowance::Unlimited
-        });
-        now < req.spec.deadline
-            && version == Some(req.admission.version)
-            && usable
-            && parts_allowed
-            && within_limit
-            && attempt.plan.keys().all(|key| {
-                (self.registry.get(key))
-                    .is_some_and(|backend| self.may_use(now, &req.admission, key, backend))
-            })
-            && within_cold_rate
-    }
-
     /// Record that an attempt is being sent.
     pub fn on_sent(&mut self, req: &mut Request, attempt: &Attempt) {
         if req.retry_server.take() != Some(attempt.plan.primary) {
@@ -1858,23 +1832,6 @@
         self.may_hedge(req) && candidates.iter().any(|c| !req.tried.contains(&c.key))
     }
 
-    /// Record the limit on its request rate that a server named in an answer, or `None` if it named
-    /// none.
-    pub fn on_server_limit(&mut self, now: Timestamp, key: BackendKey, rate: Option<RequestRate>) {
-        let previous = self.server_limits.get(key).map(|(rate, _)| rate);
-        if previous != rate
-            && let Some(backend) = self.registry.get(key)
-        {
-            tracing::info!(
-                server = %backend.announcement.id,
-                rate_per_s = rate.map(RequestRate::per_second),
-                previous_per_s = previous.map(RequestRate::per_second),
-                "a backend server changed the limit on its request rate"
-            );
-        }
-        self.bulletin_pending |= self.server_limits.on_answer(now, key, rate);
-    }
-
     /// Return the evidence of crashes.
     pub fn crashes(&self) -> &CrashTracker {
         &self.crashes
--- a/crates/oleanderpass_gateway_io/src/attempt.rs
+++ b/crates/oleanderpass_gateway_io/src/attempt.rs
@@ -32,6 +32,7 @@
 use crate::exchange::Exchange;
 use crate::exchange::build_answer;
 use crate::metrics::prompt_length_label;
+use crate::notices;
 use crate::pieces::Pieces;
 use crate::reach;
 use crate::receive;
@@ -409,6 +410,7 @@
     };
     let head = answer::decode(answer.status().as_u16(), answer.headers());
     check_answer(exchange, attempt, &head)?;
+    notices::record(instance, attempt.plan.primary, &head);
     // A refusal may come from a part of the server that doesn't know its limit, so only a proven
     // success without one shows that the limit no longer holds.
     let is_success = answer.status().is_success() && head.proven;
--- a/crates/oleanderpass_gateway_io/src/connection.rs
+++ b/crates/oleanderpass_gateway_io/src/connection.rs
@@ -19,6 +19,7 @@
 use oleanderpass_gateway::backend::BackendKey;
 use oleanderpass_gateway::memory::AnswerMemory;
 use oleanderpass_gateway::reach::Way;
+use oleanderpass_platform::answer;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::clock::Timestamp;
 use socket2::SockRef;
@@ -31,6 +32,7 @@
 
 use crate::body::RequestBody;
 use crate::instance::SharedInstance;
+use crate::notices;
 use crate::reach;
 use crate::receive;
 use crate::receive::HeadMeter;
@@ -176,8 +178,8 @@
     })
 }
 
-/// Send a request to a backend server on a new connection. Return the HTTP status and the body of
-/// the answer.
+/// Send an order or a read of the report to a backend server on a new connection. Return the HTTP
+/// status and the body of the answer.
 ///
 /// # Errors
 ///
@@ -190,6 +192,11 @@
     let mut connection = reach::open_addr(instance, addr).await?;
     let answer = connection.send(req).await.wrap_err("send the request")?;
     let status = answer.status().as_u16();
+    let key = instance.gateway.borrow().server_at(instance.now(), addr);
+    if let Some(key) = key {
+        let head = answer::decode(status, answer.headers());
+        notices::record(instance, key, &head);
+    }
     let (body, _share) = receive::document(answer.into_body(), &instance.memory)
         .await
         .wrap_err("read the answer")?;
--- a/crates/oleanderpass_gateway_io/src/lib.rs
+++ b/crates/oleanderpass_gateway_io/src/lib.rs
@@ -21,6 +21,7 @@
 mod instance;
 mod internal_http;
 mod metrics;
+mod notices;
 mod peer;
 mod reach;
 mod receive;
