Keep to the pauses that servers ask for

A server that turns a request away with 503 may say in Retry-After for how long it wants nothing from this instance.

The pause of each server is now kept on every path, by the instance that was asked only and for that incarnation only: the choice of servers, the check before the first byte, orders, reads of reports, and tunnels for peers. An instance that is asked in a tunnel tells the peer through which it leads, because the server means that one. A request whose servers all want a pause beyond its objective is refused at once, with the time to the first end. After the pause, requests keep a distance of 50 ms for 1 s. A reservation in use is renewed once for the whole pause and may be released in it, which is what the bound of two requests leaves room for.

What a request gets that no server may get moves out of gateway.rs.

--- a/crates/oleanderpass_gateway/src/explain.rs
+++ b/crates/oleanderpass_gateway/src/explain.rs
@@ -48,6 +48,8 @@
     Evacuated,
     /// Its availability zone is not in the home regions of the request.
     Homes,
+    /// It has asked this instance for a pause, which goes on or has just ended.
+    PauseAsked,
     /// The limit on its request rate allows this instance nothing now.
     Limit,
     /// It is cold, and its request rate allows this instance nothing now.
@@ -136,7 +138,7 @@
     Refused {
         /// The HTTP status.
         status: u16,
-        /// What it lacks: servers, homes, evacuated, rate, memory or time.
+        /// What it lacks: servers, homes, evacuated, rate, pause, memory or time.
         shortage: SmolStr,
         /// The time after which its caller may resend it, in milliseconds. It is random within a
         /// factor of two.
--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -66,6 +66,7 @@
 use crate::pace::RampEnd;
 use crate::pace::decode_pace;
 use crate::pace::encode_pace;
+use crate::pauses::Pauses;
 use crate::peers::Fleet;
 use crate::peers::MS_PER_S;
 use crate::placement::Candidate;
@@ -82,6 +83,7 @@
 use crate::registry::Registry;
 use crate::registry::Standing;
 use crate::retry_after;
+use crate::retry_after::Wait;
 use crate::route::Route;
 use crate::server_limits::Allowance;
 use crate::server_limits::ServerLimits;
@@ -96,8 +98,10 @@
 mod copies;
 mod notices;
 mod sending;
+mod shortage;
 
 pub use copies::ServedConfiguration;
+pub(crate) use shortage::Shortage;
 
 /// The number of attempts without a sent byte since the last event after which a request ends.
 const MAX_UNSENT: u32 = 5;
@@ -409,30 +413,12 @@
         /// The time after which it could be served, in milliseconds, for the log; 0 if unknown.
         expected_ms: f64,
         /// The time after which its caller may resend it, before jitter.
-        wait: Millis,
+        wait: Wait,
         /// The servers that it would be sent to, if they weren't too slow.
         plan: Option<Plan>,
     },
 }
 
-/// What a request lacks that no server may get now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
-#[strum(serialize_all = "snake_case")]
-pub(crate) enum Shortage {
-    /// No server of the service is known.
-    Servers,
-    /// No server of the service is in the home regions of the request.
-    Homes,
-    /// All servers of the service, or those at home, are in evacuated availability zones.
-    Evacuated,
-    /// The limits on the request rates of all servers are used up.
-    Rate,
-    /// The engines lack the memory for the prompt.
-    Memory,
-    /// The first event is expected after the caller gives up.
-    Time,
-}
-
 /// What rules out another attempt of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[strum(serialize_all = "snake_case")]
@@ -495,6 +481,7 @@
     fleet: Fleet,
     crashes: CrashTracker,
     server_limits: ServerLimits,
+    pauses: Pauses,
     cold: ColdServers,
     paces: Paces,
     reach: Reach,
@@ -543,6 +530,7 @@
             health: IndexMap::new(),
             crashes: CrashTracker::default(),
             server_limits: ServerLimits::default(),
+            pauses: Pauses::default(),
             cold: ColdServers::new(bounds.cold),
             paces: Paces::default(),
             reach: Reach::default(),
@@ -888,6 +876,7 @@
                     self.bulletin_pending |= self.crashes.on_server_gone(now, change.key);
                     self.health.swap_remove(&change.key);
                     self.server_limits.remove(change.key);
+                    self.pauses.remove(change.key);
                     self.cold.remove(change.key);
                     self.paces.remove(now, change.key);
                     self.reach.remove(change.key);
@@ -981,6 +970,7 @@
             self.health.values_mut().for_each(|h| h.decay(elapsed));
             self.load.tick(now);
             self.crashes.tick(now);
+            self.pauses.tick(now);
             self.absences.tick(now);
             let own = node_key(self.identity.id.as_str());
             let peers = self.fleet.live_peers(now);
@@ -1062,7 +1052,9 @@
     /// Return whether the limits on a server's request rate allow a request.
     fn allowance(&self, now: Timestamp, key: BackendKey) -> Allowance {
         let named = self.server_limits.allowance(now, key);
-        named.and(self.cold.allowance(now, key))
+        named
+            .and(self.cold.allowance(now, key))
+            .and(self.pauses.allowance(now, key))
     }
 
     /// Send a bulletin to peers if one is due. It is due sooner if something has changed.
@@ -1316,7 +1308,7 @@
                 shortage: Shortage::Time,
                 expected_ms: plan.behind_all_ms,
                 // By then the pending prefill is short enough for the request to be on time.
-                wait: behind_all.saturating_sub(route.objective),
+                wait: Wait::About(behind_all.saturating_sub(route.objective)),
                 plan: Some(plan),
             };
         }
@@ -1375,86 +1367,6 @@
         self.fleet.live_peers(now).all(|(id, _)| rank(id) < own)
     }
 
-    /// Decide what a request gets that no server may get now. It waits if the limit of a server
-    /// allows it in time, or if its answer has begun and its caller still waits.
-    fn decide_shortage(&self, now: Timestamp, req: &Request) -> Decision {
-        let usable = self.registry.usable(now, &req.admission.service);
-        let usable =
-            usable.filter(|(key, backend)| self.may_use(now, &req.admission, *key, backend));
-        let waits = usable.filter_map(|(key, _)| match self.allowance(now, key) {
-            Allowance::After(wait) => Some(wait),
-            Allowance::Unlimited | Allowance::Now | Allowance::Never => None,
-        });
-        let wait = waits.min();
-        if req.delivering {
-            return Decision::WaitToResume(wait);
-        }
-        let objective = req.admission.route.objective;
-        match wait {
-            Some(wait) if now + wait <= req.spec.received + objective => Decision::Wait {
-                at: now + wait,
-                plan: None,
-            },
-            Some(wait) => Decision::Refuse {
-                shortage: Shortage::Rate,
-                expected_ms: wait.get() as f64,
-                wait,
-                plan: None,
-            },
-            None => Decision::Refuse {
-                shortage: self.shortage(now, req),
-                expected_ms: 0.0,
-                // The objective stands for the time until a server has capacity.
-                wait: objective,
-                plan: None,
-            },
-        }
-    }
-
-    /// Let a request whose answer has begun wait for a server while its caller waits for the next
-    /// event. A draining instance doesn't hand it back, because its answer would be cut.
-    fn wait_to_resume(
-        &mut self,
-        now: Timestamp,
-        req: &mut Request,
-        allowed_in: Option<Millis>,
-    ) -> Next {
-        let last_event = req.last_event.unwrap_or(req.spec.received);
-        let route = &req.admission.route;
-        let check_at =
-            admission::resume_check_at(route, now, last_event, req.spec.deadline, allowed_in);
-        if check_at.is_none() || !req.is_shortage_logged {
-            req.is_shortage_logged = true;
-            let expected_ms = allowed_in.map_or(0.0, |wait| wait.get() as f64);
-            self.log_shortage(now, req, self.shortage(now, req), expected_ms);
-        }
-        match check_at {
-            Some(at) => Next::Wait(at),
-            None => self.end_request(now, req, Cause::NoCapacity),
-        }
-    }
-
-    /// Return what a request lacks that no server may get now.
-    fn shortage(&self, now: Timestamp, req: &Request) -> Shortage {
-        let usable = self.registry.usable(now, &req.admission.service);
-        let usable: Vec<(BackendKey, &Backend)> = usable.collect();
-        let is_home = |backend: &Backend| {
-            let zone = &backend.announcement.zone;
-            self.homes.allows(&req.admission, zone)
-        };
-        let at_home = usable.iter().filter(|(_, backend)| is_home(backend));
-        let accepting = at_home.clone().filter(|(key, _)| self.accepts(now, *key));
-        let (at_home, accepting) = (at_home.count(), accepting.count());
-        let allowed = self.candidates(now, &req.admission).len();
-        match (usable.len(), at_home, accepting, allowed) {
-            (0, ..) => Shortage::Servers,
-            (_, 0, ..) => Shortage::Homes,
-            (_, _, 0, _) => Shortage::Evacuated,
-            (.., 0) => Shortage::Rate,
-            _ => Shortage::Memory,
-        }
-    }
-
     /// Let a request wait until a time. A draining instance that would not admit the request any more
     /// hands it back instead if nothing of it ran, because another instance has more time for it.
     fn wait_until(&self, now: Timestamp, req: &Request, at: Timestamp) -> Next {
@@ -1490,44 +1402,15 @@
             Cause::NoCapacity => req.admission.route.objective,
             _ => Millis::ZERO,
         };
-        self.end_after(now, req, cause, expected)
+        self.end_after(now, req, cause, Wait::About(expected))
     }
 
     /// End a request without success. If it did not run, its caller may resend it after about
     /// `expected`.
-    fn end_after(&mut self, now: Timestamp, req: &Request, cause: Cause, expected: Millis) -> Next {
+    fn end_after(&mut self, now: Timestamp, req: &Request, cause: Cause, expected: Wait) -> Next {
         end(now, req, cause, expected, &mut self.rng)
     }
 
-    /// Log why a request is refused, with the memory of the engines as this instance knows it.
-    fn log_shortage(&self, now: Timestamp, req: &Request, shortage: Shortage, expected_ms: f64) {
-        let service = &req.admission.service;
-        let config = self.config.as_ref();
-        let engine = config.and_then(|config| config.engine(service));
-        let capacity = engine.map_or(Tokens::ZERO, |engine| engine.memory);
-        let candidates = self.candidates(now, &req.admission);
-        let free = candidates
-            .iter()
-            .map(|c| capacity.saturating_sub(c.load.memory).get());
-        tracing::info!(
-            request = %req.spec.id,
-            %shortage,
-            prompt_tokens = req.spec.prompt.get(),
-            max_output_tokens = req.spec.max_output.get(),
-            servers = candidates.len(),
-            avoided = candidates.iter().filter(|c| c.avoided).count(),
-            capacity_tokens = capacity.get(),
-            free_tokens = free.clone().sum::<u64>(),
-            largest_free_tokens = free.max(),
-            long_prompt_load = self.load.long_prompt_load(now),
-            tight_writers = candidates.iter().map(|c| c.load.tight_writers).sum::<u32>(),
-            expected_ms = expected_ms as u64,
-            waited_ms = now.since(req.spec.received).get(),
-            delivering = req.delivering,
-            "no server has room for a request"
-        );
-    }
-
     /// Choose the servers of the next attempt. Servers that were not tried are preferred, and those
     /// within their windows if `uses_windows` is set.
     fn place(
@@ -1639,6 +1522,9 @@
         if some_present && self.is_gone(now, key) {
             return Some(Obstacle::Gone);
         }
+        if !self.pauses.allowance(now, key).allows_now() {
+            return Some(Obstacle::PauseAsked);
+        }
         if !self.server_limits.allowance(now, key).allows_now() {
             return Some(Obstacle::Limit);
         }
@@ -1778,6 +1664,7 @@
         };
         req.progress.insert(id, progress);
         let counts_against_limit = self.server_limits.take(now, plan.primary);
+        plan.keys().for_each(|key| self.pauses.take(now, key));
         // Helpers prefill parts of the prompt, which count as requests.
         let cold = plan.keys().filter(|key| self.cold.take(now, *key));
         let cold = cold.collect();
@@ -2182,7 +2069,7 @@
     now: Timestamp,
     req: &Request,
     cause: Cause,
-    expected: Millis,
+    expected: Wait,
     rng: &mut Pcg64Mcg,
 ) -> Next {
     let status = status(req.worst_execution, cause);
--- a/crates/oleanderpass_gateway/src/gateway/sending.rs
+++ b/crates/oleanderpass_gateway/src/gateway/sending.rs
@@ -22,6 +22,8 @@
     Removed,
     /// One of its servers is leaving.
     Leaving,
+    /// One of its servers has asked for a pause.
+    Pause,
     /// A part of its prompt is refused.
     PromptPart,
     /// Its server has named a limit on its request rate.
@@ -80,6 +82,8 @@
         };
         if backend.standing == Standing::Leaving {
             Some(Hindrance::Leaving)
+        } else if self.pauses.left(now, key).is_some() {
+            Some(Hindrance::Pause)
         } else if !self.may_use(now, &req.admission, key, backend) {
             Some(Hindrance::Zone)
         } else if !attempt.cold.contains(&key)
--- a/crates/oleanderpass_gateway/src/lib.rs
+++ b/crates/oleanderpass_gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod memory;
 pub mod outcome;
 pub mod pace;
+pub mod pauses;
 pub mod peers;
 pub mod placement;
 pub mod pools;
--- a/crates/oleanderpass_gateway_io/src/attempt.rs
+++ b/crates/oleanderpass_gateway_io/src/attempt.rs
@@ -411,6 +411,9 @@
     let head = answer::decode(answer.status().as_u16(), answer.headers());
     check_answer(exchange, attempt, &head)?;
     notices::record(instance, attempt.plan.primary, &head);
+    if let (Some(relay), Some(pause)) = (connection.relay, head.pause) {
+        notices::tell_relay(instance, relay, attempt.primary.addr, pause);
+    }
     // A refusal may come from a part of the server that doesn't know its limit, so only a proven
     // success without one shows that the limit no longer holds.
     let is_success = answer.status().is_success() && head.proven;
--- a/crates/oleanderpass_gateway_io/src/connection.rs
+++ b/crates/oleanderpass_gateway_io/src/connection.rs
@@ -69,6 +69,8 @@
     pub(crate) reused: bool,
     /// Whether it leads through a peer.
     way: Way,
+    /// The peer through which it leads.
+    pub(crate) relay: Option<SocketAddr>,
     meter: Rc<HeadMeter>,
     _driver: Driver,
 }
@@ -136,7 +138,7 @@
 /// Return the cause if no connection can be opened in time.
 pub(crate) async fn open(memory: &AnswerMemory, addr: SocketAddr) -> Result<Connection> {
     let stream = connect(addr).await?;
-    handshake(memory, addr, stream, Way::Direct).await
+    handshake(memory, addr, stream, None).await
 }
 
 /// Open a socket to an address.
@@ -154,8 +156,8 @@
         .wrap_err_with(|| format!("connect to {addr}"))
 }
 
-/// Begin to speak HTTP/1.1 to the server at `addr` on an open stream. The heads of its answers are
-/// counted in `memory`.
+/// Begin to speak HTTP/1.1 to the server at `addr` on an open stream, which leads through the peer at
+/// `relay` if there is one. The heads of its answers are counted in `memory`.
 ///
 /// # Errors
 ///
@@ -164,7 +166,7 @@
     memory: &AnswerMemory,
     addr: SocketAddr,
     stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
-    way: Way,
+    relay: Option<SocketAddr>,
 ) -> Result<Connection> {
     let meter = Rc::new(HeadMeter::new(memory));
     let stream = TokioIo::new(MeteredStream::new(stream, meter.clone()));
@@ -172,7 +174,11 @@
     Ok(Connection {
         sender,
         reused: false,
-        way,
+        way: match relay {
+            Some(_) => Way::Relayed,
+            None => Way::Direct,
+        },
+        relay,
         meter,
         _driver: Driver::spawn(addr, connection),
     })
@@ -196,6 +202,9 @@
     if let Some(key) = key {
         let head = answer::decode(status, answer.headers());
         notices::record(instance, key, &head);
+        if let (Some(relay), Some(pause)) = (connection.relay, head.pause) {
+            notices::tell_relay(instance, relay, addr, pause);
+        }
     }
     let (body, _share) = receive::document(answer.into_body(), &instance.memory)
         .await
--- a/crates/oleanderpass_gateway_io/src/internal_http.rs
+++ b/crates/oleanderpass_gateway_io/src/internal_http.rs
@@ -26,6 +26,8 @@
 use crate::clock::sleep_until;
 use crate::explain;
 use crate::instance::SharedInstance;
+use crate::notices;
+use crate::notices::PAUSE_PATH;
 use crate::relay;
 use crate::served_body::ServedBody;
 
@@ -75,6 +77,11 @@
                 async move {
                     let answer = if tunnels == Tunnels::Accepted && relay::is_connect(&req) {
                         relay::serve(&instance, req).await.map(ServedBody::from)
+                    } else if tunnels == Tunnels::Accepted && req.uri().path() == PAUSE_PATH {
+                        match notices::on_told(&instance, &req) {
+                            true => empty_answer(StatusCode::OK),
+                            false => empty_answer(StatusCode::BAD_REQUEST),
+                        }
                     } else {
                         answer(&instance, &req)
                     };
@@ -174,6 +181,8 @@
         .cold_servers()
         .count(instance.now());
     metrics.cold_servers.set(cold_servers as i64);
+    let paused_servers = instance.gateway.borrow().pauses().count(instance.now());
+    metrics.paused_servers.set(paused_servers as i64);
     let ramping_servers = instance.gateway.borrow().paces().count();
     metrics.ramping_servers.set(ramping_servers as i64);
     let ended = instance.gateway.borrow_mut().take_ended_ramps();
@@ -273,13 +282,15 @@
         });
         let cold_left = gateway.cold_servers().cold_left(now, key);
         let cold = cold_left.map_or_else(String::new, |left| format!(" cold for {left}"));
+        let paused = gateway.pauses().left(now, key);
+        let pause = paused.map_or_else(String::new, |left| format!(" paused for {left}"));
         let window = gateway.paces().window(key);
         let pace = window.map_or_else(String::new, |window| format!(" window {window}"));
         let entry = &backend.announcement;
         let region = gateway.homes().region(&entry.zone);
         let region = region.map_or_else(String::new, |region| format!(" region {region}"));
         text += &format!(
-            "server: {} {} {} {} for {}{limit}{region}{cold}{pace}\n",
+            "server: {} {} {} {} for {}{limit}{region}{cold}{pause}{pace}\n",
             entry.id,
             entry.service,
             entry.zone,
--- a/crates/oleanderpass_gateway_io/src/metrics.rs
+++ b/crates/oleanderpass_gateway_io/src/metrics.rs
@@ -65,6 +65,8 @@
     pub(crate) ramping_servers: IntGauge,
     /// Ramps of backend servers that ended, by cause.
     pub(crate) ended_ramps: IntCounterVec,
+    /// Backend servers that asked for a pause that hasn't ended.
+    pub(crate) paused_servers: IntGauge,
     /// Backend servers that are cold.
     pub(crate) cold_servers: IntGauge,
     /// The memory that is taken, by use.
@@ -170,6 +172,10 @@
                 "Ramps of backend servers that ended.",
                 &["cause"],
             )?,
+            paused_servers: IntGauge::new(
+                "oleanderpass_paused_servers",
+                "Backend servers that asked for a pause that hasn't ended.",
+            )?,
             cold_servers: IntGauge::new(
                 "oleanderpass_cold_servers",
                 "Backend servers that are cold and get a limited request rate.",
@@ -211,6 +217,7 @@
         registry.register(Box::new(metrics.answer_memory.clone()))?;
         registry.register(Box::new(metrics.evacuated_zones.clone()))?;
         registry.register(Box::new(metrics.home_refusals.clone()))?;
+        registry.register(Box::new(metrics.paused_servers.clone()))?;
         registry.register(Box::new(metrics.cold_servers.clone()))?;
         registry.register(Box::new(metrics.ramping_servers.clone()))?;
         registry.register(Box::new(metrics.ended_ramps.clone()))?;
--- a/crates/oleanderpass_gateway_io/src/reach.rs
+++ b/crates/oleanderpass_gateway_io/src/reach.rs
@@ -15,6 +15,7 @@
 use crate::connection::Connection;
 use crate::instance::SharedInstance;
 use crate::relay;
+use crate::relay::Tunnel;
 
 /// Open a connection to the backend server at an address.
 ///
@@ -95,14 +96,14 @@
     }
     while let Some(result) = tries.join_next().await {
         match result {
-            Ok((_, Ok(Some(_)))) => {
+            Ok((_, Ok(Tunnel::Open(_) | Tunnel::Paused))) => {
                 instance
                     .gateway
                     .borrow_mut()
                     .on_relayed(instance.now(), key);
                 return true;
             }
-            Ok((_, Ok(None))) => {}
+            Ok((_, Ok(Tunnel::Unreachable))) => {}
             Ok((peer, Err(error))) => {
                 tracing::debug!(server = %addr, %peer, error = format!("{error:#}"), "no answer");
                 let mut gateway = instance.gateway.borrow_mut();
@@ -124,7 +125,7 @@
     let mut last_error = None;
     for peer in peers {
         match relay::open(&instance.memory, peer, addr).await {
-            Ok(Some(connection)) => {
+            Ok(Tunnel::Open(connection)) => {
                 instance.metrics.relayed_connections.inc();
                 instance
                     .gateway
@@ -133,7 +134,10 @@
                 tracing::debug!(server = %addr, %peer, "connected through a peer");
                 return Ok(connection);
             }
-            Ok(None) => last_error = Some(eyre!("peer {peer} can't reach it")),
+            Ok(Tunnel::Paused) => {
+                last_error = Some(eyre!("it has asked peer {peer} for a pause"));
+            }
+            Ok(Tunnel::Unreachable) => last_error = Some(eyre!("peer {peer} can't reach it")),
             Err(error) => {
                 let mut gateway = instance.gateway.borrow_mut();
                 gateway.on_relay_failed(instance.now(), peer);
--- a/crates/oleanderpass_gateway_io/src/relay.rs
+++ b/crates/oleanderpass_gateway_io/src/relay.rs
@@ -50,8 +50,17 @@
 /// How long a tunnel whose server has ended its connection waits for the peer to close.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Open a connection to the server at `addr` through the peer at `peer`. Return `None` if the peer
-/// can't reach the server.
+/// What a peer answered to the request for a tunnel to a server.
+pub(crate) enum Tunnel {
+    /// The connection to the server.
+    Open(Connection),
+    /// The server has asked the peer for a pause, so it is there.
+    Paused,
+    /// The peer can't reach the server.
+    Unreachable,
+}
+
+/// Open a connection to the server at `addr` through the peer at `peer`.
 ///
 /// # Errors
 ///
@@ -60,17 +69,13 @@
     memory: &AnswerMemory,
     peer: SocketAddr,
     addr: SocketAddr,
-) -> Result<Option<Connection>> {
+) -> Result<Tunnel> {
     tokio::time::timeout(OPEN_TIMEOUT, open_tunnel(memory, peer, addr))
         .await
         .wrap_err("timeout")?
 }
 
-async fn open_tunnel(
-    memory: &AnswerMemory,
-    peer: SocketAddr,
-    addr: SocketAddr,
-) -> Result<Option<Connection>> {
+async fn open_tunnel(memory: &AnswerMemory, peer: SocketAddr, addr: SocketAddr) -> Result<Tunnel> {
     let stream = connection::connect(peer).await?;
     let (mut sender, conn) = http1::Builder::new()
         .max_buf_size(MAX_CONNECT_ANSWER_BYTES)
@@ -82,17 +87,23 @@
         .header(http::header::HOST, addr.to_string())
         .body(Empty::<Bytes>::new())?;
     let answer = sender.send_request(req).await.wrap_err("send CONNECT")?;
+    if answer.status() == StatusCode::SERVICE_UNAVAILABLE {
+        return Ok(Tunnel::Paused);
+    }
     if !answer.status().is_success() {
-        return Ok(None);
+        return Ok(Tunnel::Unreachable);
     }
     let tunnel = hyper::upgrade::on(answer).await.wrap_err("upgrade")?;
-    connection::handshake(memory, addr, TokioIo::new(tunnel), Way::Relayed)
+    connection::handshake(memory, addr, TokioIo::new(tunnel), Some(peer))
         .await
-        .map(Some)
+        .map(Tunnel::Open)
 }
 
 /// Answer the CONNECT request of a peer, and keep its tunnel in the background.
 pub(crate) async fn serve(instance: &SharedInstance, req: Request<Incoming>) -> Response<Bytes> {
+    if asks_for_pause(instance, &req) {
+        return empty_answer(StatusCode::SERVICE_UNAVAILABLE);
+    }
     match connect_for_peer(instance, &req).await {
         Ok((server, buffers)) => {
             let instance = instance.clone();
@@ -109,13 +120,32 @@
         }
         Err(error) => {
             tracing::debug!(error = format!("{error:#}"), "no connection for a peer");
-            let mut answer = Response::default();
-            *answer.status_mut() = StatusCode::BAD_GATEWAY;
-            answer
+            empty_answer(StatusCode::BAD_GATEWAY)
         }
     }
 }
 
+fn empty_answer(status: StatusCode) -> Response<Bytes> {
+    let mut answer = Response::default();
+    *answer.status_mut() = status;
+    answer
+}
+
+/// Return whether the server to which a tunnel is asked for wants a pause of this instance. It would
+/// take the peer's requests for those of this instance.
+fn asks_for_pause(instance: &SharedInstance, req: &Request<Incoming>) -> bool {
+    let gateway = instance.gateway.borrow();
+    let target = target(req).ok();
+    target.is_some_and(|addr| gateway.pause_left(instance.now(), addr).is_some())
+}
+
+/// Return the address of the server to which a tunnel is asked for.
+fn target(req: &Request<Incoming>) -> Result<SocketAddr> {
+    let authority = req.uri().authority().map(http::uri::Authority::as_str);
+    let authority = authority.unwrap_or_default();
+    authority.parse().wrap_err("the target is no address")
+}
+
 /// Return whether a request asks for a tunnel.
 pub(crate) fn is_connect(req: &Request<Incoming>) -> bool {
     req.method() == Method::CONNECT
@@ -127,11 +157,7 @@
     instance: &SharedInstance,
     req: &Request<Incoming>,
 ) -> Result<(TcpStream, Share)> {
-    let authority = req.uri().authority().map(http::uri::Authority::as_str);
-    let addr: SocketAddr = authority
-        .unwrap_or_default()
-        .parse()
-        .wrap_err("the target is no address")?;
+    let addr = target(req)?;
     // A tunnel leads to listed servers only, and never through a second peer.
     let Some(key) = instance.gateway.borrow().server_at(instance.now(), addr) else {
         bail!("{addr} is not a backend server");
--- a/crates/oleanderpass_gateway_io/src/reservation.rs
+++ b/crates/oleanderpass_gateway_io/src/reservation.rs
@@ -1,5 +1,6 @@
 //! Reserve memory on helpers for one attempt, and release it when the attempt ends.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -10,6 +11,7 @@
 use eyre::WrapErr;
 use http::Request;
 use oleanderpass_gateway::gateway::AttemptEnd;
+use oleanderpass_gateway::pauses::UrgentOrder;
 use oleanderpass_gateway::reservation::Evidence;
 use oleanderpass_gateway::reservation::LEASE;
 use oleanderpass_gateway::reservation::RENEWAL_INTERVAL;
@@ -17,12 +19,15 @@
 use oleanderpass_gateway::reservation::ReservationUse;
 use oleanderpass_platform::order;
 use oleanderpass_platform::report;
+use oleanderpass_types::clock::Millis;
+use oleanderpass_types::clock::Timestamp;
 use oleanderpass_types::size::Tokens;
 use smol_str::SmolStr;
 use strum::Display;
 use tokio::task::JoinSet;
 
 use crate::body::RequestBody;
+use crate::clock::sleep_until;
 use crate::connection;
 use crate::instance::SharedInstance;
 use crate::reach;
@@ -40,6 +45,8 @@
     id: SmolStr,
     size: Tokens,
     usage: RefCell<ReservationUse>,
+    /// Until when it is held without renewals, because the engine has asked for a pause.
+    extended_to: Cell<Option<Timestamp>>,
 }
 
 impl Reservation {
@@ -60,8 +67,9 @@
             id,
             size,
             usage: RefCell::new(ReservationUse::new(instance.now())),
+            extended_to: Cell::new(None),
         };
-        let order = reservation.order().ok_or(AttemptEnd::HelperFailed)?;
+        let order = reservation.order(LEASE).ok_or(AttemptEnd::HelperFailed)?;
         let result = send_order(instance, addr, "reserve", order).await;
         tracing::info!(
             server = %addr,
@@ -92,8 +100,8 @@
     }
 
     /// Return the order that makes or renews the reservation.
-    fn order(&self) -> Option<Bytes> {
-        let lease = LEASE.min(self.instance.settings.reservation_max);
+    fn order(&self, lease: Millis) -> Option<Bytes> {
+        let lease = lease.min(self.instance.settings.reservation_max);
         match order::reserve(&self.id, self.size, lease) {
             Ok(order) => Some(Bytes::from(order)),
             Err(error) => {
@@ -108,6 +116,8 @@
         let evidence = match primary {
             PrimaryState::Active => Evidence::PrimaryActive,
             PrimaryState::Unreachable => Evidence::PrimaryUnreachable,
+            // The engine has asked for a pause.
+            PrimaryState::Reachable if self.pause_left().is_some() => Evidence::NoReport,
             PrimaryState::Reachable => {
                 match read_state(&self.instance, self.addr, &self.id).await {
                     Ok(state) => Evidence::Reported(state),
@@ -133,7 +143,10 @@
             );
             return false;
         }
-        if let Some(order) = self.order()
+        let Some(lease) = self.due_lease() else {
+            return true;
+        };
+        if let Some(order) = self.order(lease)
             && send_order(&self.instance, self.addr, "renew", order).await != OrderResult::Done
         {
             tracing::warn!(
@@ -146,6 +159,73 @@
     }
 }
 
+impl Reservation {
+    /// Return the time until the end of the pause that the engine asked for, or `None` if it wants none.
+    fn pause_left(&self) -> Option<Millis> {
+        pause_left(&self.instance, self.addr)
+    }
+
+    /// Return the lease of a renewal that is due, or `None` if none may be sent. In a pause of the
+    /// engine, one renewal holds the memory until renewals are possible again.
+    fn due_lease(&self) -> Option<Millis> {
+        let Some(left) = self.pause_left() else {
+            return Some(LEASE);
+        };
+        let now = self.instance.now();
+        if self
+            .extended_to
+            .get()
+            .is_some_and(|until| until >= now + left)
+        {
+            return None;
+        }
+        let mut gateway = self.instance.gateway.borrow_mut();
+        if !gateway.take_order(now, self.addr, UrgentOrder::Extend) {
+            tracing::warn!(
+                server = %self.addr,
+                reservation = %self.id,
+                pause_ms = left.get(),
+                "a reservation can't be renewed in a pause of its engine"
+            );
+            return None;
+        }
+        let lease = left + LEASE;
+        self.extended_to.set(Some(now + lease));
+        Some(lease)
+    }
+}
+
+fn pause_left(instance: &SharedInstance, addr: SocketAddr) -> Option<Millis> {
+    let gateway = instance.gateway.borrow();
+    gateway.pause_left(instance.now(), addr)
+}
+
+/// Wait until a reservation may be released, in a pause of its engine. One that was extended would stay
+/// for longer than engines allow, so it may be released at once. Return whether it is to be released.
+async fn wait_to_release(
+    instance: &SharedInstance,
+    addr: SocketAddr,
+    extended_to: Option<Timestamp>,
+) -> bool {
+    let began = instance.now();
+    while let Some(left) = pause_left(instance, addr) {
+        let now = instance.now();
+        if extended_to.is_none_or(|until| now >= until) && now.since(began) >= LEASE {
+            return false;
+        }
+        if extended_to.is_some()
+            && instance
+                .gateway
+                .borrow_mut()
+                .take_order(now, addr, UrgentOrder::Release)
+        {
+            return true;
+        }
+        sleep_until(now + left.min(RENEWAL_INTERVAL)).await;
+    }
+    true
+}
+
 /// What is known about the primary server of an attempt when renewals are due.
 #[derive(Clone, Copy, Debug)]
 enum PrimaryState {
@@ -227,7 +307,12 @@
 impl Drop for Reservation {
     fn drop(&mut self) {
         let (instance, addr, id) = (self.instance.clone(), self.addr, self.id.clone());
+        let extended_to = self.extended_to.get();
         tokio::task::spawn_local(async move {
+            if !wait_to_release(&instance, addr, extended_to).await {
+                tracing::info!(server = %addr, reservation = %id, "the lease of a reservation ends");
+                return;
+            }
             let order = match order::release(&id) {
                 Ok(order) => Bytes::from(order),
                 Err(error) => {
@@ -240,6 +325,9 @@
                 if result == OrderResult::Done {
                     return;
                 }
+                if pause_left(&instance, addr).is_some() {
+                    break;
+                }
             }
             tracing::warn!(
                 server = %addr,
