Play pauses that servers ask for, and leaving servers, in the soak

All plain servers refuse with Retry-After, then one says that it is leaving and comes back in a new lifetime, each beside an instance that is disturbed.

--- a/crates/oleanderpass/tests/soak.rs
+++ b/crates/oleanderpass/tests/soak.rs
@@ -14,6 +14,8 @@
 mod faults;
 #[path = "soak/fleet.rs"]
 mod fleet;
+#[path = "soak/notices.rs"]
+mod notices;
 #[path = "soak/proxy.rs"]
 mod proxy;
 #[path = "soak/run.rs"]
--- a/crates/oleanderpass/tests/soak/back_ends.rs
+++ b/crates/oleanderpass/tests/soak/back_ends.rs
@@ -112,7 +112,7 @@
 }
 
 /// Disturb an instance. Return when that was over.
-async fn disturb(fleet: &mut Fleet, victim: usize, kind: u32) -> Instant {
+pub(crate) async fn disturb(fleet: &mut Fleet, victim: usize, kind: u32) -> Instant {
     let instance = &mut fleet.instances[victim];
     match kind {
         0 => {}
--- a/crates/oleanderpass/tests/soak/run.rs
+++ b/crates/oleanderpass/tests/soak/run.rs
@@ -26,6 +26,7 @@
 use crate::check::CallRecord;
 use crate::faults;
 use crate::fleet::Fleet;
+use crate::notices;
 
 /// The number of faults of one seed. They are injected one after the other while callers send
 /// requests.
@@ -56,6 +57,9 @@
 /// The part of a seed that chooses the pauses of engines (see [`rng_for`]).
 const PAUSES_PART: u64 = 7;
 
+/// The part of a seed that disturbs instances while servers ask for pauses and leave.
+const NOTICES_PART: u64 = 8;
+
 /// The share of requests that must be served once the faults are over.
 const SERVED_PERCENT: usize = 95;
 
@@ -128,6 +132,12 @@
     fleet.wait_until_ready().await;
     check_configuration(&mut fleet, &mut violations).await;
     back_ends::check(&mut fleet, &mut rng, &mut violations).await;
+    notices::check(
+        &mut fleet,
+        &mut rng_for(seed, NOTICES_PART),
+        &mut violations,
+    )
+    .await;
     check_restored_store(&mut fleet, &mut violations).await;
     check_recovery(&fleet, &mut violations).await;
     check_planned_stop(&mut fleet, &records, &mut violations).await;
@@ -168,7 +178,7 @@
 }
 
 /// Return the random number generator of one part of a seed: 0 for the faults, the number of a
-/// caller, or [`PAUSES_PART`].
+/// caller, [`PAUSES_PART`] or [`NOTICES_PART`].
 ///
 /// The generator makes its state odd, so the states `2 * n` and `2 * n + 1` would give the same
 /// numbers.
