Keep a retry budget for each service

The budget now belongs to the service, and a change of the bounds keeps its balance.

budget_of_one_service_is_not_spent_on_another: 8 instances, 320 requests for the plain service beside 6,080 for engines; 320 retries before, where 166 are allowed, fewer now.

--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 
 use indexmap::IndexMap;
-use oleanderpass_limits::retry::RetryBudget;
 use oleanderpass_membership::membership::Identity;
 use oleanderpass_proto::peer::Bulletin;
 use oleanderpass_proto::peer::Packet;
@@ -84,6 +83,7 @@
 use crate::registry::Standing;
 use crate::retry_after;
 use crate::retry_after::Wait;
+use crate::retry_budgets::RetryBudgets;
 use crate::route::Route;
 use crate::server_limits::Allowance;
 use crate::server_limits::ServerLimits;
@@ -112,13 +112,6 @@
 /// The most peers that are tried for one connection to a server.
 const MAX_RELAYS: usize = 3;
 
-/// The fraction of the published retry budget that is used. Instances count their retries
-/// separately, and the margin keeps their total below the budget.
-const BUDGET_SHARE: f64 = 0.9;
-
-/// The number of instances that are assumed to share the retry budget while no peer is known.
-const ASSUMED_INSTANCES: usize = 8;
-
 /// The largest number of leaving servers in one bulletin, and of unreachable ones.
 const MAX_SERVERS_PER_LIST: usize = 16;
 
@@ -488,7 +481,7 @@
     absences: Absences,
     evacuations: Evacuations,
     homes: Homes,
-    budget: RetryBudget,
+    budgets: RetryBudgets,
     /// The number of attempts so far, which numbers the next one.
     attempts: u64,
     /// What was read from the platform's store, by this instance or by peers.
@@ -519,7 +512,7 @@
         bounds: Bounds,
         seed: u64,
     ) -> Self {
-        let mut gateway = Self {
+        Self {
             fleet: Fleet::new(now, identity.clone(), seeds),
             identity,
             bounds,
@@ -537,7 +530,7 @@
             absences: Absences::default(),
             evacuations: Evacuations::default(),
             homes: Homes::default(),
-            budget: RetryBudget::default(),
+            budgets: RetryBudgets::new(bounds.retry_ratio, bounds.retry_slack),
             attempts: 0,
             store: LocalCopy::default(),
             left_out: None,
@@ -548,19 +541,16 @@
             last_expiry: now,
             drain: None,
             bulletin_pending: false,
-        };
-        let capacity = gateway.budget_capacity();
-        gateway.budget = RetryBudget::full(bounds.retry_ratio * BUDGET_SHARE, capacity);
-        gateway
+        }
     }
 
-    /// Replace the bounds. The retry budget is full after a change.
+    /// Replace the bounds.
     pub fn set_bounds(&mut self, bounds: Bounds) {
         if bounds != self.bounds {
             self.bounds = bounds;
             self.cold.set_bound(bounds.cold);
-            let capacity = self.budget_capacity();
-            self.budget = RetryBudget::full(bounds.retry_ratio * BUDGET_SHARE, capacity);
+            self.budgets
+                .set_bounds(bounds.retry_ratio, bounds.retry_slack);
         }
     }
 
@@ -633,6 +623,9 @@
             "configuration in force"
         );
         self.cold.on_configuration(&config);
+        let services = &config.services;
+        self.budgets
+            .retain(|service| services.contains_key(service));
         self.config = Some(Rc::new(config));
         self.bulletin_pending = true;
         true
@@ -935,8 +928,7 @@
         if update.appeared {
             self.crashes.on_new_peer();
         }
-        let capacity = self.budget_capacity();
-        self.budget.set_capacity(capacity);
+        self.budgets.set_instances(self.fleet.max_size());
         let is_newer = self.load.on_bulletin(
             now,
             update.from.clone(),
@@ -1130,17 +1122,6 @@
         listed.collect()
     }
 
-    /// Return the capacity of this instance's retry budget: an equal share of the slack of all
-    /// instances.
-    fn budget_capacity(&self) -> u32 {
-        let instances = match self.fleet.max_size() {
-            1 => ASSUMED_INSTANCES,
-            known => known,
-        };
-        let share = f64::from(self.bounds.retry_slack) * BUDGET_SHARE / instances as f64;
-        (share as u32).max(1)
-    }
-
     /// Decide whether to take on a request.
     ///
     /// # Errors
@@ -1192,7 +1173,7 @@
 
     /// Begin to serve an admitted request. `draw` is the random number that chose its service.
     pub fn begin(&mut self, spec: RequestSpec, admission: Admission, draw: u32) -> Request {
-        self.budget.deposit();
+        self.budgets.deposit(&admission.service);
         let now = spec.received;
         let req = Request::new(spec, admission, draw);
         let engine = self
@@ -1243,7 +1224,9 @@
             // The route allows a further server, so the retry is not bound to the last one.
             req.retry_server = None;
         }
-        let bar = bar(req).or_else(|| (is_retry && !self.budget.withdraw()).then_some(Bar::Budget));
+        let service = req.admission.service.clone();
+        let bar = bar(req)
+            .or_else(|| (is_retry && !self.budgets.withdraw(&service)).then_some(Bar::Budget));
         if let Some(bar) = bar {
             tracing::info!(
                 request = %req.spec.id,
@@ -1260,7 +1243,7 @@
         let decision = self.decide(now, req, &mut rng);
         self.rng = rng;
         if is_retry && !matches!(decision, Decision::Send { .. }) {
-            self.budget.refund();
+            self.budgets.refund(&service);
         }
         match decision {
             Decision::Send { plan, scheduling } => {
@@ -1709,7 +1692,7 @@
     /// Return whether another server may run the request beside the current one or after it.
     pub fn may_hedge(&self, req: &Request) -> bool {
         let may_repeat = req.admission.route.kind.may_repeat();
-        may_repeat && bar(req).is_none() && !self.budget.is_empty()
+        may_repeat && bar(req).is_none() && !self.budgets.is_empty(&req.admission.service)
     }
 
     /// Return whether a server that the request was not sent to may run it now instead of a silent
@@ -2030,7 +2013,7 @@
             }
         }
         if is_unsent && attempt.is_retry {
-            self.budget.refund();
+            self.budgets.refund(&attempt.primary.service);
         }
         match end {
             AttemptEnd::NotSent | AttemptEnd::StaleConnection => {
--- a/crates/oleanderpass_gateway/src/lib.rs
+++ b/crates/oleanderpass_gateway/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod registry;
 pub mod reservation;
 pub mod retry_after;
+pub mod retry_budgets;
 pub mod route;
 pub mod server_limits;
 pub mod silence;
--- a/crates/oleanderpass_limits/src/retry.rs
+++ b/crates/oleanderpass_limits/src/retry.rs
@@ -35,18 +35,23 @@
 }
 
 impl RetryBudget {
-    /// Create a full budget of `capacity` retries.
+    /// Create a budget that holds up to `capacity` retries, and `balance` of them now.
     ///
     /// Each admitted request adds `ratio` retries, which is limited to the range from 0 to 1.
-    pub fn full(ratio: f64, capacity: u32) -> Self {
+    pub fn new(ratio: f64, capacity: u32, balance: u32) -> Self {
         let capacity = capacity.saturating_mul(RETRY_THOUSANDTHS);
         Self {
-            balance: capacity,
-            deposit: (ratio.clamp(0.0, 1.0) * f64::from(RETRY_THOUSANDTHS)) as u32,
+            balance: balance.saturating_mul(RETRY_THOUSANDTHS).min(capacity),
+            deposit: deposit(ratio),
             capacity,
         }
     }
 
+    /// Change the number of retries that each admitted request adds, from 0 to 1.
+    pub fn set_ratio(&mut self, ratio: f64) {
+        self.deposit = deposit(ratio);
+    }
+
     /// Change the number of retries that the budget can hold; a balance above it is reduced to it.
     pub fn set_capacity(&mut self, capacity: u32) {
         self.capacity = capacity.saturating_mul(RETRY_THOUSANDTHS);
@@ -78,3 +83,8 @@
         enough
     }
 }
+
+/// Return what an admitted request adds with this ratio, in thousandths of a retry.
+fn deposit(ratio: f64) -> u32 {
+    (ratio.clamp(0.0, 1.0) * f64::from(RETRY_THOUSANDTHS)) as u32
+}
