Give a restarted instance one retry instead of its whole share

The class is that of a lifetime that doesn't account for the one before it.

A process starts with the full share only if the platform says that the whole system starts (FirstStart); otherwise with one retry, and requests add to it.

--- a/crates/oleanderpass_gateway/tests/retry_budget.rs
+++ b/crates/oleanderpass_gateway/tests/retry_budget.rs
@@ -8,6 +8,7 @@
 use oleanderpass_gateway::gateway::Gateway;
 use oleanderpass_gateway::gateway::Next;
 use oleanderpass_quarantine::evidence::Signature;
+use test_case::test_case;
 
 use crate::common::at;
 use crate::common::attempt;
@@ -45,6 +46,34 @@
     }
 }
 
+/// Guards against instances that get their whole share of the slack anew with each start, so that an
+/// outage of servers beside restarts gets several times what is allowed.
+#[test_case(0)]
+#[test_case(1)]
+#[test_case(4)]
+fn restarts_do_not_renew_the_budget(restarts: u64) {
+    let (mut retries, mut requests) = (0, 0);
+    for instance in 0..INSTANCES {
+        let name = format!("edge-{instance}");
+        for lifetime in 0..=restarts {
+            let mut gateway = gateway_named(&name, 14);
+            if lifetime > 0 {
+                gateway.set_restarted();
+            }
+            for number in 0..20 {
+                requests += 1;
+                retries += u64::from(serve(&mut gateway, number, "/look/1", true));
+            }
+        }
+    }
+    let allowed = allowed(requests);
+    assert!(retries <= allowed, "{retries} of {allowed} retries");
+    assert!(
+        retries >= requests / 6,
+        "the budget is hardly used: {retries}"
+    );
+}
+
 /// Guards against retries to one service that the requests for another one allow.
 #[test]
 fn budget_of_one_service_is_not_spent_on_another() {
@@ -61,3 +90,11 @@
     let allowed = allowed(requests);
     assert!(retries <= allowed, "{retries} of {allowed} retries");
 }
+
+/// Guards against a quiet instance whose first failed request is never retried after a restart.
+#[test]
+fn restarted_instance_retries_its_first_request() {
+    let mut gateway = gateway_named("edge-1", 14);
+    gateway.set_restarted();
+    assert!(serve(&mut gateway, 0, "/look/1", true));
+}
--- a/crates/oleanderpass_gateway_io/src/daemon.rs
+++ b/crates/oleanderpass_gateway_io/src/daemon.rs
@@ -71,6 +71,9 @@
     let seed = rand::random();
     let mut gateway = Gateway::new(now, identity, settings.seeds.clone(), settings.bounds, seed);
     gateway.set_zone_regions(settings.zone_regions.clone());
+    if !settings.first_start {
+        gateway.set_restarted();
+    }
     let caller_listener = frontend::listen(settings.caller_addr)?;
     let readiness_listener = frontend::listen(settings.readiness_addr)?;
     let metrics_listener = frontend::listen(settings.metrics_addr)?;
@@ -160,6 +163,8 @@
             let restart_needed = Settings {
                 bounds: instance.settings.bounds,
                 memory: instance.settings.memory,
+                // It says how this process started, which doesn't change any more.
+                first_start: instance.settings.first_start,
                 zone_regions: instance.settings.zone_regions.clone(),
                 ..settings
             } != instance.settings;
--- a/crates/oleanderpass_gateway_io/src/settings.rs
+++ b/crates/oleanderpass_gateway_io/src/settings.rs
@@ -52,6 +52,8 @@
     retry_ratio: f64,
     /// The platform may scale it to the size of the fleet, so it may be a fraction.
     retry_slack: f64,
+    /// Whether the whole system starts for the first time. Missing counts as true.
+    first_start: Option<bool>,
     reservation_max_ms: u64,
     /// The bound on evacuations. Without one, they take effect at once.
     evacuate_ms: Option<u64>,
@@ -98,6 +100,8 @@
     pub stop_time: Millis,
     /// The published bounds. A reload of the settings may change them.
     pub bounds: Bounds,
+    /// Whether the whole system starts for the first time.
+    pub first_start: bool,
     /// The region of each availability zone. A zone that is missing is in no region.
     pub zone_regions: IndexMap<ZoneId, RegionId>,
     /// The longest lease of a reservation that engines grant.
@@ -200,6 +204,7 @@
                 evacuation: Millis::new(raw.evacuate_ms.unwrap_or(0)),
                 cold,
             },
+            first_start: raw.first_start.unwrap_or(true),
             zone_regions: raw.zone_regions.unwrap_or_default(),
             reservation_max: Millis::new(raw.reservation_max_ms),
             memory: Bytes::new((raw.memory_mb * BYTES_PER_MB) as u64),
