--- a/crates/oleanderpass_gateway/src/configuration_source.rs
+++ b/crates/oleanderpass_gateway/src/configuration_source.rs
@@ -15,10 +15,10 @@
 /// The shortest and the longest time for which a peer that refused is not asked again. Bulletins
 /// about a new holder take about as long, and random times keep those that were refused together
 /// from asking together.
-const REFUSED_REST_MS: std::ops::Range<u64> = 50..150;
+const REFUSED_BACKOFF_MS: std::ops::Range<u64> = 50..150;
 
 /// The time for which a peer is not asked again after a copy from it failed.
-const FAILED_REST: Millis = Millis::new(1_000);
+const FAILED_BACKOFF: Millis = Millis::new(1_000);
 
 /// The number of refusals in a row after which peers of other availability zones are asked as well.
 const MAX_LOCAL_REFUSALS: u32 = 4;
@@ -55,7 +55,7 @@
 /// The peers that refused or failed to send a configuration.
 #[derive(Clone, Debug, Default)]
 pub struct ConfigurationSources {
-    resting: IndexMap<SocketAddr, (Timestamp, Reason)>,
+    backoffs: IndexMap<SocketAddr, (Timestamp, Reason)>,
     /// The number of refusals since the last copy.
     refusals: u32,
 }
@@ -68,27 +68,27 @@
         candidates: &[Candidate],
         rng: &mut impl Rng,
     ) -> Choice {
-        self.resting.retain(|_, (until, _)| *until > now);
+        self.backoffs.retain(|_, (until, _)| *until > now);
         let has_failed = |candidate: &&Candidate| {
-            let resting = self.resting.get(&candidate.addr);
-            resting.is_some_and(|(_, reason)| *reason == Reason::Failed)
+            let backoff = self.backoffs.get(&candidate.addr);
+            backoff.is_some_and(|(_, reason)| *reason == Reason::Failed)
         };
         let sound_local = |candidate: &&Candidate| candidate.is_local && !has_failed(candidate);
         let stays_local = self.refusals < MAX_LOCAL_REFUSALS
             && candidates.iter().any(|candidate| sound_local(&candidate));
         let allowed = candidates.iter();
         let allowed = allowed.filter(|candidate| candidate.is_local || !stays_local);
-        let awake = allowed.clone();
-        let awake = awake.filter(|candidate| !self.resting.contains_key(&candidate.addr));
-        let newest = awake.clone().map(|candidate| candidate.version).max();
-        let newest: Vec<SocketAddr> = awake
+        let available = allowed.clone();
+        let available = available.filter(|candidate| !self.backoffs.contains_key(&candidate.addr));
+        let newest = available.clone().map(|candidate| candidate.version).max();
+        let newest: Vec<SocketAddr> = available
             .filter(|candidate| Some(candidate.version) == newest)
             .map(|candidate| candidate.addr)
             .collect();
         if !newest.is_empty() {
             return Choice::Ask(newest[rng.random_range(0..newest.len())]);
         }
-        let ends = allowed.filter_map(|candidate| self.resting.get(&candidate.addr));
+        let ends = allowed.filter_map(|candidate| self.backoffs.get(&candidate.addr));
         match ends.map(|(until, _)| *until).min() {
             Some(until) => Choice::Wait(until),
             None => Choice::Nothing,
@@ -98,14 +98,14 @@
     /// Record that a peer refused, because it sends enough copies.
     pub fn on_refused(&mut self, now: Timestamp, addr: SocketAddr, rng: &mut impl Rng) {
         self.refusals += 1;
-        let rest = Millis::new(rng.random_range(REFUSED_REST_MS));
-        self.resting.insert(addr, (now + rest, Reason::Refused));
+        let backoff = Millis::new(rng.random_range(REFUSED_BACKOFF_MS));
+        self.backoffs.insert(addr, (now + backoff, Reason::Refused));
     }
 
     /// Record that no copy arrived from a peer.
     pub fn on_failed(&mut self, now: Timestamp, addr: SocketAddr) {
-        self.resting
-            .insert(addr, (now + FAILED_REST, Reason::Failed));
+        self.backoffs
+            .insert(addr, (now + FAILED_BACKOFF, Reason::Failed));
     }
 
     /// Record that a copy arrived.
--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -90,8 +90,8 @@
 use crate::server_limits::decode_limit;
 use crate::server_limits::encode_limit;
 use crate::store::Content;
-use crate::store::LeftOut;
 use crate::store::LocalCopy;
+use crate::store::OmittedConfiguration;
 use crate::store::StoreItem;
 use crate::store::StorePosition;
 
@@ -486,8 +486,8 @@
     attempts: u64,
     /// What was read from the platform's store, by this instance or by peers.
     store: LocalCopy,
-    /// The last configuration that a peer's copy left out.
-    left_out: Option<LeftOut>,
+    /// The last configuration that a peer's copy omitted.
+    omitted: Option<OmittedConfiguration>,
     configuration_sources: ConfigurationSources,
     copy_slots: CopySlots,
     /// Whether this instance reads the store itself and can reach it.
@@ -533,7 +533,7 @@
             budgets: RetryBudgets::new(bounds.retry_ratio, bounds.retry_slack),
             attempts: 0,
             store: LocalCopy::default(),
-            left_out: None,
+            omitted: None,
             configuration_sources: ConfigurationSources::default(),
             copy_slots: CopySlots::default(),
             reads_store: false,
--- a/crates/oleanderpass_gateway/src/gateway/copies.rs
+++ b/crates/oleanderpass_gateway/src/gateway/copies.rs
@@ -1,12 +1,12 @@
 //! Exchange what was read from the platform's store with peers.
 //!
 //! Copies of the list of backend servers are small and come from the peer with the newest position.
-//! A large configuration is left out of them and fetched apart, from any peer that has it in force.
+//! They omit a large configuration, which is fetched separately from any peer that has it in force.
 
 use std::net::SocketAddr;
 
 use oleanderpass_proto::peer::Evacuations as RawEvacuations;
-use oleanderpass_proto::peer::LeftOutConfiguration;
+use oleanderpass_proto::peer::OmittedConfiguration as RawOmittedConfiguration;
 use oleanderpass_proto::peer::StoreCopy;
 use oleanderpass_types::clock::Timestamp;
 
@@ -18,8 +18,8 @@
 use crate::peers::PeerView;
 use crate::store::Content;
 use crate::store::CopySource;
-use crate::store::LeftOut;
 use crate::store::MAX_INLINE_BYTES;
+use crate::store::OmittedConfiguration;
 use crate::store::Parts;
 use crate::store::StoreItem;
 use crate::store::StorePosition;
@@ -93,68 +93,73 @@
         }
     }
 
-    /// Do the same as [`Gateway::store_changes`] for a peer that fetches large configurations apart.
-    pub fn store_changes_apart(&self, now: Timestamp, after: StorePosition) -> StoreCopy {
-        let Some(left_out) = self.configuration_apart() else {
+    /// Do the same as [`Gateway::store_changes`] for a peer that fetches large configurations
+    /// separately.
+    pub fn store_changes_without_large_configuration(
+        &self,
+        now: Timestamp,
+        after: StorePosition,
+    ) -> StoreCopy {
+        let Some(omitted) = self.separate_configuration() else {
             return self.changes(now, after, Parts::All);
         };
         let mut copy = self.changes(now, after, Parts::AllButConfiguration);
-        if !copy.partial || left_out.position > after {
-            copy.left_out = Some(LeftOutConfiguration {
-                era: left_out.position.era,
-                revision: left_out.position.revision,
-                version: left_out.version,
+        if !copy.partial || omitted.position > after {
+            copy.omitted = Some(RawOmittedConfiguration {
+                era: omitted.position.era,
+                revision: omitted.position.revision,
+                version: omitted.version,
             });
         }
         copy
     }
 
-    /// Return the newest configuration that this instance knows of, if peers have to fetch it apart:
+    /// Return the newest configuration that this instance knows of, if peers have to fetch it separately:
     /// it is large, or this instance doesn't have it yet.
-    fn configuration_apart(&self) -> Option<LeftOut> {
+    fn separate_configuration(&self) -> Option<OmittedConfiguration> {
         if self.misses_configuration() {
-            return self.left_out;
+            return self.omitted;
         }
         let stored = self.store.configuration();
         let large = stored.filter(|stored| stored.value.len() > MAX_INLINE_BYTES);
-        large.map(|stored| LeftOut {
+        large.map(|stored| OmittedConfiguration {
             position: stored.position,
             version: self.config_version(),
         })
     }
 
-    /// Record that a peer's copy left out a configuration.
-    pub fn on_left_out(&mut self, left_out: LeftOut) {
-        let known = self.left_out.map_or(0, |known| known.version);
-        if left_out.version > known.max(self.config_version()) {
-            self.left_out = Some(left_out);
+    /// Record that a peer's copy omits a configuration.
+    pub fn on_omitted_configuration(&mut self, omitted: OmittedConfiguration) {
+        let known = self.omitted.map_or(0, |known| known.version);
+        if omitted.version > known.max(self.config_version()) {
+            self.omitted = Some(omitted);
         }
     }
 
     /// Record that everything was read from the store, which has no newer configuration than this
     /// instance.
     pub(crate) fn on_everything_read(&mut self) {
-        self.left_out = None;
+        self.omitted = None;
     }
 
     /// Return whether this instance knows of a newer configuration than it has, and its position in
     /// the store may be beyond it.
     pub fn misses_configuration(&self) -> bool {
-        let left_out = self.left_out.as_ref();
-        left_out.is_some_and(|left_out| left_out.version > self.config_version())
+        let omitted = self.omitted.as_ref();
+        omitted.is_some_and(|omitted| omitted.version > self.config_version())
     }
 
     /// Return whether this instance misses a configuration that no live peer has either. Then only the
     /// store has it, and a watch from this position doesn't return it.
     pub fn has_lost_configuration(&self, now: Timestamp) -> bool {
-        let missing = self.left_out.filter(|_| self.misses_configuration());
+        let missing = self.omitted.filter(|_| self.misses_configuration());
         missing.is_some_and(|missing| {
             let mut live = self.fleet.live_peers(now);
             live.all(|(_, peer)| peer.config_version < missing.version)
         })
     }
 
-    /// Return the live peers from which a newer configuration has to be fetched apart. One that the list
+    /// Return the live peers from which a newer configuration has to be fetched separately. One that the list
     /// of changes brings isn't among them; a store that was restored from a copy doesn't bring it
     /// until operators write it again.
     fn configuration_holders(&self, now: Timestamp) -> impl Iterator<Item = &PeerView> {
@@ -166,7 +171,7 @@
         })
     }
 
-    /// Return whether a newer configuration has to be fetched apart and a live peer has it.
+    /// Return whether a newer configuration has to be fetched separately and a live peer has it.
     pub fn lacks_configuration(&self, now: Timestamp) -> bool {
         self.configuration_holders(now).next().is_some()
     }
@@ -183,7 +188,7 @@
         sources.choose(now, &candidates, &mut self.rng)
     }
 
-    /// Apply a configuration that was fetched apart.
+    /// Apply a configuration that was fetched separately.
     pub fn on_configuration_copy(&mut self, now: Timestamp, item: StoreItem) {
         self.configuration_sources.on_taken();
         self.on_store_item(now, item);
--- a/crates/oleanderpass_gateway/src/gateway/sending.rs
+++ b/crates/oleanderpass_gateway/src/gateway/sending.rs
@@ -13,7 +13,7 @@
 /// Why a planned attempt is not sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[strum(serialize_all = "snake_case")]
-pub(super) enum Hindrance {
+pub(super) enum SendObstacle {
     /// The deadline has passed.
     Deadline,
     /// Another configuration is in force.
@@ -38,59 +38,64 @@
     /// Return whether an attempt may still be sent. This is the last check before its first byte is
     /// written.
     pub fn may_send(&self, now: Timestamp, req: &Request, attempt: &Attempt) -> bool {
-        let hindrance = self.hindrance(now, req, attempt);
-        if let Some(hindrance) = hindrance {
+        let obstacle = self.send_obstacle(now, req, attempt);
+        if let Some(obstacle) = obstacle {
             tracing::info!(
                 request = %req.spec.id,
                 server = %attempt.primary.id,
-                %hindrance,
+                %obstacle,
                 "an attempt is not sent"
             );
         }
-        hindrance.is_none()
+        obstacle.is_none()
     }
 
-    fn hindrance(&self, now: Timestamp, req: &Request, attempt: &Attempt) -> Option<Hindrance> {
+    fn send_obstacle(
+        &self,
+        now: Timestamp,
+        req: &Request,
+        attempt: &Attempt,
+    ) -> Option<SendObstacle> {
         let version = self.config.as_ref().map(|config| config.version);
         let primary = attempt.plan.primary;
         if now >= req.spec.deadline {
-            Some(Hindrance::Deadline)
+            Some(SendObstacle::Deadline)
         } else if version != Some(req.admission.version) {
-            Some(Hindrance::Configuration)
+            Some(SendObstacle::Configuration)
         } else if !req.is_part_trial && self.crashes.refuses_part(&req.spec.shared_parts) {
-            Some(Hindrance::PromptPart)
+            Some(SendObstacle::PromptPart)
         } else if !attempt.counts_against_limit
             && self.server_limits.allowance(now, primary) != Allowance::Unlimited
         {
-            Some(Hindrance::Limit)
+            Some(SendObstacle::Limit)
         } else {
             let mut keys = attempt.plan.keys();
-            keys.find_map(|key| self.server_hindrance(now, req, attempt, key))
+            keys.find_map(|key| self.server_send_obstacle(now, req, attempt, key))
         }
     }
 
-    /// Return what one of the servers of an attempt, its primary one or a helper, hinders.
-    fn server_hindrance(
+    /// Return why an attempt may not be sent because of one of its servers, the primary one or a helper.
+    fn server_send_obstacle(
         &self,
         now: Timestamp,
         req: &Request,
         attempt: &Attempt,
         key: BackendKey,
-    ) -> Option<Hindrance> {
+    ) -> Option<SendObstacle> {
         let Some(backend) = self.registry.get(key) else {
-            return Some(Hindrance::Removed);
+            return Some(SendObstacle::Removed);
         };
         if backend.standing == Standing::Leaving {
-            Some(Hindrance::Leaving)
+            Some(SendObstacle::Leaving)
         } else if self.pauses.left(now, key).is_some() {
-            Some(Hindrance::Pause)
+            Some(SendObstacle::Pause)
         } else if !self.may_use(now, &req.admission, key, backend) {
-            Some(Hindrance::Zone)
+            Some(SendObstacle::Zone)
         } else if !attempt.cold.contains(&key)
             && self.cold.allowance(now, key) != Allowance::Unlimited
         {
             // The server may have become cold since the attempt began.
-            Some(Hindrance::Cold)
+            Some(SendObstacle::Cold)
         } else {
             None
         }
--- a/crates/oleanderpass_gateway/src/store.rs
+++ b/crates/oleanderpass_gateway/src/store.rs
@@ -21,7 +21,7 @@
 /// everything.
 const MAX_REMOVALS: usize = 256;
 
-/// The largest configuration that is part of copies of the store. Larger ones are fetched apart, so
+/// The largest configuration that is part of copies of the store. Larger ones are fetched separately, so
 /// that the list of backend servers doesn't wait for them.
 pub(crate) const MAX_INLINE_BYTES: usize = 16 * 1024;
 
@@ -105,9 +105,9 @@
     pub after: StorePosition,
 }
 
-/// A configuration that a copy leaves out, because it is large and fetched apart.
+/// A configuration that a copy omits, because it is large and fetched separately.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LeftOut {
+pub struct OmittedConfiguration {
     /// The position of its item.
     pub position: StorePosition,
     /// Its version.
@@ -197,7 +197,7 @@
                 .collect(),
             partial,
             evacuations: None,
-            left_out: None,
+            omitted: None,
         }
     }
 
--- a/crates/oleanderpass_gateway/tests/common/store.rs
+++ b/crates/oleanderpass_gateway/tests/common/store.rs
@@ -18,7 +18,7 @@
 use oleanderpass_gateway::registry::Standing;
 use oleanderpass_gateway::store::Content;
 use oleanderpass_gateway::store::CopySource;
-use oleanderpass_gateway::store::LeftOut;
+use oleanderpass_gateway::store::OmittedConfiguration;
 use oleanderpass_gateway::store::StoreItem;
 use oleanderpass_gateway::store::StorePosition;
 use oleanderpass_gateway::store_reader::MAX_LATE_CALLS;
@@ -206,7 +206,7 @@
     partial: bool,
     items: Vec<StoreItem>,
     evacuations: Vec<PeerEvacuation>,
-    left_out: Option<LeftOut>,
+    omitted: Option<OmittedConfiguration>,
 }
 
 #[derive(Clone, Debug)]
@@ -219,7 +219,7 @@
     Late,
     Copy(Box<Copy>),
     CopyFailed,
-    /// A configuration that is fetched apart.
+    /// A configuration that is fetched separately.
     Configuration(Box<StoreItem>),
     ConfigurationRefused,
     ConfigurationFailed,
@@ -276,7 +276,7 @@
     began: u64,
     /// The steps of late calls, and when they began.
     late: VecDeque<(u64, u64)>,
-    /// The number of the current step towards a configuration that is fetched apart.
+    /// The number of the current step towards a configuration that is fetched separately.
     fetch_step: u64,
     /// Whether no such step is due.
     fetches_nothing: bool,
@@ -893,9 +893,10 @@
         let gateway = reachable.and_then(|peer| self.instances[peer].gateway.as_ref());
         let (delay, reply) = match gateway {
             Some(gateway) => {
-                let copy = gateway.store_changes_apart(at(self.now), source.after);
+                let copy =
+                    gateway.store_changes_without_large_configuration(at(self.now), source.after);
                 let evacuations = evacuations(&copy);
-                let left_out = copy.left_out.as_ref().map(|raw| LeftOut {
+                let omitted = copy.omitted.as_ref().map(|raw| OmittedConfiguration {
                     position: StorePosition::new(raw.era, raw.revision),
                     version: raw.version,
                 });
@@ -909,7 +910,7 @@
                     partial: copy.partial,
                     items: items.collect(),
                     evacuations,
-                    left_out,
+                    omitted,
                 }));
                 (CALL_MS, reply)
             }
@@ -986,7 +987,7 @@
         }
     }
 
-    /// Begin the next step of an instance towards a configuration that is fetched apart.
+    /// Begin the next step of an instance towards a configuration that is fetched separately.
     fn fetch(&mut self, number: usize) {
         let now = at(self.now);
         let instance = &mut self.instances[number];
@@ -1188,8 +1189,8 @@
             }
             Reply::Copy(copy) => {
                 gateway.on_peer_evacuations(now, copy.position, &copy.evacuations);
-                if let Some(left_out) = copy.left_out {
-                    gateway.on_left_out(left_out);
+                if let Some(omitted) = copy.omitted {
+                    gateway.on_omitted_configuration(omitted);
                 }
                 gateway.on_peer_copy(now, copy.position, copy.partial, copy.items);
             }
--- a/crates/oleanderpass_gateway/tests/configuration_copies.rs
+++ b/crates/oleanderpass_gateway/tests/configuration_copies.rs
@@ -1,4 +1,4 @@
-//! Test how a configuration that copies of the store leave out spreads.
+//! Test how a configuration that copies of the store omit spreads.
 
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
@@ -9,7 +9,7 @@
 use oleanderpass_gateway::configuration_source::ConfigurationSources;
 use oleanderpass_gateway::copy_slots::CopySlots;
 use oleanderpass_gateway::copy_slots::MAX_COPIES;
-use oleanderpass_gateway::store::LeftOut;
+use oleanderpass_gateway::store::OmittedConfiguration;
 use oleanderpass_gateway::store::StorePosition;
 use oleanderpass_gateway::store_reader::Step;
 use oleanderpass_gateway::store_reader::StoreReader;
@@ -86,8 +86,8 @@
     assert!(slots.begin(later).is_some());
 }
 
-/// Guards against a confirmed change that never comes into force: the copy of the list that left it
-/// out was taken, and all peers that have the configuration are gone.
+/// Guards against a confirmed change that never comes into force: the copy of the list that omits
+/// it was taken, and all peers that have the configuration are gone.
 #[test]
 fn configuration_that_no_peer_has_is_read_from_the_store() {
     let mut gateway = gateway(2);
@@ -101,7 +101,7 @@
         reader.next(at(1), &mut gateway),
         Step::Watch { .. }
     ));
-    gateway.on_left_out(LeftOut {
+    gateway.on_omitted_configuration(OmittedConfiguration {
         position: StorePosition::from(19),
         version: 9,
     });
--- a/crates/oleanderpass_gateway_io/src/configuration_copy.rs
+++ b/crates/oleanderpass_gateway_io/src/configuration_copy.rs
@@ -1,4 +1,4 @@
-//! Fetch a configuration that peers have in force and leave out of their copies of the store.
+//! Fetch a configuration that peers have in force and omit from their copies of the store.
 
 use std::cell::Cell;
 use std::net::SocketAddr;
--- a/crates/oleanderpass_gateway_io/src/internal_http.rs
+++ b/crates/oleanderpass_gateway_io/src/internal_http.rs
@@ -39,7 +39,8 @@
 pub(crate) const STORE_COPY_PATH: &str = "/store";
 
 /// A header with which a peer asks for a copy of the store without a large configuration.
-pub(crate) const CONFIGURATION_APART: HeaderName = HeaderName::from_static("configuration-apart");
+pub(crate) const SEPARATE_CONFIGURATION: HeaderName =
+    HeaderName::from_static("separate-configuration");
 
 /// The path of the configuration in force, for peers. The query is the version that they have.
 pub(crate) const CONFIGURATION_COPY_PATH: &str = "/store/configuration";
@@ -78,7 +79,7 @@
                     let answer = if tunnels == Tunnels::Accepted && relay::is_connect(&req) {
                         relay::serve(&instance, req).await.map(ServedBody::from)
                     } else if tunnels == Tunnels::Accepted && req.uri().path() == PAUSE_PATH {
-                        match notices::on_told(&instance, &req) {
+                        match notices::on_peer_pause(&instance, &req) {
                             true => empty_answer(StatusCode::OK),
                             false => empty_answer(StatusCode::BAD_REQUEST),
                         }
@@ -117,8 +118,8 @@
             let after = req.uri().query().and_then(|query| query.parse().ok());
             let after = after.unwrap_or_default();
             let (now, gateway) = (instance.now(), instance.gateway.borrow());
-            let changes = if req.headers().contains_key(CONFIGURATION_APART) {
-                gateway.store_changes_apart(now, after)
+            let changes = if req.headers().contains_key(SEPARATE_CONFIGURATION) {
+                gateway.store_changes_without_large_configuration(now, after)
             } else if gateway.misses_configuration() {
                 // The peer would take this copy for a complete one.
                 return empty_answer(StatusCode::SERVICE_UNAVAILABLE);
--- a/crates/oleanderpass_gateway_io/src/notices.rs
+++ b/crates/oleanderpass_gateway_io/src/notices.rs
@@ -80,8 +80,8 @@
     Ok(())
 }
 
-/// Apply what a peer says of the pause of a server. Return whether that is understood.
-pub(crate) fn on_told<T>(instance: &SharedInstance, req: &Request<T>) -> bool {
+/// Apply what a peer says of the pause of a server. Return whether its message is valid.
+pub(crate) fn on_peer_pause<T>(instance: &SharedInstance, req: &Request<T>) -> bool {
     let server = req.uri().query().and_then(|query| query.parse().ok());
     let pause = req.headers().get(PAUSE_MS);
     let pause = pause.and_then(|value| value.to_str().ok()?.parse().ok());
--- a/crates/oleanderpass_gateway_io/src/peer.rs
+++ b/crates/oleanderpass_gateway_io/src/peer.rs
@@ -21,7 +21,7 @@
 use crate::clock::sleep_until;
 use crate::connection;
 use crate::instance::SharedInstance;
-use crate::internal_http::CONFIGURATION_APART;
+use crate::internal_http::SEPARATE_CONFIGURATION;
 use crate::internal_http::STORE_COPY_PATH;
 use crate::reach;
 use crate::receive;
@@ -127,7 +127,7 @@
         let mut connection = connection::open(memory, addr).await?;
         let req = Request::get(format!("{STORE_COPY_PATH}?{after}"))
             .header(http::header::HOST, addr.to_string())
-            .header(CONFIGURATION_APART, "1")
+            .header(SEPARATE_CONFIGURATION, "1")
             .body(RequestBody::default())?;
         let answer = connection.send(req).await?;
         if !answer.status().is_success() {
--- a/crates/oleanderpass_gateway_io/src/store.rs
+++ b/crates/oleanderpass_gateway_io/src/store.rs
@@ -15,7 +15,7 @@
 use oleanderpass_gateway::memory::Share;
 use oleanderpass_gateway::store::Content;
 use oleanderpass_gateway::store::CopySource;
-use oleanderpass_gateway::store::LeftOut;
+use oleanderpass_gateway::store::OmittedConfiguration;
 use oleanderpass_gateway::store::StoreItem;
 use oleanderpass_gateway::store::StorePosition;
 use oleanderpass_gateway::store_reader::MAX_LATE_CALLS;
@@ -548,7 +548,7 @@
         }
     };
     let position = StorePosition::new(copy.era, copy.revision);
-    let left_out = copy.left_out.map(|raw| LeftOut {
+    let omitted = copy.omitted.map(|raw| OmittedConfiguration {
         position: StorePosition::new(raw.era, raw.revision),
         version: raw.version,
     });
@@ -571,8 +571,8 @@
     if let Some(evacuations) = evacuations {
         gateway.on_peer_evacuations(now, position, &evacuations);
     }
-    if let Some(left_out) = left_out {
-        gateway.on_left_out(left_out);
+    if let Some(omitted) = omitted {
+        gateway.on_omitted_configuration(omitted);
     }
     gateway.on_peer_copy(now, position, copy.partial, items.collect());
     drop(gateway);
@@ -581,7 +581,7 @@
         peer = %source.addr,
         store_era = position.era,
         store_revision = position.revision,
-        left_out_version = left_out.map(|left_out| left_out.version),
+        omitted_version = omitted.map(|omitted| omitted.version),
         received_bytes = transfer.received().get(),
         elapsed_ms = transfer.elapsed(now).get(),
         "took a peer's copy of the store"
