Start from settings with unknown or unfilled fields

What callers saw: no instance starts where the platform fills the template in with other fields than the build expects.

Cause: deploy/gateway.yaml asked for FirstStart, which not all who fill it in know. Settings with an unknown key or an unfilled field were refused as a whole.

The setting first_start is gone: each start begins with one retry for each service, so restarts don't renew the retry budget.

Why it works: what the other side of the template doesn't know has no effect, and what this build needs is still an error that names the field.

--- a/crates/oleanderpass/src/gateway.rs
+++ b/crates/oleanderpass/src/gateway.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 
 use eyre::Result;
+use eyre::bail;
 use oleanderpass_gateway_io::daemon;
 use oleanderpass_gateway_io::logging;
 use oleanderpass_gateway_io::settings;
@@ -25,6 +26,14 @@
     let path = settings::path(settings_path, SETTINGS_VARIABLE)?;
     if check_only {
         let settings = Settings::read(&path)?;
+        if !settings.ignored.is_empty() {
+            // A running instance ignores them, but they may be misspelled.
+            bail!(
+                "settings {}: unknown or unfilled: {}",
+                path.display(),
+                settings.ignored.join(", ")
+            );
+        }
         println!("settings of {} are valid", settings.instance);
         return Ok(());
     }
--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -544,11 +544,6 @@
         }
     }
 
-    /// Record that the instance has started again, rather than with the whole system.
-    pub fn set_restarted(&mut self) {
-        self.budgets.set_restarted();
-    }
-
     /// Replace the bounds.
     pub fn set_bounds(&mut self, bounds: Bounds) {
         if bounds != self.bounds {
--- a/crates/oleanderpass_gateway/src/retry_budgets.rs
+++ b/crates/oleanderpass_gateway/src/retry_budgets.rs
@@ -11,11 +11,11 @@
 /// The number of instances that are assumed to share the budget while no peer is known.
 const ASSUMED_INSTANCES: usize = 8;
 
-/// The retries that an instance that starts again may send for a service before any request has
-/// added to its budget. It may have used up its share of the slack a moment before, so it doesn't
-/// get all of it anew; without any, the first request to fail on a quiet instance would never be
-/// retried.
-const RETRIES_AFTER_RESTART: u32 = 1;
+/// The retries that an instance that has started may send for a service before any request has
+/// added to its budget. An earlier lifetime may have used up its share of the slack a moment before,
+/// so it doesn't get all of it anew; without any, the first request to fail on a quiet instance would
+/// never be retried.
+const RETRIES_AT_START: u32 = 1;
 
 /// The retry budgets of one instance, by service.
 #[derive(Clone, Debug)]
@@ -27,28 +27,19 @@
     slack: u32,
     /// The number of instances that share them.
     instances: usize,
-    /// Whether an earlier lifetime of this instance may have sent retries a moment ago.
-    is_restarted: bool,
 }
 
 impl RetryBudgets {
-    /// Create the full budgets of an instance that starts with the whole system, from the published
-    /// ratio and slack.
+    /// Create the budgets of an instance that starts, from the published ratio and slack.
     pub fn new(ratio: f64, slack: u32) -> Self {
         Self {
             budgets: IndexMap::new(),
             ratio,
             slack,
             instances: 1,
-            is_restarted: false,
         }
     }
 
-    /// Record that the instance has started again, before its first request.
-    pub fn set_restarted(&mut self) {
-        self.is_restarted = true;
-    }
-
     /// Change the ratio and the slack. Balances stay as far as the new slack allows them.
     pub fn set_bounds(&mut self, ratio: f64, slack: u32) {
         (self.ratio, self.slack) = (ratio, slack);
@@ -83,12 +74,8 @@
 
     fn budget(&mut self, service: &ServiceId) -> &mut RetryBudget {
         let (ratio, capacity) = (self.ratio * BUDGET_SHARE, self.capacity());
-        let balance = match self.is_restarted {
-            true => RETRIES_AFTER_RESTART,
-            false => capacity,
-        };
         let budget = self.budgets.entry(service.clone());
-        budget.or_insert_with(|| RetryBudget::new(ratio, capacity, balance))
+        budget.or_insert_with(|| RetryBudget::new(ratio, capacity, RETRIES_AT_START))
     }
 
     /// Add what an admitted request allows.
--- a/crates/oleanderpass_gateway_io/src/daemon.rs
+++ b/crates/oleanderpass_gateway_io/src/daemon.rs
@@ -71,9 +71,6 @@
     let seed = rand::random();
     let mut gateway = Gateway::new(now, identity, settings.seeds.clone(), settings.bounds, seed);
     gateway.set_zone_regions(settings.zone_regions.clone());
-    if !settings.first_start {
-        gateway.set_restarted();
-    }
     let caller_listener = frontend::listen(settings.caller_addr)?;
     let readiness_listener = frontend::listen(settings.readiness_addr)?;
     let metrics_listener = frontend::listen(settings.metrics_addr)?;
@@ -93,6 +90,7 @@
         program = env!("CARGO_PKG_VERSION"),
         "started"
     );
+    log_ignored(&settings);
     let instance: SharedInstance = Rc::new(Instance {
         gateway: RefCell::new(gateway),
         pool: RefCell::new(Pool::default()),
@@ -149,6 +147,13 @@
     }
 }
 
+/// Log the keys of the settings that have no effect.
+fn log_ignored(settings: &Settings) {
+    for key in &settings.ignored {
+        tracing::warn!(%key, "a setting is unknown or was left unfilled; it is ignored");
+    }
+}
+
 /// Read the settings again and apply the bounds, the regions of zones and the size of the memory.
 /// Addresses and names are fixed for the lifetime of the process, so the log reports a change of
 /// them, which takes effect at the next start.
@@ -160,11 +165,11 @@
             gateway.set_zone_regions(settings.zone_regions.clone());
             drop(gateway);
             instance.memory.set_process_size(settings.memory);
+            log_ignored(&settings);
             let restart_needed = Settings {
                 bounds: instance.settings.bounds,
                 memory: instance.settings.memory,
-                // It says how this process started, which doesn't change any more.
-                first_start: instance.settings.first_start,
+                ignored: instance.settings.ignored.clone(),
                 zone_regions: instance.settings.zone_regions.clone(),
                 ..settings
             } != instance.settings;
--- a/crates/oleanderpass_gateway_io/src/settings.rs
+++ b/crates/oleanderpass_gateway_io/src/settings.rs
@@ -18,6 +18,7 @@
 use oleanderpass_types::id::ZoneId;
 use oleanderpass_types::size::Bytes;
 use serde::Deserialize;
+use smol_str::SmolStr;
 
 /// The memory that the process may use if the settings don't state it, in megabytes. The machines
 /// that instances run on have at least as much.
@@ -34,9 +35,8 @@
 /// The bytes of a megabyte.
 const BYTES_PER_MB: f64 = 1_048_576.0;
 
-/// The settings as written in the file. Unknown keys are errors.
+/// The settings as written in the file.
 #[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
 struct RawSettings {
     instance: String,
     zone: String,
@@ -52,8 +52,6 @@
     retry_ratio: f64,
     /// The platform may scale it to the size of the fleet, so it may be a fraction.
     retry_slack: f64,
-    /// Whether the whole system starts for the first time. Missing counts as true.
-    first_start: Option<bool>,
     reservation_max_ms: u64,
     /// The bound on evacuations. Without one, they take effect at once.
     evacuate_ms: Option<u64>,
@@ -100,8 +98,6 @@
     pub stop_time: Millis,
     /// The published bounds. A reload of the settings may change them.
     pub bounds: Bounds,
-    /// Whether the whole system starts for the first time.
-    pub first_start: bool,
     /// The region of each availability zone. A zone that is missing is in no region.
     pub zone_regions: IndexMap<ZoneId, RegionId>,
     /// The longest lease of a reservation that engines grant.
@@ -110,6 +106,9 @@
     pub memory: Bytes,
     /// The most file descriptors that the process may have.
     pub max_fds: u64,
+    /// The keys of the file that have no effect: this build doesn't know them, or the platform left
+    /// the field of the template unfilled.
+    pub ignored: Vec<SmolStr>,
 }
 
 impl Settings {
@@ -126,15 +125,45 @@
 
     /// Parse the settings from YAML.
     ///
+    /// The template may belong to another build than this one, and the platform may fill in other
+    /// fields than the template names. Neither keeps an instance from starting.
+    ///
     /// # Errors
     ///
     /// Return what is wrong with them.
     pub fn parse(text: &str) -> Result<Self> {
-        let raw: RawSettings = serde_saphyr::from_str(text).wrap_err("parse the settings")?;
-        Self::try_from(raw)
+        let (filled, mut ignored) = without_unfilled(text);
+        let raw: RawSettings = serde_saphyr::with_deserializer_from_str(&filled, |deserializer| {
+            serde_ignored::deserialize(deserializer, |path| {
+                ignored.push(path.to_string().into());
+            })
+        })
+        .wrap_err("parse the settings")?;
+        Ok(Self {
+            ignored,
+            ..Self::try_from(raw)?
+        })
     }
 }
 
+/// Remove the keys whose value is a field of the template that the platform left as it is. Return
+/// the rest and the removed keys.
+fn without_unfilled(text: &str) -> (String, Vec<SmolStr>) {
+    let mut removed = Vec::new();
+    let lines = text.split_inclusive('\n').filter(|line| {
+        let Some((key, value)) = line.split_once(':') else {
+            return true;
+        };
+        let value = value.trim().trim_matches('"');
+        let is_unfilled = value.starts_with("{{") && value.ends_with("}}");
+        if is_unfilled {
+            removed.push(key.trim().into());
+        }
+        !is_unfilled
+    });
+    (lines.collect(), removed)
+}
+
 impl TryFrom<RawSettings> for Settings {
     type Error = eyre::Report;
 
@@ -204,11 +233,11 @@
                 evacuation: Millis::new(raw.evacuate_ms.unwrap_or(0)),
                 cold,
             },
-            first_start: raw.first_start.unwrap_or(true),
             zone_regions: raw.zone_regions.unwrap_or_default(),
             reservation_max: Millis::new(raw.reservation_max_ms),
             memory: Bytes::new((raw.memory_mb * BYTES_PER_MB) as u64),
             max_fds: raw.max_fds as u64,
+            ignored: Vec::new(),
         })
     }
 }
--- a/crates/oleanderpass_gateway_io/tests/settings.rs
+++ b/crates/oleanderpass_gateway_io/tests/settings.rs
@@ -95,6 +95,50 @@
     assert_eq!(settings.zone_regions.len(), regions);
 }
 
+/// Guards against an instance that doesn't start beside a platform or a template of another build:
+/// the one knows a field that the other doesn't.
+#[test_case("first_start: {{FirstStart|json}}\n", &["first_start"]; "unknown and unfilled")]
+#[test_case("first_start: true\n", &["first_start"]; "unknown")]
+#[test_case("later:\n  - {a: 1}\n", &["later"]; "unknown and nested")]
+#[test_case("evacuate_ms: {{Bounds.EvacuateMs}}\n", &["evacuate_ms"]; "unfilled")]
+#[test_case("zone_regions: {{Zones|json}}\n", &["zone_regions"]; "unfilled table")]
+fn unknown_and_unfilled_settings_are_ignored(lines: &str, ignored: &[&str]) {
+    let settings = Settings::parse(&format!("{VALID}{lines}")).unwrap();
+    assert_eq!(settings.ignored, ignored);
+    let expected = Settings::parse(VALID).unwrap();
+    assert_eq!(
+        Settings {
+            ignored: Vec::new(),
+            ..settings
+        },
+        expected
+    );
+}
+
+/// Guards against a template of which one field, left unfilled, keeps instances from starting without
+/// an error that names it.
+#[test]
+fn each_field_of_the_template_may_be_unfilled_or_is_named() {
+    let template = include_str!("../../../deploy/gateway.yaml");
+    for line in template.lines() {
+        let (key, _) = line.split_once(':').unwrap();
+        if !line.contains("{{") {
+            continue;
+        }
+        let other: String = VALID
+            .lines()
+            .filter(|valid| !valid.starts_with(&format!("{key}:")))
+            .fold(String::new(), |text, valid| text + valid + "\n");
+        match Settings::parse(&format!("{other}{line}\n")) {
+            Ok(settings) => assert_eq!(settings.ignored, [key]),
+            Err(error) => {
+                let text = format!("{error:#}");
+                assert!(text.contains(key), "{text} doesn't name {key}");
+            }
+        }
+    }
+}
+
 /// Guards against an error that doesn't say which setting is wrong.
 #[test_case("zone: hafnir", "zone: \"a b\"", "zone")]
 #[test_case("10.2.0.29:8229", "10.2.0.29", "10.2.0.29")]
