Send changes of a configuration instead of the whole

Cause: each change of a large configuration, however small, was the transfer of the whole (1.07 MB with 5,850 routes) to each instance, at two copies at a time for each holder. The store confirms, the first instance has it 0.1 s later, and nearly the whole bound is spent on spreading it.

Change: an instance names the digest of the version that it has, and a peer answers with Zstandard that uses that version as its dictionary (RFC 9842, dcz), with the whole compressed, or with the whole as it is to peers of older builds. A digest of the whole is checked; if that fails, the next peer is asked for the plain whole. Bodies are passed on as they came, so that only the first holders compress. Instances with a large configuration ask as soon as a bulletin names a newer version, also those to which the store is still sending the whole.

Why it works: what has to cross a slow link is what has changed, some hundred bytes, so that the time no longer depends on the size of the configuration.

zstd is a new dependency. It builds the C library that it ships with the compiler that also links; no system package is added.

--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -100,6 +100,7 @@
 mod sending;
 mod shortage;
 
+pub use copies::ConfigurationRequest;
 pub use copies::ServedConfiguration;
 pub(crate) use shortage::Shortage;
 
--- a/crates/oleanderpass_gateway/src/gateway/copies.rs
+++ b/crates/oleanderpass_gateway/src/gateway/copies.rs
@@ -5,31 +5,44 @@
 
 use std::net::SocketAddr;
 
+use bytes::Bytes;
 use oleanderpass_proto::peer::Evacuations as RawEvacuations;
 use oleanderpass_proto::peer::OmittedConfiguration as RawOmittedConfiguration;
 use oleanderpass_proto::peer::StoreCopy;
 use oleanderpass_types::clock::Timestamp;
+use oleanderpass_types::size::Bytes as Size;
 
 use super::Gateway;
+use crate::configuration_encoding::DecodeError;
+use crate::configuration_history::Accepted;
 use crate::configuration_source::Candidate;
 use crate::configuration_source::Choice;
+use crate::configuration_source::Members;
 use crate::copy_slots::CopySlots;
 use crate::copy_slots::SlotId;
 use crate::peers::PeerView;
 use crate::store::Content;
 use crate::store::CopySource;
-use crate::store::MAX_INLINE_BYTES;
+use crate::store::EncodedConfiguration;
 use crate::store::OmittedConfiguration;
 use crate::store::Parts;
 use crate::store::StoreItem;
 use crate::store::StorePosition;
-use crate::store::StoredConfiguration;
+
+/// What an instance that asks a peer for a configuration has already.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConfigurationRequest {
+    /// The version in force, or 0 if there is none.
+    pub version: u64,
+    /// The encodings that it accepts.
+    pub accepted: Accepted,
+}
 
 /// What a peer that asks for a configuration gets.
 #[derive(Debug)]
 pub enum ServedConfiguration {
     /// The one in force here, to be sent while this slot is held.
-    Copy(StoredConfiguration, SlotId),
+    Copy(EncodedConfiguration, SlotId),
     /// Nothing, because enough copies are being sent.
     Busy,
     /// Nothing, because it isn't newer than the peer's.
@@ -120,10 +133,9 @@
         if self.misses_configuration() {
             return self.omitted;
         }
-        let stored = self.store.configuration();
-        let large = stored.filter(|stored| stored.value.len() > MAX_INLINE_BYTES);
-        large.map(|stored| OmittedConfiguration {
-            position: stored.position,
+        let large = self.store.large_configuration();
+        large.map(|position| OmittedConfiguration {
+            position,
             version: self.config_version(),
         })
     }
@@ -159,15 +171,16 @@
         })
     }
 
-    /// Return the live peers from which a newer configuration has to be fetched separately. One
-    /// that the list of changes brings isn't among them; a store that was restored from a copy
-    /// doesn't bring it until operators write it again.
+    /// Return the live peers from which a newer configuration has to be fetched separately. A small
+    /// one that the list of changes brings isn't among them; a store that was restored from a copy
+    /// doesn't bring it until operators write it again. A change of a large one comes sooner from a
+    /// peer, also to an instance to which the store is sending the whole.
     fn configuration_holders(&self, now: Timestamp) -> impl Iterator<Item = &PeerView> {
         let (own, version) = (self.store_position(), self.config_version());
-        let misses = self.misses_configuration();
+        let is_separate = self.misses_configuration() || self.store.large_configuration().is_some();
         let live = self.fleet.live_peers(now).map(|(_, peer)| peer);
         live.filter(move |peer| {
-            peer.config_version > version && (misses || peer.store_position <= own)
+            peer.config_version > version && (is_separate || peer.store_position <= own)
         })
     }
 
@@ -184,14 +197,57 @@
             is_local: peer.zone == self.identity.zone,
         });
         let candidates: Vec<Candidate> = candidates.collect();
+        let live = self.fleet.live_peers(now);
+        let mut members = Members::default();
+        for (_, peer) in live {
+            members.all += 1;
+            members.local += usize::from(peer.zone == self.identity.zone);
+        }
         let sources = &mut self.configuration_sources;
-        sources.choose(now, &candidates, &mut self.rng)
+        sources.choose(now, &candidates, members, &mut self.rng)
+    }
+
+    /// Return what to ask a peer for.
+    pub fn configuration_request(&self) -> ConfigurationRequest {
+        let accepted = match self.configuration_sources.wants_plain() {
+            true => Accepted::default(),
+            false => self.store.accepted(),
+        };
+        ConfigurationRequest {
+            version: self.config_version(),
+            accepted,
+        }
+    }
+
+    /// Return the value of a configuration that was fetched separately.
+    ///
+    /// # Errors
+    ///
+    /// Return why it can't be decoded. The next peer is asked for the whole without an encoding.
+    pub fn decode_configuration(
+        &mut self,
+        encoded: &EncodedConfiguration,
+    ) -> Result<Bytes, DecodeError> {
+        let decoded = self.store.decode(encoded);
+        if decoded.is_err() {
+            self.configuration_sources.on_undecodable();
+        }
+        decoded
     }
 
-    /// Apply a configuration that was fetched separately.
-    pub fn on_configuration_copy(&mut self, now: Timestamp, item: StoreItem) {
+    /// Apply a configuration that was fetched separately and decoded from `encoded`.
+    pub fn on_configuration_copy(
+        &mut self,
+        now: Timestamp,
+        encoded: &EncodedConfiguration,
+        item: StoreItem,
+    ) {
         self.configuration_sources.on_taken();
+        let value = item.value.clone();
         self.on_store_item(now, item);
+        if let Some(value) = value {
+            self.store.on_decoded(encoded, &value);
+        }
     }
 
     /// Record that a peer refused to send its configuration.
@@ -205,14 +261,21 @@
         self.configuration_sources.on_failed(now, peer);
     }
 
-    /// Return the configuration in force for a peer that has this version.
-    pub fn serve_configuration(&mut self, now: Timestamp, version: u64) -> ServedConfiguration {
-        let stored = self.store.configuration();
-        let Some(stored) = stored.filter(|_| self.config_version() > version) else {
+    /// Return the configuration in force for a peer that asks for it.
+    pub fn serve_configuration(
+        &mut self,
+        now: Timestamp,
+        request: ConfigurationRequest,
+    ) -> ServedConfiguration {
+        if self.config_version() <= request.version {
+            return ServedConfiguration::NotNewer;
+        }
+        let Some(encoded) = self.store.encode(request.accepted) else {
             return ServedConfiguration::NotNewer;
         };
-        match self.copy_slots.begin(now) {
-            Some(slot) => ServedConfiguration::Copy(stored, slot),
+        let size = Size::new(encoded.body.len() as u64);
+        match self.copy_slots.begin(now, size) {
+            Some(slot) => ServedConfiguration::Copy(encoded, slot),
             None => ServedConfiguration::Busy,
         }
     }
--- a/crates/oleanderpass_gateway/src/lib.rs
+++ b/crates/oleanderpass_gateway/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod callers;
 pub mod cold;
 pub mod config;
+pub mod configuration_encoding;
+pub mod configuration_history;
 pub mod configuration_source;
 pub mod copy_slots;
 pub mod crashes;
--- a/crates/oleanderpass_gateway/src/store.rs
+++ b/crates/oleanderpass_gateway/src/store.rs
@@ -15,6 +15,13 @@
 use smol_str::SmolStr;
 
 use crate::config::Configuration;
+use crate::configuration_encoding::DecodeError;
+use crate::configuration_encoding::Digest;
+use crate::configuration_encoding::Encoding;
+use crate::configuration_encoding::decode;
+use crate::configuration_encoding::dictionary_of;
+use crate::configuration_history::Accepted;
+use crate::configuration_history::ConfigurationHistory;
 use crate::registry::ListEntry;
 
 /// The most removals that are kept for peers. A peer that misses more of them gets a copy of
@@ -114,15 +121,17 @@
     pub version: u64,
 }
 
-/// The item of the configuration in force, undecoded.
+/// The item of the configuration in force as it is sent to a peer.
 #[derive(Clone, Debug)]
-pub struct StoredConfiguration {
-    /// The key.
-    pub key: SmolStr,
+pub struct EncodedConfiguration {
     /// The position of its last change.
     pub position: StorePosition,
-    /// The value.
-    pub value: Bytes,
+    /// How the body is encoded.
+    pub encoding: Encoding,
+    /// The value, encoded.
+    pub body: Bytes,
+    /// The digest of the value. Peers of older builds send none.
+    pub digest: Option<Digest>,
 }
 
 /// What an item of the copy describes.
@@ -160,6 +169,8 @@
     removed: VecDeque<(StorePosition, SmolStr)>,
     /// Removals up to this position may be missing from `removed`; all later ones are there.
     removals_complete_after: StorePosition,
+    /// The versions before the present configuration.
+    history: ConfigurationHistory,
 }
 
 impl LocalCopy {
@@ -201,17 +212,75 @@
         }
     }
 
-    /// Return the item of the configuration.
-    pub(crate) fn configuration(&self) -> Option<StoredConfiguration> {
-        let mut items = self.items.iter();
-        let (key, held) = items.find(|(_, held)| held.kind == Kind::Configuration)?;
-        Some(StoredConfiguration {
-            key: key.clone(),
-            position: held.position,
-            value: held.value.clone(),
+    fn configuration(&self) -> Option<&Held> {
+        let mut items = self.items.values();
+        items.find(|held| held.kind == Kind::Configuration)
+    }
+
+    /// Return the position of the configuration if it is too large for copies of the store.
+    pub(crate) fn large_configuration(&self) -> Option<StorePosition> {
+        let held = self.configuration()?;
+        (held.value.len() > MAX_INLINE_BYTES).then_some(held.position)
+    }
+
+    /// Return the encodings of a newer configuration that this instance can decode.
+    pub(crate) fn accepted(&self) -> Accepted {
+        let held = self.configuration();
+        Accepted {
+            zstd: true,
+            dictionary: held.map(|held| self.history.digest(&held.value)),
+        }
+    }
+
+    /// Return the configuration for a peer that accepts these encodings.
+    pub(crate) fn encode(&mut self, accepted: Accepted) -> Option<EncodedConfiguration> {
+        let held = self.configuration()?;
+        let (position, value) = (held.position, held.value.clone());
+        let (encoding, body) = self.history.encode(&value, accepted);
+        // Only peers that accept an encoding check the digest.
+        let digest = (accepted != Accepted::default()).then(|| self.history.digest(&value));
+        Some(EncodedConfiguration {
+            position,
+            encoding,
+            body,
+            digest,
         })
     }
 
+    /// Return the value of a peer's configuration.
+    pub(crate) fn decode(&self, encoded: &EncodedConfiguration) -> Result<Bytes, DecodeError> {
+        let wanted = dictionary_of(encoded.encoding, &encoded.body)?;
+        // The version in force may have changed since this instance asked.
+        let dictionary = wanted.and_then(|wanted| {
+            let held = self.configuration()?;
+            match self.history.digest(&held.value) == wanted {
+                true => Some(&held.value),
+                false => self.history.earlier(wanted),
+            }
+        });
+        let value = decode(
+            encoded.encoding,
+            &encoded.body,
+            dictionary.map(|value| &value[..]),
+        )?;
+        match encoded.digest {
+            Some(expected) if Digest::of(&value) != expected => Err(DecodeError::OtherDigest),
+            None if encoded.encoding != Encoding::Identity => Err(DecodeError::OtherDigest),
+            _ => Ok(value),
+        }
+    }
+
+    /// Keep a peer's configuration in the form in which it came, if it is the one that this
+    /// instance has now.
+    pub(crate) fn on_decoded(&mut self, encoded: &EncodedConfiguration, value: &Bytes) {
+        let held = self.configuration();
+        // The value is shared, unless another one has come meanwhile.
+        let is_own = held.is_some_and(|held| held.value.as_ptr() == value.as_ptr());
+        if is_own {
+            self.history.add_received(encoded.encoding, &encoded.body);
+        }
+    }
+
     /// Apply a change, unless a newer one of the same item was applied before. Evacuations are kept
     /// elsewhere, because they outlast what a restored store has.
     pub(crate) fn apply(&mut self, item: &StoreItem) {
@@ -228,7 +297,13 @@
                         Content::Evacuation(_) | Content::Other => Kind::Other,
                     },
                 };
-                self.items.insert(item.key.clone(), held);
+                let old = self.items.insert(item.key.clone(), held);
+                if let Some(old) = old
+                    && old.kind == Kind::Configuration
+                    && old.value != value
+                {
+                    self.history.on_replaced(old.value);
+                }
             }
             None => self.remove(item.key.clone(), item.position),
         }
--- a/crates/oleanderpass_gateway/tests/common/store.rs
+++ b/crates/oleanderpass_gateway/tests/common/store.rs
@@ -1,5 +1,6 @@
 //! Simulate a fleet of gateways that read the platform's store, in virtual time.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -18,6 +19,7 @@
 use oleanderpass_gateway::registry::Standing;
 use oleanderpass_gateway::store::Content;
 use oleanderpass_gateway::store::CopySource;
+use oleanderpass_gateway::store::EncodedConfiguration;
 use oleanderpass_gateway::store::OmittedConfiguration;
 use oleanderpass_gateway::store::StoreItem;
 use oleanderpass_gateway::store::StorePosition;
@@ -33,6 +35,9 @@
 use oleanderpass_types::id::Incarnation;
 use oleanderpass_types::id::ZoneId;
 use oleanderpass_types::size::Bytes as Size;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
 use smol_str::SmolStr;
 
 use super::KEY;
@@ -56,6 +61,8 @@
 const COPY_PAUSE_MS: u64 = 100;
 /// The interval at which transfers advance, in milliseconds.
 const TRANSFER_STEP_MS: u64 = 10;
+/// The size of a value in an answer of the store, which encodes it as base64, by its own size.
+const STORE_ENCODING: f64 = 4.0 / 3.0;
 /// The size of an item of the store, other than the configuration, in bytes.
 const ITEM_BYTES: f64 = 250.0;
 /// The number of availability zones.
@@ -134,7 +141,8 @@
         .flat_map(|text| text.split_whitespace())
         .collect();
     let content = match (key, &words[..]) {
-        ("config", [version]) => {
+        // The routes that follow the version count by their size only.
+        ("config", [version, ..]) => {
             let version = version.parse().unwrap();
             Content::Configuration(Some(configuration(version, &[KEY])))
         }
@@ -172,8 +180,24 @@
 pub(crate) struct Links {
     /// What a link carries in each direction.
     pub(crate) bytes_per_ms: f64,
-    /// The size of the configuration.
-    pub(crate) configuration_bytes: f64,
+    /// The size of the first version of the configuration.
+    pub(crate) configuration_bytes: usize,
+    /// What each further version has in addition.
+    pub(crate) growth_bytes: usize,
+}
+
+impl Links {
+    fn configuration_bytes(&self, version: u64) -> usize {
+        self.configuration_bytes + self.growth_bytes * (version as usize - 1)
+    }
+}
+
+/// Return a text that stands for the routes of a configuration. Its letters are random, so that it
+/// compresses worse than routes do.
+fn routes(bytes: usize) -> Bytes {
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let letters = (0..bytes).map(|_| rng.random_range(b'a'..=b'z'));
+    letters.collect()
 }
 
 /// An answer on its way to an instance.
@@ -220,7 +244,7 @@
     Copy(Box<Copy>),
     CopyFailed,
     /// A configuration that is fetched separately.
-    Configuration(Box<StoreItem>),
+    Configuration(Box<EncodedConfiguration>),
     ConfigurationRefused,
     ConfigurationFailed,
 }
@@ -300,8 +324,10 @@
     changes: Vec<(u64, u64, Write)>,
     /// When each write was first acknowledged.
     acknowledged: Vec<(u64, Write)>,
-    /// The size of configurations, if it matters.
-    configuration_bytes: usize,
+    /// The sizes of configurations, if they matter.
+    links: Option<Links>,
+    /// The values of versions of the configuration.
+    configurations: RefCell<BTreeMap<u64, Bytes>>,
     /// Until when calls take longer, and how long.
     slow: Option<(u64, u64)>,
 }
@@ -336,15 +362,29 @@
 
     fn item(&self, revision: u64, write: &Write) -> StoreItem {
         let position = StorePosition::new(self.position.era, revision);
-        let mut value = write.value();
-        if let (Write::Configuration(_), Some(value)) = (write, &mut value) {
-            let mut padded = value.to_vec();
-            padded.resize(self.configuration_bytes.max(value.len()), b' ');
-            *value = padded.into();
-        }
+        let value = match (write, self.links) {
+            (Write::Configuration(version), Some(links)) => {
+                let mut values = self.configurations.borrow_mut();
+                let value = values.entry(*version).or_insert_with(|| {
+                    let size = links.configuration_bytes(*version);
+                    [format!("{version} ").as_bytes(), &routes(size)]
+                        .concat()
+                        .into()
+                });
+                Some(value.clone())
+            }
+            _ => write.value(),
+        };
         decode(&write.key(), position, value)
     }
 
+    /// Return the value of a configuration that was written, instead of a copy of it.
+    fn share(&self, value: Bytes) -> Bytes {
+        let written = self.configurations.borrow();
+        let written = written.values().find(|written| **written == value);
+        written.cloned().unwrap_or(value)
+    }
+
     fn read_all(&self) -> Reply {
         let items = self.items();
         let items = items
@@ -443,6 +483,10 @@
     /// The number of times that instances asked peers for a configuration alone.
     pub(crate) configuration_copies: u64,
     seen: Vec<u64>,
+    /// The newest version that was ever in force at each instance.
+    noted: Vec<u64>,
+    /// When each version came into force at the last instance so far, and at how many it is.
+    in_force: BTreeMap<u64, (u64, usize)>,
     /// The time within which a confirmed change is in force, in milliseconds.
     apply_ms: u64,
     /// `None` if answers take no longer when they are large.
@@ -465,7 +509,8 @@
                 history_start: 0,
                 changes: Vec::new(),
                 acknowledged: Vec::new(),
-                configuration_bytes: 0,
+                links: None,
+                configurations: RefCell::default(),
                 slow: None,
             },
             store_calm_since: 0,
@@ -475,6 +520,8 @@
             copies: 0,
             configuration_copies: 0,
             seen: vec![0; instances],
+            noted: vec![0; instances],
+            in_force: BTreeMap::new(),
             apply_ms: APPLY_MS,
             links: None,
             deliveries: Vec::new(),
@@ -513,7 +560,7 @@
     /// this time until they are in force.
     pub(crate) fn set_links(&mut self, links: Links, apply_ms: u64) {
         self.links = Some(links);
-        self.store.configuration_bytes = links.configuration_bytes as usize;
+        self.store.links = Some(links);
         self.apply_ms = apply_ms;
     }
 
@@ -602,6 +649,31 @@
         );
     }
 
+    /// Return the time from the confirmation of a version until it or a newer one is in force at all
+    /// instances, in milliseconds.
+    pub(crate) fn spread_ms(&self, version: u64) -> Option<u64> {
+        let confirmed = self.store.acknowledged.iter();
+        let mut confirmed = confirmed.filter(|(_, write)| *write == Write::Configuration(version));
+        let (confirmed, _) = confirmed.next_back()?;
+        let (last, count) = self.in_force.get(&version)?;
+        (*count == self.instances.len()).then(|| last - confirmed)
+    }
+
+    /// Record which version is in force at an instance.
+    fn note_version(&mut self, number: usize) {
+        let version = self.version(number);
+        let confirmed = self.store.acknowledged.iter();
+        for (_, write) in confirmed {
+            if let Write::Configuration(passed) = write
+                && (self.noted[number] + 1..=version).contains(passed)
+            {
+                let (last, count) = self.in_force.entry(*passed).or_default();
+                (*last, *count) = (self.now, *count + 1);
+            }
+        }
+        self.noted[number] = version.max(self.noted[number]);
+    }
+
     /// Return the version in force at an instance, or 0 if there is none.
     pub(crate) fn version(&self, number: usize) -> u64 {
         let gateway = self.instances[number].gateway.as_ref();
@@ -934,22 +1006,26 @@
 
     /// Return the bytes of an answer of which links decide how long it takes, or `None` for others.
     fn transfer_bytes(&self, reply: &Reply) -> Option<f64> {
-        let links = self.links?;
+        self.links?;
         let items: &[StoreItem] = match reply {
             Reply::All(_, items) | Reply::Changes(_, items) => items,
             Reply::Copy(copy) => &copy.items,
-            Reply::Configuration(item) => std::slice::from_ref(&**item),
             Reply::HistoryLost
             | Reply::Failed
             | Reply::Late
             | Reply::CopyFailed
+            | Reply::Configuration(_)
             | Reply::ConfigurationRefused
             | Reply::ConfigurationFailed => return None,
         };
-        let is_large = |item: &StoreItem| matches!(item.content, Content::Configuration(Some(_)));
-        let large = items.iter().filter(|item| is_large(item)).count() as f64;
-        let small = items.len() as f64 - large;
-        (large > 0.0).then_some(large * links.configuration_bytes + small * ITEM_BYTES)
+        let is_large = |item: &&StoreItem| matches!(item.content, Content::Configuration(Some(_)));
+        let size = |item: &StoreItem| item.value.as_ref().map_or(0.0, |value| value.len() as f64);
+        let large: f64 = items.iter().filter(is_large).map(size).sum();
+        let encoding = match reply {
+            Reply::All(..) | Reply::Changes(..) => STORE_ENCODING,
+            _ => 1.0,
+        };
+        (large > 0.0).then_some(large * encoding + items.len() as f64 * ITEM_BYTES)
     }
 
     /// Send an answer to an instance, after `delay` and the time that links need for it.
@@ -1009,7 +1085,7 @@
         let step = instance.fetch_step;
         let choice = gateway.choose_configuration_source(now);
         instance.fetches_nothing = choice == Choice::Nothing;
-        let version = gateway.configuration().map_or(0, |c| c.version.get());
+        let request = gateway.configuration_request();
         let addr = match choice {
             Choice::Ask(addr) => addr,
             Choice::Wait(until) => {
@@ -1029,11 +1105,10 @@
             !frozen && !self.is_cut(*peer) && !self.is_cut(number)
         });
         let gateway = reachable.and_then(|peer| self.instances[peer].gateway.as_mut());
-        let (delay, reply) = match gateway.map(|g| g.serve_configuration(now, version)) {
-            Some(ServedConfiguration::Copy(stored, slot)) => {
-                let item = decode(&stored.key, stored.position, Some(stored.value));
-                let reply = Reply::Configuration(Box::new(item));
-                let bytes = self.transfer_bytes(&reply).unwrap_or_default();
+        let (delay, reply) = match gateway.map(|g| g.serve_configuration(now, request)) {
+            Some(ServedConfiguration::Copy(encoded, slot)) => {
+                let bytes = encoded.body.len() as f64;
+                let reply = Reply::Configuration(Box::new(encoded));
                 self.begin_delivery(peer, number, step, Some(slot), bytes, reply);
                 return;
             }
@@ -1050,13 +1125,20 @@
             return;
         };
         match reply {
-            Reply::Configuration(item) => gateway.on_configuration_copy(now, *item),
+            Reply::Configuration(encoded) => {
+                let value = gateway.decode_configuration(&encoded).unwrap();
+                let mut item = decode("config", encoded.position, Some(value));
+                // Instances share values, which keeps the memory of large fleets small.
+                item.value = item.value.map(|value| self.store.share(value));
+                gateway.on_configuration_copy(now, &encoded, item);
+            }
             Reply::ConfigurationRefused => gateway.on_configuration_refused(now, peer),
             _ => gateway.on_configuration_failed(now, peer),
         }
         let mut out = Vec::new();
         gateway.send_bulletin(now, &mut out);
         self.post(number, out);
+        self.note_version(number);
         self.fetch(number);
     }
 
@@ -1209,6 +1291,7 @@
             Reply::CopyFailed => pause = COPY_PAUSE_MS,
         }
         let step = instance.step;
+        self.note_version(number);
         self.wake_fetch(number);
         if pause > 0 {
             self.push(self.now + pause, Event::Decide(number, step));
--- a/crates/oleanderpass_gateway/tests/large_configurations.rs
+++ b/crates/oleanderpass_gateway/tests/large_configurations.rs
@@ -15,9 +15,13 @@
 /// Links of 20 Mbit/s, and a configuration of 2,000 routes.
 const LINKS: Links = Links {
     bytes_per_ms: 2_500.0,
-    configuration_bytes: 540_000.0,
+    configuration_bytes: 540_000,
+    growth_bytes: 0,
 };
 
+/// The size of 1,400 routes.
+const GROWTH_BYTES: usize = 255_000;
+
 /// The time within which a change is in force on the largest deployment, in milliseconds.
 const APPLY_MS: u64 = 4_000;
 
@@ -37,7 +41,7 @@
 #[test]
 fn answer_that_arrives_is_not_given_up() {
     let links = Links {
-        configuration_bytes: 2_500_000.0,
+        configuration_bytes: 2_500_000,
         ..LINKS
     };
     let mut fleet = fleet(7, links);
@@ -64,3 +68,42 @@
     fleet.run(24_000);
     fleet.assert_no_violations();
 }
+
+/// Guards against a change whose time to the last instance grows with the size of the configuration
+/// and of the fleet: the bound on it is reached by a slow link or the loss of a holder. A change of
+/// one organisation may take a third of the bound, and 1,400 routes more half of it.
+#[test_case(30, 3_000, 0)]
+#[test_case(81, 3_000, 0)]
+#[test_case(295, 4_000, 0)]
+#[test_case(410, 8_000, 0)]
+#[test_case(30, 3_000, GROWTH_BYTES; "30 growth")]
+#[test_case(81, 3_000, GROWTH_BYTES; "81 growth")]
+#[test_case(295, 4_000, GROWTH_BYTES; "295 growth")]
+#[test_case(410, 8_000, GROWTH_BYTES; "410 growth")]
+fn changes_spread_well_within_the_bound(instances: usize, apply_ms: u64, growth_bytes: usize) {
+    const CHANGES: u64 = 2;
+    let links = Links {
+        configuration_bytes: 1_070_000 - growth_bytes * CHANGES as usize,
+        growth_bytes,
+        ..LINKS
+    };
+    let mut fleet = fleet(instances, links);
+    fleet.set_links(links, apply_ms);
+    for change in 0..CHANGES {
+        fleet.write(4_000 + 3_000 * change, Write::Configuration(2 + change));
+    }
+    fleet.run(4_000 + 3_000 * CHANGES);
+    let versions = 2..2 + CHANGES;
+    let spread: Vec<Option<u64>> = versions.map(|version| fleet.spread_ms(version)).collect();
+    let allowed = if growth_bytes > 0 {
+        apply_ms / 2
+    } else {
+        apply_ms / 3
+    };
+    println!("{instances} instances: {spread:?} ms of {allowed} ms");
+    assert!(
+        spread.iter().all(|ms| ms.is_some_and(|ms| ms <= allowed)),
+        "{spread:?} ms of {allowed} ms"
+    );
+    fleet.assert_no_violations();
+}
--- a/crates/oleanderpass_gateway_io/src/internal_http.rs
+++ b/crates/oleanderpass_gateway_io/src/internal_http.rs
@@ -10,11 +10,16 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::header::ACCEPT_ENCODING;
+use http::header::CONTENT_ENCODING;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use oleanderpass_gateway::callers::Phase;
+use oleanderpass_gateway::configuration_encoding::Encoding;
+use oleanderpass_gateway::configuration_history::Accepted;
+use oleanderpass_gateway::gateway::ConfigurationRequest;
 use oleanderpass_gateway::gateway::ServedConfiguration;
 use oleanderpass_platform::READINESS_PATH;
 use oleanderpass_types::clock::Millis;
@@ -48,6 +53,17 @@
 /// The position of the configuration in the platform's store.
 pub(crate) const STORE_POSITION: HeaderName = HeaderName::from_static("store-position");
 
+/// The digest of the version that a peer has, which the answer may use as a dictionary. Source:
+/// RFC 9842.
+pub(crate) const AVAILABLE_DICTIONARY: HeaderName = HeaderName::from_static("available-dictionary");
+
+/// The digest of the configuration before it was encoded. Source: the HTTP extension
+/// `draft-ietf-httpbis-unencoded-digest`.
+pub(crate) const UNENCODED_DIGEST: HeaderName = HeaderName::from_static("unencoded-digest");
+
+/// What precedes the digest in [`UNENCODED_DIGEST`].
+pub(crate) const DIGEST_ALGORITHM: &str = "sha-256=";
+
 /// The pause after a failure to accept a connection.
 const ACCEPT_PAUSE: Millis = Millis::new(10);
 
@@ -143,20 +159,53 @@
     answer
 }
 
+/// Return what a peer that asks for a configuration has already. One of an older build accepts no
+/// encoding.
+fn configuration_request(req: &Request<Incoming>) -> ConfigurationRequest {
+    let version = req.uri().query().and_then(|query| query.parse().ok());
+    let text = |name: HeaderName| {
+        req.headers()
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+    };
+    let encodings = text(ACCEPT_ENCODING).unwrap_or_default();
+    let accepts = |encoding: Encoding| {
+        let mut names = encodings.split(',').map(str::trim);
+        names.any(|name| name.parse() == Ok(encoding))
+    };
+    let dictionary = text(AVAILABLE_DICTIONARY).filter(|_| accepts(Encoding::Dcz));
+    ConfigurationRequest {
+        version: version.unwrap_or_default(),
+        accepted: Accepted {
+            zstd: accepts(Encoding::Zstd),
+            dictionary: dictionary.and_then(|digest| digest.parse().ok()),
+        },
+    }
+}
+
 /// Answer a peer that asks for the configuration in force here.
 fn configuration(instance: &SharedInstance, req: &Request<Incoming>) -> Response<ServedBody> {
-    let version = req.uri().query().and_then(|query| query.parse().ok());
     let now = instance.now();
     let served = instance
         .gateway
         .borrow_mut()
-        .serve_configuration(now, version.unwrap_or_default());
+        .serve_configuration(now, configuration_request(req));
     match served {
-        ServedConfiguration::Copy(stored, slot) => {
-            let body = ServedBody::copy(stored.value, instance.clone(), slot);
+        ServedConfiguration::Copy(encoded, slot) => {
+            let body = ServedBody::copy(encoded.body, instance.clone(), slot);
             let mut answer = Response::new(body);
-            if let Ok(position) = HeaderValue::from_str(&stored.position.to_string()) {
-                answer.headers_mut().insert(STORE_POSITION, position);
+            let encoding = encoded.encoding;
+            let encoding = (encoding != Encoding::Identity).then(|| encoding.to_string());
+            let digest = encoded.digest;
+            let digest = digest.map(|digest| format!("{DIGEST_ALGORITHM}{digest}"));
+            for (name, value) in [
+                (STORE_POSITION, Some(encoded.position.to_string())),
+                (CONTENT_ENCODING, encoding),
+                (UNENCODED_DIGEST, digest),
+            ] {
+                if let Some(value) = value.and_then(|value| HeaderValue::try_from(value).ok()) {
+                    answer.headers_mut().insert(name, value);
+                }
             }
             answer
         }
--- a/crates/oleanderpass_gateway_io/src/pieces.rs
+++ b/crates/oleanderpass_gateway_io/src/pieces.rs
@@ -16,7 +16,7 @@
 
 /// The memory that a decoded document takes beside its bytes, as a multiple of their length: one
 /// contiguous copy and the decoded values.
-const DECODED_FACTOR: u64 = 2;
+pub(crate) const DECODED_FACTOR: u64 = 2;
 
 /// Bytes in the order in which they arrived.
 ///
