Stop reading the store as soon as peers read it again

What callers saw: a change of a large configuration came into force a second late.

Cause: a silence of the two readers of a zone, such as lost datagrams on full links, makes all other instances of the zone readers at once. Their watches wait for 8 s, and nothing ended them when the readers were heard again. The next change was then sent by the store to each of 81 instances.

Change: a watch ends when enough peers read the store for the zone again.

Evidence: store_has_few_readers_soon_after_a_silence. One second after the silence 56 of 81 instances watched the store before, 6 do now.

--- a/crates/oleanderpass_gateway/src/store_reader.rs
+++ b/crates/oleanderpass_gateway/src/store_reader.rs
@@ -242,15 +242,16 @@
         Step::Copy(source)
     }
 
-    /// Return whether the watch in flight is given up for a shorter one, because the instance has
-    /// become the first reader since it began, because a peer knows evacuations that a restored
-    /// store has lost, or because the watch doesn't return a configuration that this instance
-    /// misses.
+    /// Return whether the watch in flight is given up: for a shorter one, because the instance has
+    /// become the first reader since it began, because enough peers read the store for this instance
+    /// again, because a peer knows evacuations that a restored store has lost, or because the watch
+    /// doesn't return a configuration that this instance misses.
     pub fn renews_watch(&self, now: Timestamp, gateway: &Gateway) -> bool {
         let is_first = now.since(self.watch_began) >= FIRST_WATCH_WAIT + WATCH_MARGIN
             && gateway.fleet().is_first_reader(now);
         let source = gateway.evacuation_source(now);
         is_first
+            || !gateway.is_reader(now)
             || gateway.has_lost_configuration(now)
             || source.is_some_and(|source| self.may_copy(now, gateway, &source))
     }
--- a/crates/oleanderpass_gateway/tests/common/store.rs
+++ b/crates/oleanderpass_gateway/tests/common/store.rs
@@ -614,10 +614,15 @@
         number % ZONES
     }
 
+    /// Return whether an instance watches the store itself.
+    pub(crate) fn is_watching(&self, number: usize) -> bool {
+        matches!(self.instances[number].doing, Doing::Watching(_))
+    }
+
     /// Return whether an instance watches the store, or peers do so for it.
     pub(crate) fn is_in_touch(&self, number: usize) -> bool {
         let instance = &self.instances[number];
-        matches!(instance.doing, Doing::Watching(_)) || instance.reader.follows_peers()
+        self.is_watching(number) || instance.reader.follows_peers()
     }
 
     /// Let a fault happen to an instance.
--- a/crates/oleanderpass_gateway/tests/large_configurations.rs
+++ b/crates/oleanderpass_gateway/tests/large_configurations.rs
@@ -11,6 +11,7 @@
 use crate::common::store::Links;
 use crate::common::store::StoreFleet;
 use crate::common::store::Write;
+use crate::common::store::ZONES;
 
 /// Links of 20 Mbit/s, and a configuration of 2,000 routes.
 const LINKS: Links = Links {
@@ -107,3 +108,29 @@
     );
     fleet.assert_no_violations();
 }
+
+/// Guards against instances that all read the store from the moment at which they miss some bulletins
+/// of its readers until their watches end, so that a change of a large configuration is sent to each
+/// of them by the store.
+#[test]
+fn store_has_few_readers_soon_after_a_silence() {
+    const INSTANCES: usize = 81;
+    let mut fleet = fleet(INSTANCES, LINKS);
+    fleet.run(5_000);
+    let watching = |fleet: &StoreFleet| -> Vec<usize> {
+        (0..INSTANCES).filter(|n| fleet.is_watching(*n)).collect()
+    };
+    let readers = watching(&fleet);
+    assert_eq!(readers.len(), 2 * ZONES);
+    // Those of the last zone go on, so that nobody else is the first reader.
+    for reader in readers.iter().filter(|n| StoreFleet::zone(**n) < ZONES - 1) {
+        fleet.fault(5_000, *reader, Fault::Freeze(1_600));
+    }
+    fleet.run(6_600);
+    assert!(
+        watching(&fleet).len() > INSTANCES / 2,
+        "nobody else took over"
+    );
+    fleet.run(7_600);
+    assert_eq!(watching(&fleet), readers);
+}
