Judge a request that may have run by what it ran under

What callers saw: a charge ran twice.

Cause: before each attempt all terms of a request were replaced by those of the newest configuration, also the kind of the route under which it may have run.

Change: terms.rs states for each field of an admission which version decides it, and narrows the rest. Kind, attempts, timeout, organisation and service are the narrowest of all versions since the admission; a later version can still forbid. may_hedge asks the same.

Why it works: what a request may still do can only shrink once it is admitted, so no later route can make a second run possible.

--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -95,6 +95,7 @@
 use crate::store::StoreItem;
 use crate::store::StorePosition;
 
+mod authorization;
 mod copies;
 mod notices;
 mod sending;
@@ -1123,55 +1124,6 @@
         listed.collect()
     }
 
-    /// Decide whether to take on a request.
-    ///
-    /// # Errors
-    ///
-    /// Return why the request isn't admitted.
-    pub fn admit(
-        &self,
-        now: Timestamp,
-        host: &str,
-        path: &str,
-        key: Option<&str>,
-        draw: u32,
-    ) -> Result<Admission, Rejection> {
-        let admission = self.authorize(host, path, key, draw)?;
-        let drain = self.drain.as_ref();
-        if drain.is_some_and(|drain| !drain.admits(now, &admission.route)) {
-            return Err(Rejection::Stopping);
-        }
-        Ok(admission)
-    }
-
-    /// Check a request against the configuration in force.
-    ///
-    /// # Errors
-    ///
-    /// Return why the configuration doesn't allow the request.
-    fn authorize(
-        &self,
-        host: &str,
-        path: &str,
-        key: Option<&str>,
-        draw: u32,
-    ) -> Result<Admission, Rejection> {
-        let config = self.config.as_ref().ok_or(Rejection::NotReady)?;
-        if !self.registry.is_complete() {
-            return Err(Rejection::NotReady);
-        }
-        let route = config.route(host, path).ok_or(Rejection::NoRoute)?;
-        let organisation = config
-            .authenticate(route, key)
-            .map_err(|_| Rejection::UnknownKey)?;
-        Ok(Admission {
-            version: config.version,
-            route: route.clone(),
-            organisation,
-            service: route.choose_service(draw).clone(),
-        })
-    }
-
     /// Begin to serve an admitted request. `draw` is the random number that chose its service.
     pub fn begin(&mut self, spec: RequestSpec, admission: Admission, draw: u32) -> Request {
         self.budgets.deposit(&admission.service);
@@ -1226,7 +1178,7 @@
             req.retry_server = None;
         }
         let service = req.admission.service.clone();
-        let bar = bar(req)
+        let bar = bar(req, &req.admission.route)
             .or_else(|| (is_retry && !self.budgets.withdraw(&service)).then_some(Bar::Budget));
         if let Some(bar) = bar {
             tracing::info!(
@@ -1362,23 +1314,6 @@
         Next::Wait(at)
     }
 
-    /// Check an admitted request against a newer configuration, if one has come into force. The
-    /// request keeps its service if the route still sends requests to it.
-    fn reauthorize(&self, req: &mut Request) -> Result<(), Rejection> {
-        let version = self.config.as_ref().map(|config| config.version);
-        if version == Some(req.admission.version) {
-            return Ok(());
-        }
-        let (host, path) = (req.spec.host.clone(), req.spec.path.clone());
-        let key = req.spec.key.clone();
-        let service = req.admission.service.clone();
-        req.admission = self.authorize(&host, &path, key.as_deref(), req.draw)?;
-        if req.admission.route.allows(&service) {
-            req.admission.service = service;
-        }
-        Ok(())
-    }
-
     /// Choose the status and the wait for a request that ends without success.
     fn end_request(&mut self, now: Timestamp, req: &Request, cause: Cause) -> Next {
         let expected = match cause {
@@ -1692,8 +1627,14 @@
 
     /// Return whether another server may run the request beside the current one or after it.
     pub fn may_hedge(&self, req: &Request) -> bool {
-        let may_repeat = req.admission.route.kind.may_repeat();
-        may_repeat && bar(req).is_none() && !self.budgets.is_empty(&req.admission.service)
+        // Another configuration may have come into force since the current attempt began.
+        let Ok(admission) = self.current_terms(req) else {
+            return false;
+        };
+        let may_repeat = admission.route.kind.may_repeat();
+        may_repeat
+            && bar(req, &admission.route).is_none()
+            && !self.budgets.is_empty(&admission.service)
     }
 
     /// Return whether a server that the request was not sent to may run it now instead of a silent
@@ -2068,8 +2009,7 @@
 }
 
 /// Return what rules out another attempt of a request, apart from the retry budget.
-fn bar(req: &Request) -> Option<Bar> {
-    let route = &req.admission.route;
+fn bar(req: &Request, route: &Route) -> Option<Bar> {
     if req.sent >= route.max_attempts && req.retry_server.is_none() {
         Some(Bar::Attempts)
     } else if req.helper_failures >= MAX_HELPER_FAILURES {
--- a/crates/oleanderpass_gateway/src/lib.rs
+++ b/crates/oleanderpass_gateway/src/lib.rs
@@ -42,5 +42,6 @@
 pub(crate) mod split;
 pub mod store;
 pub mod store_reader;
+pub mod terms;
 pub(crate) mod token_bucket;
 pub mod transfer;
