Refuse answers without a final status of HTTP

What callers saw: an answer with status 101 or 600 of a server in trouble, with its seal, as if it answered their request.

Cause: the HTTP library accepts statuses from 100 to 999 and passes 101 on. The check of an answer looked at successes and at the id of the request only.

Change: an answer that isn't final (200 to 599) counts as broken, for requests, orders and reports. The request goes on elsewhere if it may run again, or ends with 502. A report has to be answered with 200.

Evidence: answer_without_a_final_status_is_a_failure fails before in its three cases, with 101, and with 600 once 101 alone is refused. Statuses 000 and 099 were refused before. The other report, a part of an early answer that looks whole, doesn't happen here: part_of_an_early_answer_is_not_whole (six cases) and tunnel_passes_a_reset_on (two) hold before and after.

--- a/crates/oleanderpass/tests/gateway.rs
+++ b/crates/oleanderpass/tests/gateway.rs
@@ -16,6 +16,7 @@
 use oleanderpass_platform_stand_in::backend_server::BackendServer;
 use oleanderpass_platform_stand_in::backend_server::EndlessPart;
 use oleanderpass_platform_stand_in::backend_server::Mode;
+use oleanderpass_platform_stand_in::caller::Answer;
 use oleanderpass_platform_stand_in::caller::Call;
 use oleanderpass_platform_stand_in::caller::read_answer;
 use oleanderpass_platform_stand_in::documents::KEY;
@@ -28,6 +29,7 @@
 use rustix::process::kill_process;
 use tempfile::TempDir;
 use test_case::test_case;
+use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
@@ -443,3 +445,127 @@
     assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
     assert_eq!(answer.body, expected);
 }
+
+/// The size of an upload that no buffer on its way holds, in bytes.
+const UPLOAD: usize = 3_800_000;
+
+/// Send uploads to a path from several callers at once, which the memory of the process has room
+/// for. Return the answers by the ids of the requests.
+async fn upload_often(gateway: &Gateway, path: &'static str) -> Vec<(String, Answer)> {
+    const CALLERS: usize = 4;
+    const CALLS: usize = 6;
+    let addr = gateway.caller_addr();
+    let mut tasks = JoinSet::new();
+    for caller in 0..CALLERS {
+        tasks.spawn(async move {
+            let mut answers = Vec::new();
+            for number in 0..CALLS {
+                let mut call = Call::new(&format!("u{caller}-{number}"), path);
+                call.body = "x".repeat(UPLOAD);
+                let answer = call.send(addr).await.unwrap();
+                answers.push((call.id, answer));
+            }
+            answers
+        });
+    }
+    tasks.join_all().await.concat()
+}
+
+/// Guards against a part of an answer that reaches the caller as a whole one: a server answers an
+/// upload while it is being written, without a length, and resets the connection.
+#[test_case(22, "/look/7", 0; "call at once")]
+#[test_case(23, "/look/7", UPLOAD - 10_000; "call near the end")]
+#[test_case(24, "/order/7", 0; "call that runs once at once")]
+#[test_case(25, "/order/7", UPLOAD - 10_000; "call that runs once near the end")]
+#[test_case(26, "/chat/7", 0; "stream at once")]
+#[test_case(27, "/chat/7", UPLOAD - 10_000; "stream near the end")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn part_of_an_early_answer_is_not_whole(number: u8, path: &'static str, read_bytes: usize) {
+    let gateway = Gateway::start(number).await;
+    for server in gateway.plain.iter().chain(&gateway.engines) {
+        server.set_mode(Mode::EarlyReset(read_bytes));
+    }
+    let answers = upload_often(&gateway, path).await;
+    let servers = gateway.plain.iter().chain(&gateway.engines);
+    let arrivals: Vec<_> = servers.flat_map(BackendServer::arrivals).collect();
+    let runs = |id: &str| {
+        let of_request = arrivals
+            .iter()
+            .filter(|a| a.request.header("attempt-id") == id);
+        of_request.count()
+    };
+    assert!(
+        arrivals.len() >= answers.len() / 2,
+        "hardly any server answered"
+    );
+    for (id, answer) in &answers {
+        let is_whole = (200..300).contains(&answer.status) && answer.complete;
+        assert!(!is_whole, "a part looks whole: {answer:?}");
+        let may_repeat = path != "/order/7";
+        assert!(may_repeat || runs(id) <= 1, "{id} ran {} times", runs(id));
+    }
+}
+
+/// Guards against an answer without a final status of HTTP that reaches the caller as an answer.
+#[test_case(28, "/look/7"; "call")]
+#[test_case(29, "/order/7"; "call that runs once")]
+#[test_case(30, "/chat/7"; "stream")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answer_without_a_final_status_is_a_failure(number: u8, path: &'static str) {
+    let gateway = Gateway::start(number).await;
+    for status in [0, 99, 101, 600, 999] {
+        for server in gateway.plain.iter().chain(&gateway.engines) {
+            server.set_mode(Mode::Status(status));
+        }
+        let mut call = Call::new(&format!("s{status}"), path);
+        call.timeout_ms = 1_000;
+        let answer = call.send(gateway.caller_addr()).await.unwrap();
+        assert!(
+            matches!(answer.status, 502..=504),
+            "status {status} of the server: {answer:?}"
+        );
+        assert!(
+            !answer.head.contains("response-seal"),
+            "status {status}: the failure is said to be the server's"
+        );
+    }
+}
+
+/// Guards against a tunnel that ends in order although its server has reset the connection: the
+/// part of an answer without a length that came through it would look whole.
+#[test_case(31, 0)]
+#[test_case(32, 50_000)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn tunnel_passes_a_reset_on(number: u8, read_bytes: usize) {
+    const TUNNELS: usize = 100;
+    let gateway = Gateway::start(number).await;
+    let server = &gateway.plain[0];
+    server.set_mode(Mode::EarlyReset(read_bytes));
+    let (ip, target) = (gateway.ip, server.addr);
+    let mut tasks = JoinSet::new();
+    for _ in 0..TUNNELS {
+        tasks.spawn(async move {
+            let mut stream = TcpStream::connect((ip, PEER_PORT)).await.unwrap();
+            let connect = format!("CONNECT {target} HTTP/1.1\r\nHost: {target}\r\n\r\n");
+            stream.write_all(connect.as_bytes()).await.unwrap();
+            let mut call = Call::new("a1", "/look/7").bytes();
+            let length = format!("Content-Length: {UPLOAD}");
+            let text = String::from_utf8(call).unwrap();
+            call = text.replace("Content-Length: 5", &length).into_bytes();
+            call.resize(call.len() + 60_000, b'x');
+            stream.write_all(&call).await.unwrap();
+            // Nothing more is written, so that the reset is seen when reading.
+            let mut received = Vec::new();
+            let ended = tokio::time::timeout(WAIT_LIMIT, stream.read_to_end(&mut received));
+            (ended.await.unwrap().is_ok(), received)
+        });
+    }
+    for (in_order, received) in tasks.join_all().await {
+        let text = String::from_utf8_lossy(&received).into_owned();
+        assert!(!in_order, "the tunnel ended in order after {text}");
+    }
+    assert!(
+        server.arrivals().len() >= TUNNELS / 2,
+        "hardly any tunnel was used"
+    );
+}
--- a/crates/oleanderpass_gateway_io/src/attempt.rs
+++ b/crates/oleanderpass_gateway_io/src/attempt.rs
@@ -452,7 +452,7 @@
     Ok((Outcome::Delivered(head.status), AttemptEnd::Completed, head))
 }
 
-/// Check that an answer belongs to this request. A success must carry the id of the request and the
+/// Check that an answer is final and belongs to this request. A success must carry the id of the request and the
 /// proof of a backend server, and its body must have no encoding. Any other answer may lack the id.
 fn check_answer(
     exchange: &Exchange,
@@ -462,7 +462,8 @@
     let id = exchange.req.borrow().spec.id.clone();
     let success = (200..300).contains(&head.status);
     let matches = head.request.as_ref() == Some(&id);
-    if (success && (!matches || !head.proven || head.encoded))
+    if !head.is_final()
+        || (success && (!matches || !head.proven || head.encoded))
         || (head.request.is_some() && !matches)
     {
         tracing::warn!(
--- a/crates/oleanderpass_gateway_io/src/connection.rs
+++ b/crates/oleanderpass_gateway_io/src/connection.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use eyre::Result;
 use eyre::WrapErr;
+use eyre::bail;
 use http::Request;
 use http::Response;
 use hyper::body::Incoming;
@@ -198,9 +199,12 @@
     let mut connection = reach::open_addr(instance, addr).await?;
     let answer = connection.send(req).await.wrap_err("send the request")?;
     let status = answer.status().as_u16();
+    let head = answer::decode(status, answer.headers());
+    if !head.is_final() {
+        bail!("the answer has the status {status}");
+    }
     let key = instance.gateway.borrow().server_at(instance.now(), addr);
     if let Some(key) = key {
-        let head = answer::decode(status, answer.headers());
         notices::record(instance, key, &head);
         if let (Some(relay), Some(pause)) = (connection.relay, head.pause) {
             notices::tell_relay(instance, relay, addr, pause);
--- a/crates/oleanderpass_gateway_io/src/reservation.rs
+++ b/crates/oleanderpass_gateway_io/src/reservation.rs
@@ -9,7 +9,9 @@
 use bytes::Bytes;
 use eyre::Result;
 use eyre::WrapErr;
+use eyre::bail;
 use http::Request;
+use http::StatusCode;
 use oleanderpass_gateway::gateway::AttemptEnd;
 use oleanderpass_gateway::pauses::UrgentOrder;
 use oleanderpass_gateway::reservation::Evidence;
@@ -300,9 +302,12 @@
         .header(http::header::HOST, addr.to_string())
         .body(RequestBody::default())?;
     let call = connection::call(instance, addr, request);
-    let (_, body) = tokio::time::timeout(ORDER_TIMEOUT, call)
+    let (status, body) = tokio::time::timeout(ORDER_TIMEOUT, call)
         .await
         .wrap_err("read a report")??;
+    if status != StatusCode::OK.as_u16() {
+        bail!("a report has the status {status}");
+    }
     report::reservation_state(&body, id).wrap_err("decode a report")
 }
 
