Look the configuration up by its key

What callers saw: nothing; found by reading. Whether a newer configuration has to be fetched is decided on each datagram, and looked for the configuration among all items of the store, which are as many as there are backend servers. With 12,000 servers that would have been up to 12,000 steps for each datagram.

Change: the key of the configuration is kept. No test: the result is the same, and tests don't assert on time.

--- a/crates/oleanderpass_gateway/src/store.rs
+++ b/crates/oleanderpass_gateway/src/store.rs
@@ -169,6 +169,8 @@
     removed: VecDeque<(StorePosition, SmolStr)>,
     /// Removals up to this position may be missing from `removed`; all later ones are there.
     removals_complete_after: StorePosition,
+    /// The key of the configuration, which is looked up on each datagram.
+    configuration_key: Option<SmolStr>,
     /// The versions before the present configuration.
     history: ConfigurationHistory,
 }
@@ -213,8 +215,7 @@
     }
 
     fn configuration(&self) -> Option<&Held> {
-        let mut items = self.items.values();
-        items.find(|held| held.kind == Kind::Configuration)
+        self.items.get(self.configuration_key.as_ref()?)
     }
 
     /// Return the position of the configuration if it is too large for copies of the store.
@@ -297,6 +298,9 @@
                         Content::Evacuation(_) | Content::Other => Kind::Other,
                     },
                 };
+                if held.kind == Kind::Configuration {
+                    self.configuration_key = Some(item.key.clone());
+                }
                 let old = self.items.insert(item.key.clone(), held);
                 if let Some(old) = old
                     && old.kind == Kind::Configuration
