Test with gateways that have served requests, and answers to orders

The tests of gateways expect one that has retries to spend. Since each start begins with one retry, helper_fault_does_not_use_up_attempts and server_that_failed_a_hedge_gets_another_one found none left for what they check. The gateway of the tests has now served requests, whose deposits fill the budgets as before; the tests of the budget itself use one that has just started. No assertion changes.

Orders and reports that are answered with a part and a reset, or without a final status, are played too.

--- a/crates/oleanderpass/tests/gateway.rs
+++ b/crates/oleanderpass/tests/gateway.rs
@@ -479,6 +479,7 @@
 #[test_case(25, "/order/7", UPLOAD - 10_000; "call that runs once near the end")]
 #[test_case(26, "/chat/7", 0; "stream at once")]
 #[test_case(27, "/chat/7", UPLOAD - 10_000; "stream near the end")]
+#[test_case(33, "/report/7", 0; "order")]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn part_of_an_early_answer_is_not_whole(number: u8, path: &'static str, read_bytes: usize) {
     let gateway = Gateway::start(number).await;
@@ -510,6 +511,7 @@
 #[test_case(28, "/look/7"; "call")]
 #[test_case(29, "/order/7"; "call that runs once")]
 #[test_case(30, "/chat/7"; "stream")]
+#[test_case(34, "/report/7"; "order")]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn answer_without_a_final_status_is_a_failure(number: u8, path: &'static str) {
     let gateway = Gateway::start(number).await;
@@ -518,7 +520,8 @@
             server.set_mode(Mode::Status(status));
         }
         let mut call = Call::new(&format!("s{status}"), path);
-        call.timeout_ms = 1_000;
+        // Long prompts that have less time are refused at once.
+        call.timeout_ms = if path == "/report/7" { 10_000 } else { 1_000 };
         let answer = call.send(gateway.caller_addr()).await.unwrap();
         assert!(
             matches!(answer.status, 502..=504),
--- a/crates/oleanderpass_gateway/tests/common/mod.rs
+++ b/crates/oleanderpass_gateway/tests/common/mod.rs
@@ -156,12 +156,26 @@
     }
 }
 
-/// Return a gateway that knows `engines` engines and three servers of a plain service.
+/// Return a gateway that knows `engines` engines and three servers of a plain service, and has served
+/// requests.
 pub(crate) fn gateway(engines: u8) -> Gateway {
     gateway_named("edge-1", engines)
 }
 
+/// Return the same with another name.
 pub(crate) fn gateway_named(name: &str, engines: u8) -> Gateway {
+    let mut gateway = started_gateway(name, engines);
+    // Their deposits fill the retry budgets.
+    for _ in 0..100 {
+        for path in ["/look/0", "/chat/0"] {
+            begin(&mut gateway, at(0), path, 0);
+        }
+    }
+    gateway
+}
+
+/// Return the same before its first request.
+pub(crate) fn started_gateway(name: &str, engines: u8) -> Gateway {
     let identity = Identity {
         id: name.parse().unwrap(),
         incarnation: Incarnation::new(1),
--- a/crates/oleanderpass_gateway/tests/retry_budget.rs
+++ b/crates/oleanderpass_gateway/tests/retry_budget.rs
@@ -13,7 +13,7 @@
 use crate::common::at;
 use crate::common::attempt;
 use crate::common::begin;
-use crate::common::gateway_named;
+use crate::common::started_gateway;
 
 /// The number of instances. An instance assumes as many before it knows a peer.
 const INSTANCES: u64 = 8;
@@ -56,7 +56,7 @@
     for instance in 0..INSTANCES {
         let name = format!("edge-{instance}");
         for _ in 0..=restarts {
-            let mut gateway = gateway_named(&name, 14);
+            let mut gateway = started_gateway(&name, 14);
             for number in 0..20 {
                 requests += 1;
                 retries += u64::from(serve(&mut gateway, number, "/look/1", true));
@@ -76,7 +76,7 @@
 fn budget_of_one_service_is_not_spent_on_another() {
     let (mut retries, mut requests) = (0, 0);
     for instance in 0..INSTANCES {
-        let mut gateway = gateway_named(&format!("edge-{instance}"), 14);
+        let mut gateway = started_gateway(&format!("edge-{instance}"), 14);
         for number in 0..800 {
             let is_plain = number % 20 == 0;
             let path = if is_plain { "/look/1" } else { "/chat/1" };
@@ -91,6 +91,6 @@
 /// Guards against a quiet instance whose first failed request is never retried after a start.
 #[test]
 fn started_instance_retries_its_first_request() {
-    let mut gateway = gateway_named("edge-1", 14);
+    let mut gateway = started_gateway("edge-1", 14);
     assert!(serve(&mut gateway, 0, "/look/1", true));
 }
--- a/crates/oleanderpass_gateway/tests/terms.rs
+++ b/crates/oleanderpass_gateway/tests/terms.rs
@@ -135,10 +135,6 @@
         vec![nested("/a/", Idempotent, now)],
         "opticians",
     );
-    // The retry budget of a gateway that has just started allows one retry.
-    for _ in 0..20 {
-        begin(&mut gateway, at(0), PATH, 0);
-    }
     let mut sent = 1;
     while matches!(gateway.next(at(200), &mut req), Next::Send(_)) {
         run_once(&mut gateway, 200, &mut req, AttemptEnd::Refused);
@@ -229,9 +225,6 @@
         routes.extend(random_routes(&mut rng));
         routes.dedup_by(|one, other| one.prefix == other.prefix);
         put(&mut gateway, 5, routes.clone(), "opticians");
-        for _ in 0..30 {
-            begin(&mut gateway, at(0), PATH, 0);
-        }
         let mut req = begin(&mut gateway, at(0), PATH, 0);
         let first = selected(&routes).unwrap().clone();
         let (mut repeats, mut attempts) = (first.kind.may_repeat(), first.max_attempts);
