Say why an instance isn't ready

Cause: readiness was one expression in gateway.rs without reasons or errors.

Change: readiness.rs keeps a closed set of reasons, since when each applies and the last error of what would end it, and is the only source of readiness. The body of the check, /status, a gauge for each reason (oleanderpass_lacks) and one log line at each change show it; an instance that still waits logs all reasons every 10 s.

Why it works: what keeps an instance from being ready is recorded where it happens and read from one place.

--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -98,6 +98,7 @@
 mod authorization;
 mod copies;
 mod notices;
+mod readiness;
 mod sending;
 mod shortage;
 
@@ -589,11 +590,6 @@
         &self.fleet
     }
 
-    /// Return whether the balancer should send callers to this instance.
-    pub fn is_ready(&self) -> bool {
-        self.config.is_some() && self.registry.is_complete() && self.drain.is_none()
-    }
-
     /// Return whether the instance has begun to drain.
     pub fn is_draining(&self) -> bool {
         self.drain.is_some()
--- a/crates/oleanderpass_gateway/src/lib.rs
+++ b/crates/oleanderpass_gateway/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod placement;
 pub mod pools;
 pub mod reach;
+pub mod readiness;
 pub mod registry;
 pub mod reservation;
 pub mod retry_after;
--- a/crates/oleanderpass_gateway/tests/gateway.rs
+++ b/crates/oleanderpass_gateway/tests/gateway.rs
@@ -16,6 +16,8 @@
 use oleanderpass_gateway::gateway::Next;
 use oleanderpass_gateway::gateway::Rejection;
 use oleanderpass_gateway::gateway::Request;
+use oleanderpass_gateway::readiness::Readiness;
+use oleanderpass_gateway::readiness::Reason;
 use oleanderpass_gateway::route::Route;
 use oleanderpass_gateway::route::RouteKind;
 use oleanderpass_quarantine::evidence::Signature;
@@ -538,8 +540,15 @@
 #[test]
 fn draining_instance_refuses_what_it_cannot_finish() {
     let mut gateway = gateway(2);
+    let mut readiness = Readiness::new(at(0));
+    for reason in [Reason::CallerAddressClosed, Reason::ReadinessAddressClosed] {
+        readiness.set(at(0), reason, false);
+    }
+    gateway.update_readiness(at(0), &mut readiness);
+    assert!(readiness.is_ready());
     gateway.begin_drain(at(0), at(7_600), &mut Vec::new());
-    assert!(!gateway.is_ready());
+    gateway.update_readiness(at(0), &mut readiness);
+    assert!(!readiness.is_ready());
     let admit = |now| gateway.admit(now, HOST, "/chat/1", Some(KEY), 0);
     assert!(admit(at(2_000)).is_ok(), "the balancer still sends callers");
     assert_eq!(admit(at(3_000)).unwrap_err(), Rejection::Stopping);
--- a/crates/oleanderpass_gateway_io/src/daemon.rs
+++ b/crates/oleanderpass_gateway_io/src/daemon.rs
@@ -11,6 +11,8 @@
 use oleanderpass_gateway::drain::ADMIT_ALL_TIME;
 use oleanderpass_gateway::gateway::Gateway;
 use oleanderpass_gateway::memory::AnswerMemory;
+use oleanderpass_gateway::readiness::Readiness;
+use oleanderpass_gateway::readiness::Reason;
 use oleanderpass_membership::membership::Identity;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::id::Incarnation;
@@ -91,8 +93,12 @@
         "started"
     );
     log_ignored(&settings);
+    let mut readiness = Readiness::new(now);
+    readiness.set(now, Reason::CallerAddressClosed, false);
+    readiness.set(now, Reason::ReadinessAddressClosed, false);
     let instance: SharedInstance = Rc::new(Instance {
         gateway: RefCell::new(gateway),
+        readiness: RefCell::new(readiness),
         pool: RefCell::new(Pool::default()),
         metrics: Metrics::new()?,
         memory: AnswerMemory::new(settings.memory),
--- a/crates/oleanderpass_gateway_io/src/instance.rs
+++ b/crates/oleanderpass_gateway_io/src/instance.rs
@@ -1,6 +1,7 @@
 //! Define the state that the tasks of an entry instance share.
 
 use std::cell::Cell;
+use std::cell::Ref;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -9,6 +10,8 @@
 use oleanderpass_gateway::backend::BackendKey;
 use oleanderpass_gateway::gateway::Gateway;
 use oleanderpass_gateway::memory::AnswerMemory;
+use oleanderpass_gateway::readiness::Readiness;
+use oleanderpass_gateway::readiness::Reason;
 use oleanderpass_proto::peer::Packet;
 use oleanderpass_types::clock::Timestamp;
 use prost::Message;
@@ -37,6 +40,8 @@
 pub(crate) struct Instance {
     pub(crate) settings: Settings,
     pub(crate) gateway: RefCell<Gateway>,
+    /// What the instance lacks, as of the last call of [`Instance::readiness`].
+    pub(crate) readiness: RefCell<Readiness>,
     pub(crate) pool: RefCell<Pool>,
     pub(crate) metrics: Metrics,
     /// The memory for callers, and for the answers of servers, peers and the store.
@@ -67,6 +72,24 @@
         crate::clock::now()
     }
 
+    /// Return whether the instance is ready now, and what it lacks.
+    pub(crate) fn readiness(&self) -> Ref<'_, Readiness> {
+        let now = self.now();
+        let mut readiness = self.readiness.borrow_mut();
+        self.gateway.borrow().update_readiness(now, &mut readiness);
+        readiness.report(now);
+        drop(readiness);
+        self.readiness.borrow()
+    }
+
+    /// Record why the store, or a peer that reads it, doesn't provide what this instance lacks.
+    pub(crate) fn on_store_error(&self, error: &str) {
+        let mut readiness = self.readiness.borrow_mut();
+        for reason in [Reason::NoConfiguration, Reason::ServerListIncomplete] {
+            readiness.set_error(reason, error);
+        }
+    }
+
     /// Send datagrams to peers. A datagram that can't be sent is dropped and counted; peers treat
     /// it like one that the network lost.
     pub(crate) fn send_packets(&self, packets: Vec<(SocketAddr, Packet)>) {
--- a/crates/oleanderpass_gateway_io/src/internal_http.rs
+++ b/crates/oleanderpass_gateway_io/src/internal_http.rs
@@ -21,8 +21,11 @@
 use oleanderpass_gateway::configuration_history::Accepted;
 use oleanderpass_gateway::gateway::ConfigurationRequest;
 use oleanderpass_gateway::gateway::ServedConfiguration;
+use oleanderpass_gateway::readiness::Readiness;
+use oleanderpass_gateway::readiness::Reason;
 use oleanderpass_platform::READINESS_PATH;
 use oleanderpass_types::clock::Millis;
+use oleanderpass_types::clock::Timestamp;
 use oleanderpass_types::size::Bytes as Size;
 use prost::Message;
 use strum::IntoEnumIterator;
@@ -116,10 +119,15 @@
 /// Answer a request.
 fn answer(instance: &SharedInstance, req: &Request<Incoming>) -> Response<ServedBody> {
     let (status, body) = match req.uri().path() {
-        READINESS_PATH if instance.gateway.borrow().is_ready() => {
-            (StatusCode::OK, ServedBody::default())
+        READINESS_PATH => {
+            let readiness = instance.readiness();
+            let status = match readiness.is_ready() {
+                true => StatusCode::OK,
+                false => StatusCode::SERVICE_UNAVAILABLE,
+            };
+            let text = describe(instance.now(), &readiness);
+            (status, Bytes::from(text).into())
         }
-        READINESS_PATH => (StatusCode::SERVICE_UNAVAILABLE, ServedBody::default()),
         METRICS_PATH => {
             let (status, text) = metrics(instance);
             (status, text.into())
@@ -152,6 +160,12 @@
     answer
 }
 
+/// Return a line for each thing that the instance lacks.
+fn describe(now: Timestamp, readiness: &Readiness) -> String {
+    let lines = readiness.describe(now);
+    lines.fold(String::new(), |text, line| text + &line + "\n")
+}
+
 /// Return an answer without a body.
 fn empty_answer(status: StatusCode) -> Response<ServedBody> {
     let mut answer = Response::new(ServedBody::default());
@@ -243,6 +257,14 @@
             .with_label_values(&[&label])
             .inc_by(count);
     }
+    let readiness = instance.readiness();
+    metrics.ready.set(i64::from(readiness.is_ready()));
+    for reason in Reason::iter() {
+        let label: &str = reason.into();
+        let gauge = metrics.lacks.with_label_values(&[label]);
+        gauge.set(i64::from(readiness.has(reason)));
+    }
+    drop(readiness);
     for (name, size) in memory_by_use(instance) {
         let gauge = metrics.memory.with_label_values(&[name]);
         gauge.set(size.get() as i64);
@@ -296,17 +318,20 @@
 }
 
 /// Return the state of the instance as text, with one `key: value` pair per line and one line per
-/// evacuated zone, refused prompt part and backend server.
+/// thing that it lacks, evacuated zone, refused prompt part and backend server.
 fn status(instance: &SharedInstance) -> String {
+    let (is_ready, lacks) = {
+        let readiness = instance.readiness();
+        (readiness.is_ready(), describe(instance.now(), &readiness))
+    };
     let gateway = instance.gateway.borrow();
     let now = instance.now();
     let version = gateway
         .configuration()
         .map_or(0, |config| config.version.get());
     let mut text = format!(
-        "instance: {}\nready: {}\nconfig_version: {version}\nstore_era: {}\nstore_revision: {}\npeers: {}\n",
+        "instance: {}\nready: {is_ready}\n{lacks}config_version: {version}\nstore_era: {}\nstore_revision: {}\npeers: {}\n",
         instance.settings.instance,
-        gateway.is_ready(),
         gateway.store_position().era,
         gateway.store_position().revision,
         gateway.fleet().live_peers(now).count(),
--- a/crates/oleanderpass_gateway_io/src/metrics.rs
+++ b/crates/oleanderpass_gateway_io/src/metrics.rs
@@ -69,6 +69,10 @@
     pub(crate) paused_servers: IntGauge,
     /// Backend servers that are cold.
     pub(crate) cold_servers: IntGauge,
+    /// Whether the instance is ready for callers.
+    pub(crate) ready: IntGauge,
+    /// What the instance lacks, by reason.
+    pub(crate) lacks: IntGaugeVec,
     /// The memory that is taken, by use.
     pub(crate) memory: IntGaugeVec,
     /// Open connections of callers, by what they wait for.
@@ -180,6 +184,11 @@
                 "oleanderpass_cold_servers",
                 "Backend servers that are cold and get a limited request rate.",
             )?,
+            ready: IntGauge::new(
+                "oleanderpass_ready",
+                "Whether the instance is ready for callers.",
+            )?,
+            lacks: gauge_vec("lacks", "What the instance lacks.", &["reason"])?,
             memory: gauge_vec("memory_bytes", "Memory that is taken, by use.", &["use"])?,
             caller_connections: gauge_vec(
                 "caller_connections",
@@ -221,6 +230,8 @@
         registry.register(Box::new(metrics.cold_servers.clone()))?;
         registry.register(Box::new(metrics.ramping_servers.clone()))?;
         registry.register(Box::new(metrics.ended_ramps.clone()))?;
+        registry.register(Box::new(metrics.ready.clone()))?;
+        registry.register(Box::new(metrics.lacks.clone()))?;
         registry.register(Box::new(metrics.memory.clone()))?;
         registry.register(Box::new(metrics.caller_connections.clone()))?;
         registry.register(Box::new(metrics.refused_uploads.clone()))?;
--- a/crates/oleanderpass_gateway_io/src/peer.rs
+++ b/crates/oleanderpass_gateway_io/src/peer.rs
@@ -89,6 +89,8 @@
             reach::check(instance.clone(), key, addr);
         }
         instance.pool.borrow_mut().remove_expired(now);
+        // The log names a change soon, although nobody asks for the readiness.
+        drop(instance.readiness());
     }
 }
 
--- a/crates/oleanderpass_gateway_io/src/store.rs
+++ b/crates/oleanderpass_gateway_io/src/store.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use oleanderpass_gateway::evacuation::PeerEvacuation;
+use oleanderpass_gateway::readiness::Reason;
 use oleanderpass_gateway::store::Content;
 use oleanderpass_gateway::store::CopySource;
 use oleanderpass_gateway::store::OmittedConfiguration;
@@ -17,6 +18,7 @@
 use oleanderpass_platform::announcement;
 use oleanderpass_platform::configuration;
 use oleanderpass_platform::store;
+use oleanderpass_platform::store::CONFIGURATION_KEY;
 use oleanderpass_platform::store::Item;
 use oleanderpass_platform::store::Subject;
 use oleanderpass_proto::peer::Evacuation as RawEvacuation;
@@ -107,6 +109,7 @@
                 "peers have read newer changes; the watch is silent".to_owned()
             }
         };
+        instance.on_store_error(&failure);
         calls.set_late();
         reader.on_failure(
             instance.now(),
@@ -130,8 +133,14 @@
             position,
             servers,
             operator_items,
-        } => reader.on_read_all(now, &mut gateway, position, servers, operator_items),
+        } => {
+            note_unusable_configuration(instance, &operator_items);
+            reader.on_read_all(now, &mut gateway, position, servers, operator_items);
+        }
         AnsweredContent::Changes { position, items } => {
+            if items.iter().any(|item| item.key == CONFIGURATION_KEY) {
+                note_unusable_configuration(instance, &items);
+            }
             reader.on_changes(now, &mut gateway, position, items);
         }
         AnsweredContent::HistoryLost => reader.on_history_lost(),
@@ -139,6 +148,22 @@
     answered.connection
 }
 
+/// Record why none of these items provides a configuration, if none does.
+fn note_unusable_configuration(instance: &SharedInstance, items: &[StoreItem]) {
+    let item = items.iter().rfind(|item| item.key == CONFIGURATION_KEY);
+    if item.is_some_and(|item| matches!(item.content, Content::Configuration(Some(_)))) {
+        return;
+    }
+    let value = item.and_then(|item| item.value.as_deref());
+    let invalid = value.and_then(|value| configuration::decode(value).err());
+    let error = match invalid {
+        Some(error) => format!("the configuration in the store is invalid: {error:#}"),
+        None => format!("the store has no item {CONFIGURATION_KEY}"),
+    };
+    let mut readiness = instance.readiness.borrow_mut();
+    readiness.set_error(Reason::NoConfiguration, &error);
+}
+
 /// Wait until the watch in flight has to be given up for a shorter one.
 async fn until_renewed(instance: &SharedInstance, reader: &StoreReader) {
     while !reader.renews_watch(instance.now(), &instance.gateway.borrow()) {
@@ -255,8 +280,10 @@
     let copy = match fetched {
         Ok(copy) => copy,
         Err(error) => {
+            let error = format!("{error:#}");
+            instance.on_store_error(&error);
             tracing::info!(
-                error = format!("{error:#}"),
+                error,
                 received_bytes = transfer.received().get(),
                 elapsed_ms = transfer.elapsed(instance.now()).get(),
                 "could not fetch a copy of the store from a peer"
