Open connections although a socket option is refused

Cause: connect() treats TCP_NODELAY, SO_KEEPALIVE and TCP_USER_TIMEOUT as conditions of a connection, so neither the store nor a server can be reached without them.

Why it works: the options only make failures noticed sooner. Calls have time limits of their own, so a connection without them is worse but sound.

--- a/crates/oleanderpass_gateway_io/src/connection.rs
+++ b/crates/oleanderpass_gateway_io/src/connection.rs
@@ -1,6 +1,5 @@
 //! Open connections to backend servers, peers and the store, and reuse those to backend servers.
 
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -24,7 +23,6 @@
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::clock::Timestamp;
 use socket2::SockRef;
-use socket2::TcpKeepalive;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::net::TcpSocket;
@@ -39,6 +37,7 @@
 use crate::receive::HeadMeter;
 use crate::receive::MeteredStream;
 use crate::receive::ReceiveError;
+use crate::socket_options;
 
 /// The timeout for opening a connection. Backend servers accept one within about a millisecond, and
 /// a lost first packet is sent again only after a second.
@@ -149,8 +148,8 @@
 /// Return the cause if it can't be opened in time.
 pub(crate) async fn connect(addr: SocketAddr) -> Result<TcpStream> {
     let socket = TcpSocket::new_v4().wrap_err("create a socket")?;
-    socket.set_nodelay(true).wrap_err("set TCP_NODELAY")?;
-    enable_keepalive(&socket).wrap_err("set the keep-alive")?;
+    let sock_ref = SockRef::from(&socket);
+    socket_options::set_outgoing(&sock_ref, KEEPALIVE_INTERVAL, KEEPALIVE_PROBES);
     tokio::time::timeout(CONNECT_TIMEOUT, socket.connect(addr))
         .await
         .wrap_err_with(|| format!("connect to {addr}: timeout"))?
@@ -216,17 +215,6 @@
     Ok((status, body))
 }
 
-/// Configure a socket so that its connection ends when the other side doesn't respond.
-fn enable_keepalive(socket: &TcpSocket) -> io::Result<()> {
-    let socket = SockRef::from(socket);
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_INTERVAL)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(KEEPALIVE_PROBES);
-    socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(KEEPALIVE_INTERVAL * KEEPALIVE_PROBES))
-}
-
 #[derive(Debug)]
 struct IdleConnection {
     connection: Connection,
--- a/crates/oleanderpass_gateway_io/src/lib.rs
+++ b/crates/oleanderpass_gateway_io/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod logging;
 pub mod pieces;
 pub mod settings;
+pub mod socket_options;
 
 mod attempt;
 mod body;
