Wait for addresses that can't be opened instead of ending

What callers saw, by trial: with the address for metrics, the peers' address or the UDP port of the peers in use, the process ends although it could serve ("bind 127.79.0.11:9464: Address already in use"). With its own addresses in use for a moment, or not assigned yet, it ends instead of waiting.

Cause: the daemon opened all addresses once, before anything else, and treated each failure as the end of the start.

Change: endpoints.rs opens each address in a task of its own and tries again every 200 ms. Those for callers and for the readiness check keep the instance from being ready (caller_address_closed, readiness_address_closed); those for metrics and peers don't (metrics_address_closed, peer_address_closed, peer_socket_closed). The readiness check, /status, a gauge and the log show the reason and the last error. Without the socket for datagrams the instance is like one whose links to its peers are cut, which serves.

Why it works: an address is a dependency like the store. Nothing waits for one that serving doesn't need, and a signal ends the process in each state within its time.

--- a/crates/oleanderpass/tests/starts/driver.rs
+++ b/crates/oleanderpass/tests/starts/driver.rs
@@ -214,6 +214,19 @@
         }
     }
 
+    /// Wait until a page has this text.
+    pub(crate) async fn wait_for_page(&self, port: u16, path: &str, text: &str) {
+        let began = Instant::now();
+        while !self
+            .get(port, path)
+            .await
+            .is_some_and(|answer| answer.body.contains(text))
+        {
+            assert!(began.elapsed() < LIMIT, "no {text}\n{}", self.output());
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     pub(crate) fn signal(&self, signal: Signal) {
         let pid = Pid::from_raw(i32::try_from(self.child.id()).unwrap()).unwrap();
         kill_process(pid, signal).unwrap();
--- a/crates/oleanderpass_gateway_io/src/daemon.rs
+++ b/crates/oleanderpass_gateway_io/src/daemon.rs
@@ -1,6 +1,7 @@
 //! Start and stop an instance.
 
 use std::cell::Cell;
+use std::cell::OnceCell;
 use std::cell::RefCell;
 use std::path::Path;
 use std::rc::Rc;
@@ -12,11 +13,9 @@
 use oleanderpass_gateway::gateway::Gateway;
 use oleanderpass_gateway::memory::AnswerMemory;
 use oleanderpass_gateway::readiness::Readiness;
-use oleanderpass_gateway::readiness::Reason;
 use oleanderpass_membership::membership::Identity;
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::id::Incarnation;
-use tokio::net::UdpSocket;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::sync::Notify;
@@ -29,6 +28,7 @@
 use crate::clock::sleep_until;
 use crate::configuration_copy;
 use crate::connection::Pool;
+use crate::endpoints::Endpoint;
 use crate::frontend;
 use crate::instance::Instance;
 use crate::instance::SharedInstance;
@@ -73,13 +73,6 @@
     let seed = rand::random();
     let mut gateway = Gateway::new(now, identity, settings.seeds.clone(), settings.bounds, seed);
     gateway.set_zone_regions(settings.zone_regions.clone());
-    let caller_listener = frontend::listen(settings.caller_addr)?;
-    let readiness_listener = frontend::listen(settings.readiness_addr)?;
-    let metrics_listener = frontend::listen(settings.metrics_addr)?;
-    let peer_listener = frontend::listen(settings.peer_addr)?;
-    let peer_socket = UdpSocket::bind(settings.peer_addr)
-        .await
-        .wrap_err_with(|| format!("bind {}", settings.peer_addr))?;
     tracing::info!(
         instance = %settings.instance,
         %incarnation,
@@ -93,42 +86,31 @@
         "started"
     );
     log_ignored(&settings);
-    let mut readiness = Readiness::new(now);
-    readiness.set(now, Reason::CallerAddressClosed, false);
-    readiness.set(now, Reason::ReadinessAddressClosed, false);
     let instance: SharedInstance = Rc::new(Instance {
         gateway: RefCell::new(gateway),
-        readiness: RefCell::new(readiness),
+        readiness: RefCell::new(Readiness::new(now)),
         pool: RefCell::new(Pool::default()),
         metrics: Metrics::new()?,
         memory: AnswerMemory::new(settings.memory),
         callers: Callers::default(),
         checked_servers: RefCell::new(IndexSet::new()),
         open_tunnels: Cell::new(0),
-        peer_socket,
+        peer_socket: OnceCell::new(),
         load_changed: Notify::new(),
         store_behind: Notify::new(),
         configuration_behind: Notify::new(),
         shutdown: watch::Sender::new(ShutdownPhase::Serving),
         settings,
     });
-    tokio::task::spawn_local(frontend::run(instance.clone(), caller_listener));
+    tokio::task::spawn_local(frontend::run(instance.clone()));
     tokio::task::spawn_local(callers::sweep(instance.clone()));
-    tokio::task::spawn_local(internal_http::run(
-        instance.clone(),
-        readiness_listener,
-        Tunnels::Refused,
-    ));
-    tokio::task::spawn_local(internal_http::run(
-        instance.clone(),
-        metrics_listener,
-        Tunnels::Refused,
-    ));
-    tokio::task::spawn_local(internal_http::run(
-        instance.clone(),
-        peer_listener,
-        Tunnels::Accepted,
-    ));
+    for (endpoint, tunnels) in [
+        (Endpoint::Readiness, Tunnels::Refused),
+        (Endpoint::Metrics, Tunnels::Refused),
+        (Endpoint::Peers, Tunnels::Accepted),
+    ] {
+        tokio::task::spawn_local(internal_http::run(instance.clone(), endpoint, tunnels));
+    }
     tokio::task::spawn_local(peer::receive(instance.clone()));
     tokio::task::spawn_local(peer::tick(instance.clone()));
     tokio::task::spawn_local(peer::send_bulletins(instance.clone()));
--- a/crates/oleanderpass_gateway_io/src/frontend.rs
+++ b/crates/oleanderpass_gateway_io/src/frontend.rs
@@ -6,8 +6,6 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use eyre::Result;
-use eyre::WrapErr;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -37,7 +35,6 @@
 use prometheus::IntGauge;
 use smol_str::SmolStr;
 use socket2::SockRef;
-use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
@@ -50,6 +47,8 @@
 use crate::callers::CallerConnection;
 use crate::callers::CallerStream;
 use crate::clock::sleep_until;
+use crate::endpoints;
+use crate::endpoints::Endpoint;
 use crate::exchange::CALLER_LEFT;
 use crate::exchange::Exchange;
 use crate::exchange::Reply;
@@ -57,6 +56,8 @@
 use crate::exchange::rejection_answer;
 use crate::instance::SharedInstance;
 use crate::instance::ShutdownPhase;
+use crate::socket_options;
+use crate::socket_options::SocketOption;
 
 /// The limits that apply until the first configuration has been read. Source: the published limits.
 const INITIAL_LIMITS: CallerLimits = CallerLimits {
@@ -69,9 +70,6 @@
 /// The smallest buffer for request heads that the HTTP library accepts.
 const MIN_HEAD_BUFFER_BYTES: u64 = 8_192;
 
-/// The most connections that wait to be accepted.
-const BACKLOG: u32 = 1_024;
-
 /// The bytes of an answer that wait in the socket of a caller, in addition to those on their way.
 const UNSENT_BYTES: u32 = 64 * 1024;
 
@@ -86,22 +84,9 @@
 /// are refused after as long.
 const MEMORY_RETRY_AFTER: Millis = STALL;
 
-/// Listen for TCP connections on an address.
-///
-/// # Errors
-///
-/// Return the cause when the address can't be used.
-pub(crate) fn listen(addr: std::net::SocketAddr) -> Result<TcpListener> {
-    let socket = tokio::net::TcpSocket::new_v4().wrap_err("create a socket")?;
-    socket.set_reuseaddr(true).wrap_err("set SO_REUSEADDR")?;
-    socket.bind(addr).wrap_err_with(|| format!("bind {addr}"))?;
-    socket
-        .listen(BACKLOG)
-        .wrap_err_with(|| format!("listen on {addr}"))
-}
-
 /// Accept connections of callers until the process ends.
-pub(crate) async fn run(instance: SharedInstance, listener: TcpListener) {
+pub(crate) async fn run(instance: SharedInstance) {
+    let listener = endpoints::listen(&instance, Endpoint::Callers).await;
     loop {
         let (stream, addr) = match listener.accept().await {
             Ok(accepted) => accepted,
@@ -140,14 +125,11 @@
     stream: TcpStream,
     caller: &Rc<CallerConnection>,
 ) {
-    if let Err(error) = stream.set_nodelay(true) {
-        tracing::debug!(%error, "could not set TCP_NODELAY");
-    }
+    socket_options::record(SocketOption::TcpNodelay, stream.set_nodelay(true));
     // Without it, a caller that reads slowly leaves the socket unwritable for seconds, until a third
     // of a large send buffer is free, and looks like one that reads nothing.
-    if let Err(error) = SockRef::from(&stream).set_tcp_notsent_lowat(UNSENT_BYTES) {
-        tracing::debug!(%error, "could not set TCP_NOTSENT_LOWAT");
-    }
+    let lowat = SockRef::from(&stream).set_tcp_notsent_lowat(UNSENT_BYTES);
+    socket_options::record(SocketOption::TcpNotsentLowat, lowat);
     let service = service_fn(|req| {
         let (instance, caller) = (instance.clone(), caller.clone());
         async move { Ok::<_, Infallible>(handle(instance, caller, req).await) }
--- a/crates/oleanderpass_gateway_io/src/instance.rs
+++ b/crates/oleanderpass_gateway_io/src/instance.rs
@@ -1,6 +1,7 @@
 //! Define the state that the tasks of an entry instance share.
 
 use std::cell::Cell;
+use std::cell::OnceCell;
 use std::cell::Ref;
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -52,8 +53,8 @@
     pub(crate) checked_servers: RefCell<IndexSet<BackendKey>>,
     /// The number of open tunnels to servers for peers.
     pub(crate) open_tunnels: Cell<usize>,
-    /// The socket for datagrams to and from peers.
-    pub(crate) peer_socket: UdpSocket,
+    /// The socket for datagrams to and from peers, once it is open.
+    pub(crate) peer_socket: OnceCell<UdpSocket>,
     /// Notified when the load of this instance changed, so that a bulletin may be due.
     pub(crate) load_changed: Notify,
     /// Notified when a peer knows something newer of the store than this instance.
@@ -93,6 +94,10 @@
     /// Send datagrams to peers. A datagram that can't be sent is dropped and counted; peers treat
     /// it like one that the network lost.
     pub(crate) fn send_packets(&self, packets: Vec<(SocketAddr, Packet)>) {
+        let Some(socket) = self.peer_socket.get() else {
+            self.metrics.lost_datagrams.inc_by(packets.len() as u64);
+            return;
+        };
         let mut buf = Vec::new();
         for (to, packet) in packets {
             buf.clear();
@@ -100,7 +105,7 @@
                 tracing::error!(%error, "could not encode a datagram");
                 continue;
             }
-            if let Err(error) = self.peer_socket.try_send_to(&buf, to) {
+            if let Err(error) = socket.try_send_to(&buf, to) {
                 self.metrics.lost_datagrams.inc();
                 tracing::debug!(%error, peer = %to, "could not send a datagram");
             }
--- a/crates/oleanderpass_gateway_io/src/internal_http.rs
+++ b/crates/oleanderpass_gateway_io/src/internal_http.rs
@@ -29,9 +29,10 @@
 use oleanderpass_types::size::Bytes as Size;
 use prost::Message;
 use strum::IntoEnumIterator;
-use tokio::net::TcpListener;
 
 use crate::clock::sleep_until;
+use crate::endpoints;
+use crate::endpoints::Endpoint;
 use crate::explain;
 use crate::instance::SharedInstance;
 use crate::notices;
@@ -79,8 +80,9 @@
     Refused,
 }
 
-/// Serve all internal endpoints on a listener until the process ends.
-pub(crate) async fn run(instance: SharedInstance, listener: TcpListener, tunnels: Tunnels) {
+/// Serve all internal endpoints on one of the addresses until the process ends.
+pub(crate) async fn run(instance: SharedInstance, endpoint: Endpoint, tunnels: Tunnels) {
+    let listener = endpoints::listen(&instance, endpoint).await;
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
--- a/crates/oleanderpass_gateway_io/src/lib.rs
+++ b/crates/oleanderpass_gateway_io/src/lib.rs
@@ -17,6 +17,7 @@
 mod callers;
 mod configuration_copy;
 mod connection;
+mod endpoints;
 mod exchange;
 mod frontend;
 mod instance;
--- a/crates/oleanderpass_gateway_io/src/peer.rs
+++ b/crates/oleanderpass_gateway_io/src/peer.rs
@@ -20,6 +20,7 @@
 use crate::body::RequestBody;
 use crate::clock::sleep_until;
 use crate::connection;
+use crate::endpoints;
 use crate::instance::SharedInstance;
 use crate::internal_http::SEPARATE_CONFIGURATION;
 use crate::internal_http::STORE_COPY_PATH;
@@ -37,9 +38,11 @@
 /// revision of the store than this instance, and `configuration_behind` whenever one has a newer
 /// configuration.
 pub(crate) async fn receive(instance: SharedInstance) {
+    let opened = endpoints::bind_datagrams(&instance).await;
+    let socket = instance.peer_socket.get_or_init(|| opened);
     let mut buf = vec![0; 2 * MAX_DATAGRAM_BYTES];
     loop {
-        let (len, source) = match instance.peer_socket.recv_from(&mut buf).await {
+        let (len, source) = match socket.recv_from(&mut buf).await {
             Ok(received) => received,
             Err(error) => {
                 tracing::debug!(%error, "could not receive a datagram");
