Read a store that closes the connection after each answer

What callers saw, by trial: before a store that closes its connection after each answer without announcing it, an instance never gets ready, and no request is served.

Cause: reading everything takes two calls, and the second uses the connection of the first. Its failure failed the whole read; the next one began anew, and so on for ever ("operator items: connection closed before message completed").

Change: a call that breaks within 100 ms on a connection that has carried others is sent once more on a new connection. One that breaks later still counts as an outage.

Evidence: instance_gets_ready, row "store closes after each answer", fails on after 10 s and holds now.

Why it works: the calls only read, so one that has arrived may be repeated, and a store that is really down refuses the new connection.

--- a/crates/oleanderpass/tests/starts.rs
+++ b/crates/oleanderpass/tests/starts.rs
@@ -84,6 +84,7 @@
 #[test_case(34, &[Shell("unset HOME PATH; export LANG=xx TZ=Nowhere/None TMPDIR=/nonexistent")]; "odd environment")]
 #[test_case(35, &[Shell("export http_proxy=http://127.0.0.1:1 ALL_PROXY=http://127.0.0.1:1")]; "proxies")]
 #[test_case(38, &[Store(Mode::Pieces)]; "store answers in pieces")]
+#[test_case(39, &[Store(Mode::CloseEach)]; "store closes after each answer")]
 #[test_case(40, &[Store(Mode::Unfamiliar)]; "store has unfamiliar answers")]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn instance_gets_ready(number: u8, changes: &[Change]) {
--- a/crates/oleanderpass_gateway_io/src/store_call.rs
+++ b/crates/oleanderpass_gateway_io/src/store_call.rs
@@ -9,7 +9,9 @@
 use eyre::WrapErr;
 use eyre::bail;
 use http::Request;
+use http::Response;
 use http::StatusCode;
+use hyper::body::Incoming;
 use oleanderpass_gateway::memory::Share;
 use oleanderpass_gateway::store::Content;
 use oleanderpass_gateway::store::StoreItem;
@@ -29,8 +31,14 @@
 use crate::connection::Connection;
 use crate::instance::SharedInstance;
 use crate::receive;
+use crate::receive::ReceiveError;
 use crate::store::decode;
 
+/// The time from the start of a call within which a failure of a connection that has carried others
+/// means that the store had closed it before, as it may after each answer. A connection that breaks
+/// later shows that the store is down.
+const CLOSED_BEFORE_TIME: Millis = Millis::new(100);
+
 /// A kind of call to the store.
 pub(crate) enum CallKind {
     /// The list of backend servers and the operators' items.
@@ -268,19 +276,36 @@
         result
     }
 
-    async fn exchange(&mut self, path: &str) -> Result<Answer> {
+    /// Send a request on the open connection, or on a new one if the store has closed it. Return
+    /// the head of the answer.
+    async fn send(&mut self, path: &str) -> Result<Response<Incoming>> {
         let instance = &self.instance;
-        let req = Request::get(path)
-            .header(http::header::HOST, instance.settings.store_addr.to_string())
-            .body(RequestBody::default())?;
-        let connection = match &mut self.connection {
-            Some(open) => open,
-            None => {
-                let opened = connection::open(&instance.memory, instance.settings.store_addr);
-                self.connection.insert(opened.await?)
-            }
+        let addr = instance.settings.store_addr;
+        let req = || {
+            Request::get(path)
+                .header(http::header::HOST, addr.to_string())
+                .body(RequestBody::default())
         };
-        let answer = connection.send(req).await?;
+        if let Some(open) = &mut self.connection {
+            let began = instance.now();
+            match open.send(req()?).await {
+                Ok(answer) => return Ok(answer),
+                Err(ReceiveError::Broken(error))
+                    if instance.now().since(began) < CLOSED_BEFORE_TIME =>
+                {
+                    tracing::debug!(%error, "the store closed an idle connection");
+                }
+                Err(error) => return Err(error.into()),
+            }
+        }
+        let opened = connection::open(&instance.memory, addr).await?;
+        let connection = self.connection.insert(opened);
+        Ok(connection.send(req()?).await?)
+    }
+
+    async fn exchange(&mut self, path: &str) -> Result<Answer> {
+        let answer = self.send(path).await?;
+        let instance = &self.instance;
         let status = answer.status();
         let era = store::era(answer.headers()).unwrap_or(0);
         let body = answer.into_body();
