Get ready before a store that takes seconds for an answer

What callers saw, by trial: an instance that starts alone before a store that takes 3 s for each answer never gets ready, and no request is served.

Cause: a call counts as late after 0.8 s and goes on beside the next ones, of which at most three stay in flight. With the backoff, four calls begin in about 4 s, and the oldest ended each time, before its two answers were there.

Change: late_call_to_end ends the second oldest of too many calls, so the oldest is answered however slow the store is; a late call ends after 30 s. Four late calls are kept instead of three, so that as many newer ones as before show when a silent store is back.

Why it works: which call is answered first is unknown, so the oldest and the newest are kept; the age bounds what a dead connection can hold.

--- a/crates/oleanderpass_gateway/src/store_reader.rs
+++ b/crates/oleanderpass_gateway/src/store_reader.rs
@@ -23,10 +23,14 @@
 /// How much longer than its wait a watch call may take before it times out.
 const WATCH_MARGIN: Millis = Millis::new(500);
 
-/// The most calls that stay in flight after they should have been answered, beside a new one. The
-/// oldest one ends first. A store that is slow answers them, however late; one that is silent or
-/// was left by a dead connection doesn't, and only the new call shows when it is back.
-pub const MAX_LATE_CALLS: usize = 3;
+/// The most calls that stay in flight after they should have been answered, beside a new one. A
+/// store that is slow answers the oldest one, however late; one that is silent or was left by a dead
+/// connection doesn't, and only the newest ones show when it is back.
+const MAX_LATE_CALLS: usize = 4;
+
+/// The age at which a late call ends. An instance reads a store that takes up to half as long for an
+/// answer, because reading everything takes two calls.
+const MAX_LATE_AGE: Millis = Millis::from_secs(30);
 
 /// The delay between a change and the next watch. Changes within it are returned by one call.
 const WATCH_BATCH_DELAY: Millis = Millis::new(60);
@@ -374,6 +378,21 @@
     }
 }
 
+/// Return which of the late calls ends, by its index in the order in which they began, because they
+/// are too many or too old.
+pub fn late_call_to_end(
+    now: Timestamp,
+    mut began: impl ExactSizeIterator<Item = Timestamp>,
+) -> Option<usize> {
+    let count = began.len();
+    if now.since(began.next()?) >= MAX_LATE_AGE {
+        return Some(0);
+    }
+    // If the oldest one ended, no call would ever outlast a store that is slower than the time in
+    // which as many calls begin.
+    (count > MAX_LATE_CALLS).then_some(1)
+}
+
 /// Return the availability zones of which a list has the evacuation.
 fn zones(items: &[StoreItem]) -> Vec<ZoneId> {
     let present = items.iter().filter(|item| item.value.is_some());
--- a/crates/oleanderpass_gateway/tests/common/store.rs
+++ b/crates/oleanderpass_gateway/tests/common/store.rs
@@ -23,7 +23,7 @@
 use oleanderpass_gateway::store::OmittedConfiguration;
 use oleanderpass_gateway::store::StoreItem;
 use oleanderpass_gateway::store::StorePosition;
-use oleanderpass_gateway::store_reader::MAX_LATE_CALLS;
+use oleanderpass_gateway::store_reader;
 use oleanderpass_gateway::store_reader::Step;
 use oleanderpass_gateway::store_reader::StoreReader;
 use oleanderpass_gateway::transfer::STALL_TIME;
@@ -1278,8 +1278,9 @@
             Reply::Failed | Reply::Late => {
                 if matches!(reply, Reply::Late) && !instance.hangs {
                     instance.late.push_back((instance.step, instance.began));
-                    if instance.late.len() > MAX_LATE_CALLS {
-                        instance.late.pop_front();
+                    let late = instance.late.iter().map(|(_, began)| at(*began));
+                    if let Some(index) = store_reader::late_call_to_end(now, late) {
+                        instance.late.remove(index);
                     }
                 }
                 let jitter = (number % 7) as f64 / 7.0;
--- a/crates/oleanderpass_gateway/tests/slow_store.rs
+++ b/crates/oleanderpass_gateway/tests/slow_store.rs
@@ -68,6 +68,24 @@
     assert_eq!(late.count(), 0, "instances without the last version");
 }
 
+/// Guards against an instance that never gets ready because the store is slower than the time in
+/// which it gives a call up.
+#[test_case(1, 3_000)]
+#[test_case(8, 3_000)]
+#[test_case(1, 9_000)]
+#[test_case(60, 14_000)]
+fn instance_that_starts_reads_a_slow_store(instances: usize, call_ms: u64) {
+    let mut fleet = fleet(instances);
+    fleet.slow_down(SLOW_AT, 90_000, call_ms);
+    let start_at = SLOW_AT + 170;
+    for number in 0..instances {
+        fleet.fault(start_at, number, Fault::Start);
+    }
+    fleet.run(start_at + 2 * call_ms + 2_000);
+    let late = (0..instances).filter(|n| fleet.version(*n) == 0);
+    assert_eq!(late.count(), 0, "instances without a configuration");
+}
+
 /// Guards against waiting for answers that will never come, once a slow store has been silent.
 #[test_case(1_200, 500)]
 #[test_case(1_200, 4_000)]
--- a/crates/oleanderpass_gateway_io/src/store.rs
+++ b/crates/oleanderpass_gateway_io/src/store.rs
@@ -110,7 +110,7 @@
             }
         };
         instance.on_store_error(&failure);
-        calls.set_late();
+        calls.set_late(instance.now());
         reader.on_failure(
             instance.now(),
             &mut instance.gateway.borrow_mut(),
--- a/crates/oleanderpass_gateway_io/src/store_call.rs
+++ b/crates/oleanderpass_gateway_io/src/store_call.rs
@@ -16,7 +16,7 @@
 use oleanderpass_gateway::store::Content;
 use oleanderpass_gateway::store::StoreItem;
 use oleanderpass_gateway::store::StorePosition;
-use oleanderpass_gateway::store_reader::MAX_LATE_CALLS;
+use oleanderpass_gateway::store_reader;
 use oleanderpass_gateway::transfer::STALL_TIME;
 use oleanderpass_gateway::transfer::Transfer;
 use oleanderpass_platform::store;
@@ -157,13 +157,14 @@
         }
     }
 
-    /// Let the current call go on beside the next one. End the oldest one if there are too many.
-    pub(crate) fn set_late(&mut self) {
+    /// Let the current call go on beside the next one. End those that are too many or too old.
+    pub(crate) fn set_late(&mut self, now: Timestamp) {
         self.current = None;
-        while self.open.len() > MAX_LATE_CALLS {
-            if let Some(oldest) = self.open.pop_front() {
-                oldest.task.abort();
-            }
+        let late = |open: &VecDeque<OpenCall>| {
+            store_reader::late_call_to_end(now, open.iter().map(|call| call.began))
+        };
+        while let Some(ended) = late(&self.open).and_then(|index| self.open.remove(index)) {
+            ended.task.abort();
         }
     }
 
