Start from settings whose bounds are missing, empty or fractions

An error named a line and a column of the filled-in file instead of the setting ("line 3 column 5: invalid IP address syntax").

Cause: the settings were parsed as one struct, in which a bound that only tunes what the instance does counted as much as an address.

Change: each key is read by itself, with its name in the error. Missing and empty bounds have documented defaults, which the log names. At a reload, a bound that was there before is missing only because the file is being written: the settings in force stay.

--- a/crates/oleanderpass/tests/starts.rs
+++ b/crates/oleanderpass/tests/starts.rs
@@ -80,6 +80,8 @@
 #[test_case(27, &[Fill("SeedNodes", "")]; "no seeds")]
 #[test_case(28, &[Fill("SeedNodes", "127.79.1.1:8229,IP:8229")]; "seeds are nobody and the instance")]
 #[test_case(29, &[Fill("Zones|json", "")]; "no regions")]
+#[test_case(30, &[Fill("Bounds.GraceS", ""), Fill("Bounds.RetryBudgetRatio", ""), Fill("Bounds.RetrySlack", ""), Fill("Bounds.HoldMaxMs", ""), Fill("Limits.MemoryMb", ""), Fill("Limits.MaxFds", "")]; "no bounds and limits")]
+#[test_case(36, &[Fill("Bounds.GraceS", "8.0"), Fill("Bounds.HoldMaxMs", "20000.5"), Fill("Bounds.EvacuateMs", "5000.0")]; "bounds as fractions")]
 #[test_case(31, &[Shell("ulimit -n 64")]; "few descriptors")]
 #[test_case(32, &[Shell("ulimit -v 600000")]; "little address space")]
 #[test_case(33, &[Shell("exec <&- >&- 2>&-")]; "no standard streams")]
@@ -110,3 +112,15 @@
     let status = start.wait_for_end(STOP_TIME).await;
     assert!(status.success(), "{status}\n{}", start.output());
 }
+
+/// Guards against bounds that fall back to their defaults because the settings are read while they
+/// are written.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn reload_of_incomplete_settings_changes_nothing() {
+    let mut start = Start::new(81, &[]).await;
+    start.wait_for(READINESS_PORT, true, &[]).await;
+    start.cut_settings("retry_slack:");
+    start.signal(Signal::HUP);
+    let texts = ["retry_slack: missing or empty", "the ones in force stay"];
+    start.wait_for_output(&texts).await;
+}
--- a/crates/oleanderpass/tests/starts/driver.rs
+++ b/crates/oleanderpass/tests/starts/driver.rs
@@ -227,6 +227,23 @@
         }
     }
 
+    /// Wait until the process has written these texts.
+    pub(crate) async fn wait_for_output(&self, texts: &[&str]) {
+        let began = Instant::now();
+        while !texts.iter().all(|text| self.output().contains(text)) {
+            assert!(began.elapsed() < LIMIT, "{}", self.output());
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Remove what follows a text from the file of the settings.
+    pub(crate) fn cut_settings(&self, text: &str) {
+        let path = self.dir.path().join("settings.yaml");
+        let settings = fs::read_to_string(&path).unwrap();
+        let end = settings.find(text).unwrap();
+        fs::write(path, &settings[..end]).unwrap();
+    }
+
     pub(crate) fn signal(&self, signal: Signal) {
         let pid = Pid::from_raw(i32::try_from(self.child.id()).unwrap()).unwrap();
         kill_process(pid, signal).unwrap();
--- a/crates/oleanderpass_gateway_io/src/daemon.rs
+++ b/crates/oleanderpass_gateway_io/src/daemon.rs
@@ -8,6 +8,7 @@
 
 use eyre::Result;
 use eyre::WrapErr;
+use eyre::eyre;
 use indexmap::IndexSet;
 use oleanderpass_gateway::drain::ADMIT_ALL_TIME;
 use oleanderpass_gateway::gateway::Gateway;
@@ -85,7 +86,7 @@
         program = env!("CARGO_PKG_VERSION"),
         "started"
     );
-    log_ignored(&settings);
+    log_unexpected(&settings);
     let instance: SharedInstance = Rc::new(Instance {
         gateway: RefCell::new(gateway),
         readiness: RefCell::new(Readiness::new(now)),
@@ -135,29 +136,40 @@
     }
 }
 
-/// Log the keys of the settings that have no effect.
-fn log_ignored(settings: &Settings) {
+/// Log the keys of the settings that have no effect, and those whose defaults are in force.
+fn log_unexpected(settings: &Settings) {
     for key in &settings.ignored {
         tracing::warn!(%key, "a setting is unknown or was left unfilled; it is ignored");
     }
+    for key in &settings.defaulted {
+        tracing::warn!(%key, "a setting is missing or empty; its default is in force");
+    }
 }
 
 /// Read the settings again and apply the bounds, the regions of zones and the size of the memory.
 /// Addresses and names are fixed for the lifetime of the process, so the log reports a change of
 /// them, which takes effect at the next start.
 fn reload(instance: &SharedInstance, path: &Path) {
-    match Settings::read(path) {
+    let settings = Settings::read(path).and_then(|settings| {
+        // The file may be incomplete while it is written.
+        let known = &instance.settings.defaulted;
+        let lost = settings.defaulted.iter().find(|key| !known.contains(key));
+        lost.map_or(Ok(()), |key| Err(eyre!("{key}: missing or empty")))?;
+        Ok(settings)
+    });
+    match settings {
         Ok(settings) => {
             let mut gateway = instance.gateway.borrow_mut();
             gateway.set_bounds(settings.bounds);
             gateway.set_zone_regions(settings.zone_regions.clone());
             drop(gateway);
             instance.memory.set_process_size(settings.memory);
-            log_ignored(&settings);
+            log_unexpected(&settings);
             let restart_needed = Settings {
                 bounds: instance.settings.bounds,
                 memory: instance.settings.memory,
                 ignored: instance.settings.ignored.clone(),
+                defaulted: instance.settings.defaulted.clone(),
                 zone_regions: instance.settings.zone_regions.clone(),
                 ..settings
             } != instance.settings;
--- a/crates/oleanderpass_gateway_io/src/settings.rs
+++ b/crates/oleanderpass_gateway_io/src/settings.rs
@@ -1,14 +1,18 @@
 //! Read and check the settings of an instance.
 
+use std::fmt::Debug;
 use std::fs;
 use std::net::IpAddr;
 use std::net::SocketAddr;
+use std::ops::RangeBounds;
 use std::path::Path;
 use std::path::PathBuf;
+use std::str::FromStr;
 
 use eyre::Result;
 use eyre::WrapErr;
 use eyre::bail;
+use eyre::eyre;
 use indexmap::IndexMap;
 use oleanderpass_gateway::cold::ColdBound;
 use oleanderpass_gateway::gateway::Bounds;
@@ -18,8 +22,20 @@
 use oleanderpass_types::id::ZoneId;
 use oleanderpass_types::size::Bytes;
 use serde::Deserialize;
+use serde_json::Value;
 use smol_str::SmolStr;
 
+/// The port for metrics if the settings don't state it. Source: the deploy file.
+const DEFAULT_METRICS_PORT: u16 = 9_464;
+
+/// The time from the signal to stop until the process is killed, in seconds, if the settings don't
+/// state it. A process that is killed later than it expects loses nothing by it.
+const DEFAULT_STOP_TIME_S: f64 = 8.0;
+
+/// The retries for each request if the settings don't state them, and those beyond that share.
+const DEFAULT_RETRY_RATIO: f64 = 0.2;
+const DEFAULT_RETRY_SLACK: f64 = 10.0;
+
 /// The memory that the process may use if the settings don't state it, in megabytes. The machines
 /// that instances run on have at least as much.
 const DEFAULT_MEMORY_MB: f64 = 160.0;
@@ -35,44 +51,63 @@
 /// The bytes of a megabyte.
 const BYTES_PER_MB: f64 = 1_048_576.0;
 
-/// The settings as written in the file.
+const MS_PER_S: f64 = 1_000.0;
+
+/// The settings as written in the file. A value is taken out when it is read.
 #[derive(Debug, Deserialize)]
-struct RawSettings {
-    instance: String,
-    zone: String,
-    ip: IpAddr,
-    caller_addr: SocketAddr,
-    readiness_addr: SocketAddr,
-    metrics_port: u16,
-    peer_port: u16,
-    /// Comma-separated addresses of the peers to contact at the start.
-    seeds: String,
-    store_addr: SocketAddr,
-    stop_time_s: u64,
-    retry_ratio: f64,
-    /// The platform may scale it to the size of the fleet, so it may be a fraction.
-    retry_slack: f64,
-    reservation_max_ms: u64,
-    /// The bound on evacuations. Without one, they take effect at once.
-    evacuate_ms: Option<u64>,
-    cold_overrun: Option<f64>,
-    cold_slack: Option<f64>,
-    /// The region of each availability zone.
-    #[serde(default)]
-    zone_regions: Option<IndexMap<ZoneId, RegionId>>,
-    #[serde(default = "default_memory_mb")]
-    memory_mb: f64,
-    #[serde(default = "default_max_fds")]
-    /// The platform may scale it to the size of the machine, so it may be a fraction.
-    max_fds: f64,
-}
+#[serde(transparent)]
+struct RawSettings(IndexMap<SmolStr, Value>);
 
-fn default_max_fds() -> f64 {
-    DEFAULT_MAX_FDS
-}
+impl RawSettings {
+    /// Return the value of a key, or `None` if it is missing or empty.
+    fn take(&mut self, key: &str) -> Option<Value> {
+        let value = self.0.shift_remove(key)?;
+        let is_empty = match &value {
+            Value::Null => true,
+            Value::String(text) => text.trim().is_empty(),
+            _ => false,
+        };
+        (!is_empty).then_some(value)
+    }
+
+    /// Return a value that is written as text.
+    fn text<T>(&mut self, key: &str) -> Result<Option<T>>
+    where
+        T: FromStr,
+        T::Err: Into<eyre::Report>,
+    {
+        let text = match self.take(key) {
+            None => return Ok(None),
+            Some(Value::String(text)) => text,
+            Some(other) => other.to_string(),
+        };
+        match text.trim().parse() {
+            Ok(value) => Ok(Some(value)),
+            Err(error) => Err(error.into()).wrap_err_with(|| format!("{key}: `{text}`")),
+        }
+    }
+
+    /// Return a value that an instance can't do without.
+    fn required<T>(&mut self, key: &str) -> Result<T>
+    where
+        T: FromStr,
+        T::Err: Into<eyre::Report>,
+    {
+        self.text(key)?
+            .ok_or_else(|| eyre!("{key}: missing or empty"))
+    }
 
-fn default_memory_mb() -> f64 {
-    DEFAULT_MEMORY_MB
+    /// Return a number in a range. The platform may scale bounds to the size of a fleet or a
+    /// machine, so whole numbers may be written as fractions.
+    fn number(&mut self, key: &str, range: impl RangeBounds<f64> + Debug) -> Result<Option<f64>> {
+        let number: Option<f64> = self.text(key)?;
+        match number {
+            Some(number) if !number.is_finite() || !range.contains(&number) => {
+                bail!("{key}: {number} is not in {range:?}")
+            }
+            _ => Ok(number),
+        }
+    }
 }
 
 /// The checked settings of an instance.
@@ -100,7 +135,7 @@
     pub bounds: Bounds,
     /// The region of each availability zone. A zone that is missing is in no region.
     pub zone_regions: IndexMap<ZoneId, RegionId>,
-    /// The longest lease of a reservation that engines grant.
+    /// The longest lease of a reservation that engines grant. The longest time if it isn't stated.
     pub reservation_max: Millis,
     /// The memory above which the platform ends the process.
     pub memory: Bytes,
@@ -109,6 +144,8 @@
     /// The keys of the file that have no effect: this build doesn't know them, or the platform left
     /// the field of the template unfilled.
     pub ignored: Vec<SmolStr>,
+    /// The keys that are missing or empty and whose defaults are in force.
+    pub defaulted: Vec<SmolStr>,
 }
 
 impl Settings {
@@ -133,19 +170,98 @@
     /// Return what is wrong with them.
     pub fn parse(text: &str) -> Result<Self> {
         let (filled, mut ignored) = without_unfilled(text);
-        let raw: RawSettings = serde_saphyr::with_deserializer_from_str(&filled, |deserializer| {
-            serde_ignored::deserialize(deserializer, |path| {
-                ignored.push(path.to_string().into());
-            })
-        })
-        .wrap_err("parse the settings")?;
+        let options = serde_saphyr::options! { with_snippet: false };
+        let raw: RawSettings =
+            serde_saphyr::from_str_with_options(&filled, options).wrap_err("parse the settings")?;
+        let settings = Self::try_from(raw)?;
+        ignored.extend(settings.ignored);
         Ok(Self {
             ignored,
-            ..Self::try_from(raw)?
+            ..settings
+        })
+    }
+}
+
+impl TryFrom<RawSettings> for Settings {
+    type Error = eyre::Report;
+
+    fn try_from(mut raw: RawSettings) -> Result<Self> {
+        let mut defaulted = Vec::new();
+        let mut or_default = |key: &str, value: Option<f64>, default: f64| {
+            value.unwrap_or_else(|| {
+                defaulted.push(key.into());
+                default
+            })
+        };
+        let instance = raw.required("instance")?;
+        let zone = raw.required("zone")?;
+        let ip: IpAddr = raw.required("ip")?;
+        let peer_port = raw.required("peer_port")?;
+        let peer_addr = SocketAddr::new(ip, peer_port);
+        let seeds: Option<String> = raw.text("seeds")?;
+        let cold = ColdBound::default();
+        let stop_time_s = raw.number("stop_time_s", 1.0..)?;
+        let retry_ratio = raw.number("retry_ratio", 0.0..=1.0)?;
+        let retry_slack = raw.number("retry_slack", 0.0..)?;
+        let reservation_max = raw.number("reservation_max_ms", 0.0..)?;
+        let memory_mb = raw.number("memory_mb", 1.0..)?;
+        let max_fds = raw.number("max_fds", MIN_MAX_FDS..)?;
+        let metrics_port = raw.text("metrics_port")?;
+        let stop_time_s = or_default("stop_time_s", stop_time_s, DEFAULT_STOP_TIME_S);
+        let bounds = Bounds {
+            retry_ratio: or_default("retry_ratio", retry_ratio, DEFAULT_RETRY_RATIO),
+            retry_slack: or_default("retry_slack", retry_slack, DEFAULT_RETRY_SLACK) as u32,
+            evacuation: Millis::new(raw.number("evacuate_ms", 0.0..)?.unwrap_or(0.0) as u64),
+            cold: ColdBound {
+                overrun: raw.number("cold_overrun", 1.0..)?.unwrap_or(cold.overrun),
+                slack: raw.number("cold_slack", 0.0..)?.unwrap_or(cold.slack),
+            },
+        };
+        let zone_regions = raw.take("zone_regions").map(serde_json::from_value);
+        let settings = Self {
+            instance,
+            zone,
+            caller_addr: raw.required("caller_addr")?,
+            readiness_addr: raw.required("readiness_addr")?,
+            metrics_addr: SocketAddr::new(ip, metrics_port.unwrap_or(DEFAULT_METRICS_PORT)),
+            peer_addr,
+            seeds: parse_seeds(&seeds.unwrap_or_default(), peer_addr)?,
+            store_addr: raw.required("store_addr")?,
+            stop_time: Millis::new((stop_time_s * MS_PER_S) as u64),
+            bounds,
+            zone_regions: zone_regions
+                .transpose()
+                .wrap_err("zone_regions")?
+                .unwrap_or_default(),
+            reservation_max: reservation_max
+                .map_or(Millis::new(u64::MAX), |ms| Millis::new(ms as u64)),
+            memory: Bytes::new((memory_mb.unwrap_or(DEFAULT_MEMORY_MB) * BYTES_PER_MB) as u64),
+            max_fds: max_fds.unwrap_or(DEFAULT_MAX_FDS) as u64,
+            ignored: Vec::new(),
+            defaulted,
+        };
+        // What nothing has taken is unknown.
+        Ok(Self {
+            ignored: raw.0.into_keys().collect(),
+            ..settings
         })
     }
 }
 
+/// Parse the comma-separated addresses of seeds, without that of the instance itself.
+fn parse_seeds(text: &str, peer_addr: SocketAddr) -> Result<Vec<SocketAddr>> {
+    let seeds = text.split(',').map(str::trim);
+    let seeds = seeds.filter(|seed| !seed.is_empty()).map(|seed| {
+        let parsed: SocketAddr = seed.parse().wrap_err_with(|| format!("seeds: `{seed}`"))?;
+        // The port in the setting is not the peer port and is replaced. All instances use the
+        // same peer port.
+        Ok(SocketAddr::new(parsed.ip(), peer_addr.port()))
+    });
+    let mut seeds = seeds.collect::<Result<Vec<SocketAddr>>>()?;
+    seeds.retain(|seed| *seed != peer_addr);
+    Ok(seeds)
+}
+
 /// Remove the keys whose value is a field of the template that the platform left as it is. Return
 /// the rest and the removed keys.
 fn without_unfilled(text: &str) -> (String, Vec<SmolStr>) {
@@ -164,84 +280,6 @@
     (lines.collect(), removed)
 }
 
-impl TryFrom<RawSettings> for Settings {
-    type Error = eyre::Report;
-
-    fn try_from(raw: RawSettings) -> Result<Self> {
-        if !(0.0..=1.0).contains(&raw.retry_ratio) {
-            bail!("retry_ratio: {} is not between 0 and 1", raw.retry_ratio);
-        }
-        if !raw.retry_slack.is_finite() || raw.retry_slack < 0.0 {
-            bail!(
-                "retry_slack: {} is not a number of retries",
-                raw.retry_slack
-            );
-        }
-        let cold = ColdBound {
-            overrun: raw.cold_overrun.unwrap_or(ColdBound::default().overrun),
-            slack: raw.cold_slack.unwrap_or(ColdBound::default().slack),
-        };
-        if !cold.overrun.is_finite() || cold.overrun < 1.0 {
-            bail!(
-                "cold_overrun: {} is not a factor of at least 1",
-                cold.overrun
-            );
-        }
-        if !cold.slack.is_finite() || cold.slack < 0.0 {
-            bail!("cold_slack: {} is not a number of requests", cold.slack);
-        }
-        if raw.stop_time_s == 0 {
-            bail!("stop_time_s: must be at least 1");
-        }
-        if !raw.memory_mb.is_finite() || raw.memory_mb <= 0.0 {
-            bail!("memory_mb: {} is not a size", raw.memory_mb);
-        }
-        if !raw.max_fds.is_finite() || raw.max_fds < MIN_MAX_FDS {
-            bail!(
-                "max_fds: {} is not a number of at least {MIN_MAX_FDS}",
-                raw.max_fds
-            );
-        }
-        let seeds: Result<Vec<SocketAddr>> = raw
-            .seeds
-            .split(',')
-            .map(str::trim)
-            .filter(|seed| !seed.is_empty())
-            .map(|seed| {
-                let seed: SocketAddr = seed.parse().wrap_err_with(|| format!("seed {seed}"))?;
-                // The port in the setting is not the peer port and is replaced. All instances use
-                // the same peer port.
-                Ok(SocketAddr::new(seed.ip(), raw.peer_port))
-            })
-            .collect();
-        let peer_addr = SocketAddr::new(raw.ip, raw.peer_port);
-        let mut seeds = seeds?;
-        seeds.retain(|seed| *seed != peer_addr);
-        Ok(Self {
-            instance: raw.instance.parse().wrap_err("instance")?,
-            zone: raw.zone.parse().wrap_err("zone")?,
-            caller_addr: raw.caller_addr,
-            readiness_addr: raw.readiness_addr,
-            metrics_addr: SocketAddr::new(raw.ip, raw.metrics_port),
-            peer_addr,
-            seeds,
-            store_addr: raw.store_addr,
-            stop_time: Millis::from_secs(raw.stop_time_s),
-            bounds: Bounds {
-                retry_ratio: raw.retry_ratio,
-                retry_slack: raw.retry_slack as u32,
-                evacuation: Millis::new(raw.evacuate_ms.unwrap_or(0)),
-                cold,
-            },
-            zone_regions: raw.zone_regions.unwrap_or_default(),
-            reservation_max: Millis::new(raw.reservation_max_ms),
-            memory: Bytes::new((raw.memory_mb * BYTES_PER_MB) as u64),
-            max_fds: raw.max_fds as u64,
-            ignored: Vec::new(),
-        })
-    }
-}
-
 /// Return the path of the settings file: `given` from the command line, or else the value of the
 /// environment variable named `variable`.
 ///
