Name the cause of a failed start in one line and by the exit code

What operators saw, by trial: a start that fails prints an excerpt of the settings over up to five lines and ends with 1, as any other error does, so nothing tells settings that must be mended from a machine that refuses something.

Cause: main prints all errors alike.

Change: StartError distinguishes settings (exit code 78) from what the system refuses (71), as sysexits.h does, and prints one line with the path and the key.

Why it works: a supervisor sees the code, and its log the line, without the process.

--- a/crates/oleanderpass/src/gateway.rs
+++ b/crates/oleanderpass/src/gateway.rs
@@ -8,6 +8,7 @@
 use oleanderpass_gateway_io::logging;
 use oleanderpass_gateway_io::settings;
 use oleanderpass_gateway_io::settings::Settings;
+use oleanderpass_gateway_io::start_error::StartError;
 use oleanderpass_platform::SETTINGS_VARIABLE;
 
 /// The environment variable that holds the log filter.
@@ -25,7 +26,7 @@
 pub(crate) fn run(settings_path: Option<&Path>, check_only: bool) -> Result<()> {
     let path = settings::path(settings_path, SETTINGS_VARIABLE)?;
     if check_only {
-        let settings = Settings::read(&path)?;
+        let settings = Settings::read(&path).map_err(StartError::Settings)?;
         if !settings.ignored.is_empty() {
             // A running instance ignores them, but they may be misspelled.
             bail!(
@@ -39,5 +40,5 @@
     }
     let filter = std::env::var(LOG_VARIABLE).unwrap_or_else(|_| DEFAULT_FILTER.to_owned());
     let _guard = logging::start(&filter)?;
-    daemon::run(&path)
+    Ok(daemon::run(&path)?)
 }
--- a/crates/oleanderpass/src/main.rs
+++ b/crates/oleanderpass/src/main.rs
@@ -14,6 +14,7 @@
 
 use clap::Parser;
 use clap::Subcommand;
+use oleanderpass_gateway_io::start_error::StartError;
 
 use crate::explain::ExplainArgs;
 
@@ -84,7 +85,8 @@
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("error: {error:#}");
-            ExitCode::FAILURE
+            let start_error = error.downcast_ref::<StartError>();
+            start_error.map_or(ExitCode::FAILURE, |error| ExitCode::from(error.exit_code()))
         }
     }
 }
--- a/crates/oleanderpass/tests/starts.rs
+++ b/crates/oleanderpass/tests/starts.rs
@@ -16,13 +16,17 @@
 use crate::driver::CALLER_PORT;
 use crate::driver::Change;
 use crate::driver::Change::Configuration;
+use crate::driver::Change::CutSettings;
 use crate::driver::Change::Fill;
 use crate::driver::Change::HoldTcp;
 use crate::driver::Change::HoldUdp;
+use crate::driver::Change::NoSettings;
 use crate::driver::Change::NoStore;
+use crate::driver::Change::Replace;
 use crate::driver::Change::Shell;
 use crate::driver::Change::Store;
 use crate::driver::Change::Template;
+use crate::driver::LIMIT;
 use crate::driver::METRICS_PORT;
 use crate::driver::PEER_PORT;
 use crate::driver::READINESS_PORT;
@@ -32,6 +36,9 @@
 /// An address that no machine has, because it is reserved for documentation (RFC 5737).
 const FOREIGN_ADDR: Change = Fill("Listen.Frontend", "192.0.2.1:8227");
 
+/// The exit code of a process that can't use its settings. Source: `docs/OPERATIONS.md`.
+const EX_CONFIG: i32 = 78;
+
 /// Guards against an instance that isn't ready and doesn't say what it lacks, and against one that
 /// isn't ready once it has that.
 #[test_case(1, &[NoStore], &["no_configuration", "server_list_incomplete", "Connection refused"]; "store refuses connections")]
@@ -113,6 +120,30 @@
     assert!(status.success(), "{status}\n{}", start.output());
 }
 
+/// Guards against a start that fails without a line that names the cause, or that hangs.
+#[test_case(51, &[NoSettings], &["settings.yaml", "No such file"]; "no settings")]
+#[test_case(52, &[CutSettings(0)], &["settings.yaml", "instance"]; "empty settings")]
+#[test_case(53, &[CutSettings(150)], &["settings.yaml"]; "settings end in the middle")]
+#[test_case(54, &[Fill("NodeName", "")], &["instance"]; "no name")]
+#[test_case(55, &[Fill("Ip", "")], &["ip"]; "no address")]
+#[test_case(56, &[Fill("Listen.Frontend", "")], &["caller_addr"]; "no address for callers")]
+#[test_case(57, &[Fill("Listen.Ready", "IP")], &["readiness_addr"]; "readiness address without a port")]
+#[test_case(58, &[Fill("Platform.Address", "store:8223")], &["store_addr"]; "store by name")]
+#[test_case(59, &[Fill("InternalPorts.0", "70000")], &["peer_port"]; "port out of range")]
+#[test_case(60, &[Replace("zone:", "area:")], &["zone"]; "misspelled key")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn start_that_fails_names_the_cause(number: u8, changes: &[Change], texts: &[&str]) {
+    let mut start = Start::new(number, changes).await;
+    let status = start.wait_for_end(LIMIT).await;
+    let errors = start.errors();
+    println!("{errors}");
+    assert_eq!(status.code(), Some(EX_CONFIG));
+    assert_eq!(errors.lines().count(), 1, "{errors}");
+    for text in texts {
+        assert!(errors.contains(text), "{errors}");
+    }
+}
+
 /// Guards against bounds that fall back to their defaults because the settings are read while they
 /// are written.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/oleanderpass_gateway_io/src/daemon.rs
+++ b/crates/oleanderpass_gateway_io/src/daemon.rs
@@ -39,6 +39,7 @@
 use crate::metrics::Metrics;
 use crate::peer;
 use crate::settings::Settings;
+use crate::start_error::StartError;
 use crate::store;
 
 /// The margin between the end of a stopping process and the time at which the platform kills it.
@@ -52,13 +53,16 @@
 /// # Errors
 ///
 /// Return the cause when it can't start.
-pub fn run(path: &Path) -> Result<()> {
-    let settings = Settings::read(path)?;
+pub fn run(path: &Path) -> Result<(), StartError> {
+    let settings = Settings::read(path).map_err(StartError::Settings)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
-        .wrap_err("start the runtime")?;
-    LocalSet::new().block_on(&runtime, serve(settings, path))
+        .wrap_err("start the runtime")
+        .map_err(StartError::System)?;
+    LocalSet::new()
+        .block_on(&runtime, serve(settings, path))
+        .map_err(StartError::System)
 }
 
 async fn serve(settings: Settings, path: &Path) -> Result<()> {
--- a/crates/oleanderpass_gateway_io/src/lib.rs
+++ b/crates/oleanderpass_gateway_io/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod pieces;
 pub mod settings;
 pub mod socket_options;
+pub mod start_error;
 
 mod attempt;
 mod body;
