Start without a log that can't be written or filtered as asked

Cause: the log was a condition of the start, and the library for it panics without its thread.

Change: an invalid filter gives way to the default one with a warning. Without a thread one line on standard error says that nothing is logged.

Evidence: instance_gets_ready, row "invalid filter of the log", fails on and holds now.

Why it works: metrics, status and the readiness check show the instance without its log.

--- a/crates/oleanderpass/src/gateway.rs
+++ b/crates/oleanderpass/src/gateway.rs
@@ -14,9 +14,6 @@
 /// The environment variable that holds the log filter.
 const LOG_VARIABLE: &str = "OLEANDERPASS_LOG";
 
-/// The log filter when the variable is not set.
-const DEFAULT_FILTER: &str = "info";
-
 /// Run an instance, or check its settings only. Without a path, the environment variable of the
 /// platform names the settings file.
 ///
@@ -38,7 +35,8 @@
         println!("settings of {} are valid", settings.instance);
         return Ok(());
     }
-    let filter = std::env::var(LOG_VARIABLE).unwrap_or_else(|_| DEFAULT_FILTER.to_owned());
+    let filter = std::env::var(LOG_VARIABLE);
+    let filter = filter.unwrap_or_else(|_| logging::DEFAULT_FILTER.to_owned());
     let _guard = logging::start(&filter)?;
     Ok(daemon::run(&path)?)
 }
--- a/crates/oleanderpass/tests/starts.rs
+++ b/crates/oleanderpass/tests/starts.rs
@@ -94,6 +94,7 @@
 #[test_case(33, &[Shell("exec <&- >&- 2>&-")]; "no standard streams")]
 #[test_case(34, &[Shell("unset HOME PATH; export LANG=xx TZ=Nowhere/None TMPDIR=/nonexistent")]; "odd environment")]
 #[test_case(35, &[Shell("export http_proxy=http://127.0.0.1:1 ALL_PROXY=http://127.0.0.1:1")]; "proxies")]
+#[test_case(41, &[Shell("export OLEANDERPASS_LOG=info,=[")]; "invalid filter of the log")]
 #[test_case(37, &[Store(Mode::Late(Duration::from_secs(3)))]; "store is slow")]
 #[test_case(38, &[Store(Mode::Pieces)]; "store answers in pieces")]
 #[test_case(39, &[Store(Mode::CloseEach)]; "store closes after each answer")]
--- a/crates/oleanderpass_gateway_io/src/logging.rs
+++ b/crates/oleanderpass_gateway_io/src/logging.rs
@@ -3,17 +3,20 @@
 use std::borrow::Cow;
 use std::io;
 use std::io::Write;
+use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
 use eyre::Result;
-use eyre::WrapErr;
 use tracing_appender::non_blocking::NonBlocking;
 use tracing_appender::non_blocking::NonBlockingBuilder;
 use tracing_appender::non_blocking::WorkerGuard;
 use tracing_subscriber::EnvFilter;
 use tracing_subscriber::fmt::MakeWriter;
 
+/// The filter of the log where none is given.
+pub const DEFAULT_FILTER: &str = "info";
+
 /// The most lines that are queued while nobody reads them. At about 300 bytes a line, they take
 /// 600 KB, and at most 16 MB.
 const MAX_QUEUED_LINES: usize = 2_000;
@@ -28,14 +31,23 @@
 /// The length of the interval for which lines are counted against [`MAX_LINES_PER_S`].
 const LIMIT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Start logging with a filter such as `info` or `oleanderpass_gateway=debug`. Lines are written
-/// until the returned guard is dropped.
+/// Start logging with a filter such as `info` or `oleanderpass_gateway=debug`, or with
+/// [`DEFAULT_FILTER`] if it is invalid. Lines are written until the returned guard is dropped. There
+/// is none, and no log, if the system grants no thread for it.
 ///
 /// # Errors
 ///
-/// Return the cause if the filter is invalid or logging has already been started.
-pub fn start(filter: &str) -> Result<WorkerGuard> {
-    let filter = EnvFilter::try_new(filter).wrap_err_with(|| format!("log filter `{filter}`"))?;
+/// Return the cause if logging has already been started.
+pub fn start(filter: &str) -> Result<Option<WorkerGuard>> {
+    // The library panics without its thread.
+    if let Err(error) = thread::Builder::new().spawn(|| {}) {
+        eprintln!("warning: nothing is logged: no thread for the log: {error}");
+        return Ok(None);
+    }
+    let (filter, invalid) = match EnvFilter::try_new(filter) {
+        Ok(filter) => (filter, None),
+        Err(error) => (EnvFilter::new(DEFAULT_FILTER), Some(error)),
+    };
     let (writer, guard) = NonBlockingBuilder::default()
         .lossy(true)
         .buffered_lines_limit(MAX_QUEUED_LINES)
@@ -49,7 +61,10 @@
         .with_writer(LimitedWriter { writer, limiter })
         .try_init()
         .map_err(|error| eyre::eyre!("start the log: {error}"))?;
-    Ok(guard)
+    if let Some(error) = invalid {
+        tracing::warn!(%error, used = DEFAULT_FILTER, "the filter of the log is invalid");
+    }
+    Ok(Some(guard))
 }
 
 /// Limits the number of lines per second.
