Shorten errors of readiness by characters

The function that cuts a text at a byte needs a newer compiler than the oldest that the workspace supports (1.90), so clippy refuses it.

--- a/crates/oleanderpass_gateway/src/readiness.rs
+++ b/crates/oleanderpass_gateway/src/readiness.rs
@@ -7,14 +7,13 @@
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::clock::Timestamp;
 use smol_str::SmolStr;
-use smol_str::StrExt;
 use strum::Display;
 use strum::EnumIter;
 use strum::IntoEnumIterator;
 use strum::IntoStaticStr;
 
-/// The longest error that is kept. The error of a library may quote what it has read.
-const MAX_ERROR_BYTES: usize = 400;
+/// The longest error that is kept, in characters. The error of a library may quote what it has read.
+const MAX_ERROR_CHARS: usize = 400;
 
 /// The interval between two log lines of an instance that isn't ready. Nothing else shows in the log
 /// that it still waits.
@@ -143,9 +142,8 @@
     pub fn set_error(&mut self, reason: Reason, error: &str) {
         if let Some(lack) = self.lacks.get_mut(&reason) {
             // The readiness check answers one line for each reason.
-            let error = error.replace_smolstr("\n", " ");
-            let end = error.floor_char_boundary(MAX_ERROR_BYTES);
-            lack.last_error = Some(error[..end].into());
+            let error = error.replace('\n', " ");
+            lack.last_error = Some(error.chars().take(MAX_ERROR_CHARS).collect());
         }
     }
 
@@ -167,7 +165,7 @@
     /// Describe each reason that applies in one line, those that keep the instance from serving
     /// first.
     pub fn describe(&self, now: Timestamp) -> impl Iterator<Item = String> {
-        let applying = Reason::iter().filter_map(move |reason| {
+        Reason::iter().filter_map(move |reason| {
             let lack = self.lacks.get(&reason)?;
             let age = now.since(lack.since);
             let error = lack.last_error.as_ref();
@@ -177,7 +175,6 @@
                 false => "degraded",
             };
             Some(format!("{effect}: {reason} for {age}{error}"))
-        });
-        applying
+        })
     }
 }
