--- a/crates/oleanderpass/src/gateway.rs
+++ b/crates/oleanderpass/src/gateway.rs
@@ -11,6 +11,8 @@
 use oleanderpass_gateway_io::start_error::StartError;
 use oleanderpass_platform::SETTINGS_VARIABLE;
 
+use crate::version::BUILD;
+
 /// The environment variable that holds the log filter.
 const LOG_VARIABLE: &str = "OLEANDERPASS_LOG";
 
@@ -38,5 +40,5 @@
     let filter = std::env::var(LOG_VARIABLE);
     let filter = filter.unwrap_or_else(|_| logging::DEFAULT_FILTER.to_owned());
     let _guard = logging::start(&filter)?;
-    Ok(daemon::run(&path)?)
+    Ok(daemon::run(&path, BUILD)?)
 }
--- a/crates/oleanderpass/src/main.rs
+++ b/crates/oleanderpass/src/main.rs
@@ -7,6 +7,7 @@
 mod gateway;
 mod serve;
 mod status;
+mod version;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -17,10 +18,11 @@
 use oleanderpass_gateway_io::start_error::StartError;
 
 use crate::explain::ExplainArgs;
+use crate::version::VERSION;
 
 /// Serving layer for prompts of a thousand to a million tokens.
 #[derive(Debug, Parser)]
-#[command(version)]
+#[command(version = VERSION.as_str())]
 struct Args {
     #[command(subcommand)]
     command: Command,
--- a/crates/oleanderpass/tests/cli.rs
+++ b/crates/oleanderpass/tests/cli.rs
@@ -90,6 +90,18 @@
     assert!(text(&reversed.stdout).contains("the generation does not rise"));
 }
 
+/// Guards against a program of which nobody can tell from which code it was built.
+#[test]
+fn version_names_the_build() {
+    let output = run(&["--version"]);
+    let line = text(&output.stdout);
+    let build = line.strip_prefix(concat!("oleanderpass ", env!("CARGO_PKG_VERSION"), " ("));
+    let (commit, target) = build.unwrap().split_once(", ").unwrap();
+    let is_hash = commit.len() == 40 && commit.chars().all(|c| c.is_ascii_hexdigit());
+    assert!(is_hash || commit == "no repository", "{line}");
+    assert!(target.starts_with(std::env::consts::ARCH), "{line}");
+}
+
 #[test]
 fn invalid_settings_fail_the_command() {
     let path = write_file("wrong.yaml", "instance: a\nzone: b\n");
--- a/crates/oleanderpass/tests/starts.rs
+++ b/crates/oleanderpass/tests/starts.rs
@@ -70,6 +70,8 @@
     let mut start = Start::new(number, &[change]).await;
     let degraded = format!("degraded: {reason} for");
     start.wait_for(READINESS_PORT, true, &[&degraded]).await;
+    let build = concat!("build: ", env!("CARGO_PKG_VERSION"), " (");
+    start.wait_for_page(READINESS_PORT, "/status", build).await;
     start.mend().await;
     let gauge = format!("oleanderpass_lacks{{reason=\"{reason}\"}} 0");
     start.wait_for_page(METRICS_PORT, "/metrics", &gauge).await;
--- a/crates/oleanderpass_gateway_io/src/daemon.rs
+++ b/crates/oleanderpass_gateway_io/src/daemon.rs
@@ -23,6 +23,7 @@
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
+use crate::build::Build;
 use crate::callers;
 use crate::callers::Callers;
 use crate::clock;
@@ -48,12 +49,12 @@
 /// The interval at which a stopping instance checks whether connections are still open.
 const STOP_POLL: Millis = Millis::new(100);
 
-/// Run an instance with the settings in the file at `path` until it is stopped.
+/// Run an instance of `build` with the settings in the file at `path` until it is stopped.
 ///
 /// # Errors
 ///
 /// Return the cause when it can't start.
-pub fn run(path: &Path) -> Result<(), StartError> {
+pub fn run(path: &Path, build: Build) -> Result<(), StartError> {
     let settings = Settings::read(path).map_err(StartError::Settings)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -61,11 +62,11 @@
         .wrap_err("start the runtime")
         .map_err(StartError::System)?;
     LocalSet::new()
-        .block_on(&runtime, serve(settings, path))
+        .block_on(&runtime, serve(settings, path, build))
         .map_err(StartError::System)
 }
 
-async fn serve(settings: Settings, path: &Path) -> Result<()> {
+async fn serve(settings: Settings, path: &Path, build: Build) -> Result<()> {
     let now = clock::now();
     // A later start gets a higher incarnation, unless the wall clock is set back.
     let incarnation = Incarnation::new(clock::unix_ms());
@@ -87,7 +88,9 @@
         seeds = settings.seeds.len(),
         store = %settings.store_addr,
         memory = %settings.memory,
-        program = env!("CARGO_PKG_VERSION"),
+        program = build.version,
+        commit = build.commit,
+        target = build.target,
         "started"
     );
     log_unexpected(&settings);
@@ -105,6 +108,7 @@
         store_behind: Notify::new(),
         configuration_behind: Notify::new(),
         shutdown: watch::Sender::new(ShutdownPhase::Serving),
+        build,
         settings,
     });
     tokio::task::spawn_local(frontend::run(instance.clone()));
--- a/crates/oleanderpass_gateway_io/src/instance.rs
+++ b/crates/oleanderpass_gateway_io/src/instance.rs
@@ -20,6 +20,7 @@
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
+use crate::build::Build;
 use crate::callers::Callers;
 use crate::connection::Pool;
 use crate::metrics::Metrics;
@@ -39,6 +40,7 @@
 
 /// The shared state of the tasks of this process, which all run on one thread.
 pub(crate) struct Instance {
+    pub(crate) build: Build,
     pub(crate) settings: Settings,
     pub(crate) gateway: RefCell<Gateway>,
     /// What the instance lacks, as of the last call of [`Instance::readiness`].
--- a/crates/oleanderpass_gateway_io/src/internal_http.rs
+++ b/crates/oleanderpass_gateway_io/src/internal_http.rs
@@ -332,8 +332,9 @@
         .configuration()
         .map_or(0, |config| config.version.get());
     let mut text = format!(
-        "instance: {}\nready: {is_ready}\n{lacks}config_version: {version}\nstore_era: {}\nstore_revision: {}\npeers: {}\n",
+        "instance: {}\nbuild: {}\nready: {is_ready}\n{lacks}config_version: {version}\nstore_era: {}\nstore_revision: {}\npeers: {}\n",
         instance.settings.instance,
+        instance.build,
         gateway.store_position().era,
         gateway.store_position().revision,
         gateway.fleet().live_peers(now).count(),
--- a/crates/oleanderpass_gateway_io/src/lib.rs
+++ b/crates/oleanderpass_gateway_io/src/lib.rs
@@ -3,6 +3,7 @@
 //! `oleanderpass_gateway` makes the decisions, and `oleanderpass_platform` translates the names and
 //! formats of the platform.
 
+pub mod build;
 pub mod clock;
 pub mod daemon;
 pub mod events;
