Name the lifetime of the process in ids of reservations

Cause: the id was made of the instance's name and the number of the attempt, which begins at 1 with each start. The engine takes an order with a known id for a renewal.

Change: each run of a process has a random lifetime, which the id names. It is in the line started too.

Why it works: no two runs draw the same number, whatever the clock says, so no order of a run names a reservation of another.

--- a/crates/oleanderpass/tests/gateway.rs
+++ b/crates/oleanderpass/tests/gateway.rs
@@ -91,27 +91,32 @@
             MEMORY >> 20
         );
         fs::write(&settings, text).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_oleanderpass"))
-            .args(["gateway", "--settings"])
-            .arg(&settings)
-            .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .spawn()
-            .unwrap();
         let gateway = Self {
             ip,
-            child,
+            child: spawn(&dir),
             settings: dir,
             store,
             plain,
             engines,
         };
+        gateway.wait_until_serving().await;
+        gateway
+    }
+
+    /// Kill the process, start it again and wait until it serves.
+    async fn restart(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+        self.child = spawn(&self.settings);
+        self.wait_until_serving().await;
+    }
+
+    async fn wait_until_serving(&self) {
         let start = Instant::now();
-        while !gateway.is_serving().await {
+        while !self.is_serving().await {
             assert!(start.elapsed() < WAIT_LIMIT, "the gateway does not serve");
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
-        gateway
     }
 
     /// Return whether the gateway serves a request.
@@ -172,6 +177,17 @@
     }
 }
 
+/// Start a process with the settings in a directory.
+fn spawn(dir: &TempDir) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_oleanderpass"))
+        .args(["gateway", "--settings"])
+        .arg(dir.path().join("settings.yaml"))
+        .stdin(Stdio::null())
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap()
+}
+
 impl Drop for Gateway {
     fn drop(&mut self) {
         self.child.kill().ok();
@@ -572,3 +588,40 @@
         "hardly any tunnel was used"
     );
 }
+
+/// Guards against a process that takes the memory that its earlier lifetime reserved for a request:
+/// the engine would take its order for a renewal.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn restarted_gateway_reserves_memory_of_its_own() {
+    let mut gateway = Gateway::start(33).await;
+    for engine in &gateway.engines {
+        engine.set_stream(20, Duration::from_millis(100));
+    }
+    let mut reserved: Vec<Vec<String>> = Vec::new();
+    for id in ["first", "second"] {
+        let addr = gateway.caller_addr();
+        let mut stream = TcpStream::connect(addr).await.unwrap();
+        let mut call = Call::new(id, "/report/1");
+        call.timeout_ms = 10_000;
+        stream.write_all(&call.bytes()).await.unwrap();
+        let began = Instant::now();
+        let ids = loop {
+            let engines = gateway.engines.iter();
+            let ids = engines.flat_map(|engine| engine.reservations().into_keys());
+            let earlier = reserved.concat();
+            let ids: Vec<String> = ids.filter(|id| !earlier.contains(id)).collect();
+            if !ids.is_empty() {
+                break ids;
+            }
+            assert!(
+                began.elapsed() < WAIT_LIMIT,
+                "{id} has no memory of its own"
+            );
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        };
+        reserved.push(ids);
+        if id == "first" {
+            gateway.restart().await;
+        }
+    }
+}
--- a/crates/oleanderpass_gateway/src/gateway.rs
+++ b/crates/oleanderpass_gateway/src/gateway.rs
@@ -53,6 +53,7 @@
 use crate::health::Observation;
 use crate::hedge::Attempts;
 use crate::homes::Homes;
+use crate::lifetime::Lifetime;
 use crate::load::AttemptId;
 use crate::load::AttemptLoad;
 use crate::load::LoadTracker;
@@ -507,7 +508,7 @@
 
 impl Gateway {
     /// Create the state of an instance that has just started. `seeds` are the addresses of
-    /// instances to contact first, and `seed` starts the random numbers.
+    /// instances to contact first; `seed` starts the random numbers and names the lifetime.
     pub fn new(
         now: Timestamp,
         identity: Identity,
@@ -516,7 +517,7 @@
         seed: u64,
     ) -> Self {
         Self {
-            fleet: Fleet::new(now, identity.clone(), seeds),
+            fleet: Fleet::new(now, identity.clone(), Lifetime::new(seed), seeds),
             identity,
             bounds,
             rng: Pcg64Mcg::new(u128::from(seed)),
--- a/crates/oleanderpass_gateway/src/lib.rs
+++ b/crates/oleanderpass_gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod health;
 pub mod hedge;
 pub mod homes;
+pub mod lifetime;
 pub mod load;
 pub mod memory;
 pub mod outcome;
--- a/crates/oleanderpass_gateway/src/peers.rs
+++ b/crates/oleanderpass_gateway/src/peers.rs
@@ -25,6 +25,7 @@
 use rand::Rng;
 
 use crate::backend::BackendKey;
+use crate::lifetime::Lifetime;
 use crate::load::BackendLoad;
 use crate::load::TIGHT_GAP;
 use crate::store::StorePosition;
@@ -138,6 +139,7 @@
 #[derive(Debug)]
 pub struct Fleet {
     identity: Identity,
+    lifetime: Lifetime,
     seeds: Vec<SocketAddr>,
     membership: Membership,
     peers: IndexMap<InstanceId, PeerView>,
@@ -151,8 +153,14 @@
 
 impl Fleet {
     /// Create a fleet without known peers. `seeds` are the addresses of instances to contact first.
-    pub fn new(now: Timestamp, identity: Identity, seeds: Vec<SocketAddr>) -> Self {
+    pub fn new(
+        now: Timestamp,
+        identity: Identity,
+        lifetime: Lifetime,
+        seeds: Vec<SocketAddr>,
+    ) -> Self {
         Self {
+            lifetime,
             membership: Membership::new(now, identity.clone(), seeds.clone()),
             identity,
             seeds,
@@ -164,6 +172,11 @@
         }
     }
 
+    /// Return the lifetime of this process.
+    pub fn lifetime(&self) -> Lifetime {
+        self.lifetime
+    }
+
     /// Return the peers whose bulletins were received recently.
     pub fn live_peers(&self, now: Timestamp) -> impl Iterator<Item = (&InstanceId, &PeerView)> {
         self.peers
--- a/crates/oleanderpass_gateway/src/reservation.rs
+++ b/crates/oleanderpass_gateway/src/reservation.rs
@@ -5,6 +5,12 @@
 
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::clock::Timestamp;
+use oleanderpass_types::id::InstanceId;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+
+use crate::lifetime::Lifetime;
+use crate::load::AttemptId;
 
 /// The lease of a reservation, from its last renewal. Together with [`RENEWAL_INTERVAL`] it is
 /// shorter than the time within which engines must have their memory back.
@@ -21,6 +27,13 @@
 /// packet, a report from before the start, or a request that is preempted and prefilled again.
 const SIGNS_OF_END: u32 = 2;
 
+/// Return the id by which engines know the reservations of an attempt. Attempts are numbered anew
+/// with each lifetime, and an engine takes an order with an id that it knows for a renewal, so the id
+/// names the lifetime too.
+pub fn reservation_id(instance: &InstanceId, lifetime: Lifetime, attempt: AttemptId) -> SmolStr {
+    format_smolstr!("{instance}-{lifetime}-{}", attempt.0)
+}
+
 /// What an engine reports about a reservation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReservationState {
--- a/crates/oleanderpass_gateway/tests/reservation.rs
+++ b/crates/oleanderpass_gateway/tests/reservation.rs
@@ -2,14 +2,23 @@
 //! whose primary server crashes, loses power or loses its answer while the instance waits for the
 //! first event.
 
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
 mod common;
 
+use indexmap::IndexMap;
+use oleanderpass_gateway::lifetime::Lifetime;
+use oleanderpass_gateway::load::AttemptId;
 use oleanderpass_gateway::reservation::Evidence;
 use oleanderpass_gateway::reservation::LEASE;
 use oleanderpass_gateway::reservation::RENEWAL_INTERVAL;
 use oleanderpass_gateway::reservation::ReservationState;
 use oleanderpass_gateway::reservation::ReservationUse;
+use oleanderpass_gateway::reservation::reservation_id;
 use oleanderpass_types::clock::Millis;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
 use test_case::test_case;
 
 use crate::common::at;
@@ -67,3 +76,35 @@
     let connect_timeout = Millis::new(250);
     assert!(RENEWAL_INTERVAL.saturating_mul(2) + connect_timeout + LEASE < RELEASE_BOUND);
 }
+
+/// Guards against a request that uses the memory of one of an earlier lifetime of its instance: an
+/// engine takes an order with an id that it knows for a renewal. Instances lose power for 0.2 to
+/// 3.5 s beside long prompts, and count their attempts anew.
+#[test]
+fn no_lifetime_renews_a_reservation_of_another() {
+    const HISTORIES: u64 = 1_000;
+    const END_MS: u64 = 30_000;
+    for seed in 0..HISTORIES {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        // The lifetime that made each reservation, and the end of its lease.
+        let mut engine: IndexMap<_, (Lifetime, u64)> = IndexMap::new();
+        for name in ["edge-1", "edge-11"] {
+            let instance = name.parse().unwrap();
+            let mut now = 0;
+            while now < END_MS {
+                let lifetime = Lifetime::new(rng.random());
+                for attempt in 1..=rng.random_range(1..6) {
+                    now += rng.random_range(1..1_500);
+                    let id = reservation_id(&instance, lifetime, AttemptId(attempt));
+                    let known = engine.get(&id).filter(|(_, end)| now < *end);
+                    assert!(
+                        known.is_none_or(|(owner, _)| *owner == lifetime),
+                        "seed {seed}: {id} is in use"
+                    );
+                    engine.insert(id, (lifetime, now + LEASE.get()));
+                }
+                now += rng.random_range(200..3_500);
+            }
+        }
+    }
+}
--- a/crates/oleanderpass_gateway_io/src/attempt.rs
+++ b/crates/oleanderpass_gateway_io/src/attempt.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 use oleanderpass_gateway::gateway::Attempt;
 use oleanderpass_gateway::gateway::AttemptEnd;
+use oleanderpass_gateway::reservation::reservation_id;
 use oleanderpass_gateway::silence;
 use oleanderpass_gateway::silence::ANSWER_GRACE;
 use oleanderpass_platform::answer;
@@ -20,7 +21,6 @@
 use oleanderpass_types::clock::Millis;
 use oleanderpass_types::clock::Timestamp;
 use smol_str::SmolStr;
-use smol_str::format_smolstr;
 
 use crate::body::CallerBody;
 use crate::body::RequestBody;
@@ -340,7 +340,8 @@
         if !may_send {
             return Err(AttemptEnd::StaleConnection);
         }
-        let id = format_smolstr!("{}-{}", instance.settings.instance, attempt.id.0);
+        let lifetime = instance.gateway.borrow().fleet().lifetime();
+        let id = reservation_id(&instance.settings.instance, lifetime, attempt.id);
         let reservation = Reservation::acquire(instance, *addr, id, size).await?;
         reservations.push(Some(Rc::new(reservation)));
     }
--- a/crates/oleanderpass_gateway_io/src/daemon.rs
+++ b/crates/oleanderpass_gateway_io/src/daemon.rs
@@ -82,6 +82,7 @@
     tracing::info!(
         instance = %settings.instance,
         %incarnation,
+        lifetime = %gateway.fleet().lifetime(),
         zone = %settings.zone,
         callers = %settings.caller_addr,
         peers = %settings.peer_addr,
