Forget what an earlier lifetime of a peer had read

What callers would see, by reading: a peer that starts again after its clock was set back, or in the same millisecond, seems to have read what only its earlier lifetime had. Instances that lack a change then ask it for a copy in vain, and count it among those that have the newest configuration.

Cause: a new lifetime of a peer was told only by a higher incarnation, which is the time of day at the start.

Change: bulletins name the lifetime. One of another lifetime resets what is known of the peer. Builds without the field send 0 and are told by the incarnation, as before.

Evidence: peer_that_starts_again_has_read_nothing fails in the rows of the same millisecond and of the clock set back before, and holds in all four rows now.

Why it works: the number is random, so it differs whatever the clock says.

--- a/crates/oleanderpass_gateway/src/peers.rs
+++ b/crates/oleanderpass_gateway/src/peers.rs
@@ -84,6 +84,8 @@
 pub struct PeerView {
     /// Its incarnation.
     pub incarnation: u64,
+    /// The lifetime of its process.
+    pub lifetime: Lifetime,
     /// The source address of its last bulletin. The peer protocols use the same address.
     pub addr: SocketAddr,
     /// Its availability zone.
@@ -304,10 +306,14 @@
         self.first_heard.get_or_insert(now);
         let silence_limit = self.silence_limit();
         let appeared = self.peers.get(&from).is_none_or(|peer| {
-            peer.incarnation != packet.incarnation || now.since(peer.last_heard) >= silence_limit
+            peer.incarnation != packet.incarnation
+                || peer.lifetime.get() != bulletin.lifetime
+                || now.since(peer.last_heard) >= silence_limit
         });
+        let lifetime = Lifetime::new(bulletin.lifetime);
         let peer = self.peers.entry(from.clone()).or_insert_with(|| PeerView {
             incarnation: packet.incarnation,
+            lifetime,
             addr: source,
             zone: zone.clone(),
             last_heard: now,
@@ -317,12 +323,14 @@
             relays: false,
             earlier_evacuations: 0,
         });
-        if packet.incarnation > peer.incarnation {
+        // The incarnation doesn't tell two lifetimes apart if the time of day was set back between them.
+        if packet.incarnation > peer.incarnation || lifetime != peer.lifetime {
             // It has started again and knows only what it has read since.
             peer.store_position = StorePosition::default();
             peer.config_version = 0;
         }
         peer.incarnation = packet.incarnation;
+        peer.lifetime = lifetime;
         peer.addr = source;
         peer.zone = zone;
         peer.last_heard = now;
@@ -413,6 +421,7 @@
         self.sequence = self.sequence.max(self.identity.incarnation.get()) + 1;
         bulletin.sequence = self.sequence;
         bulletin.zone = self.identity.zone.to_string();
+        bulletin.lifetime = self.lifetime.get();
         let mut packet = Packet {
             from: self.identity.id.to_string(),
             incarnation: self.identity.incarnation.get(),
--- a/crates/oleanderpass_gateway/tests/peers.rs
+++ b/crates/oleanderpass_gateway/tests/peers.rs
@@ -5,8 +5,11 @@
 mod common;
 
 use oleanderpass_gateway::gateway::Gateway;
+use oleanderpass_gateway::store::StorePosition;
+use oleanderpass_proto::peer::Bulletin;
 use oleanderpass_proto::peer::Packet;
 use oleanderpass_types::clock::Timestamp;
+use test_case::test_case;
 
 use crate::common::at;
 use crate::common::attempt;
@@ -120,3 +123,43 @@
         .unwrap();
     assert!(oleanderpass_membership::packet::fits_datagram(packet));
 }
+
+/// Guards against a peer that seems to have read what only its earlier lifetime had, which sends
+/// instances that lack it to this peer.
+#[test_case(1_001, 8; "started later")]
+#[test_case(1_000, 8; "started in the same millisecond")]
+#[test_case(998, 8; "started with its clock set back")]
+#[test_case(1_001, 0; "older build, started later")]
+fn peer_that_starts_again_has_read_nothing(incarnation: u64, lifetime: u64) {
+    let mut instance = gateway_named("edge-1", 1);
+    let source = "10.0.1.2:7340".parse().unwrap();
+    let mut hear = |now, incarnation, lifetime, store_revision| {
+        let bulletin = Bulletin {
+            lifetime,
+            store_revision,
+            zone: "hafnir".to_owned(),
+            ..Bulletin::default()
+        };
+        let packet = Packet {
+            from: "edge-2".to_owned(),
+            incarnation,
+            bulletin: Some(Box::new(bulletin)),
+            ..Packet::default()
+        };
+        instance.on_packet(at(now), source, &packet, &mut Vec::new());
+        let peers: Vec<StorePosition> = instance
+            .fleet()
+            .live_peers(at(now))
+            .map(|(_, peer)| peer.store_position)
+            .collect();
+        peers
+    };
+    let earlier = if lifetime == 0 { 0 } else { 7 };
+    assert_eq!(hear(100, 1_000, earlier, 40), [StorePosition::new(0, 40)]);
+    // A later bulletin of the same lifetime is never behind an earlier one.
+    assert_eq!(hear(200, 1_000, earlier, 39), [StorePosition::new(0, 40)]);
+    assert_eq!(
+        hear(300, incarnation, lifetime, 3),
+        [StorePosition::new(0, 3)]
+    );
+}
