--- a/crates/oleanderpass/tests/gateway.rs
+++ b/crates/oleanderpass/tests/gateway.rs
@@ -593,7 +593,7 @@
 /// the engine would take its order for a renewal.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn restarted_gateway_reserves_memory_of_its_own() {
-    let mut gateway = Gateway::start(33).await;
+    let mut gateway = Gateway::start(35).await;
     for engine in &gateway.engines {
         engine.set_stream(20, Duration::from_millis(100));
     }
--- a/crates/oleanderpass/tests/starts.rs
+++ b/crates/oleanderpass/tests/starts.rs
@@ -87,7 +87,7 @@
 #[test_case(25, &[Template(include_str!("templates/gateway-4.yaml"))]; "template 4")]
 #[test_case(26, &[Template(include_str!("templates/gateway-5.yaml"))]; "template 5")]
 #[test_case(27, &[Fill("SeedNodes", "")]; "no seeds")]
-#[test_case(28, &[Fill("SeedNodes", "127.79.1.1:8229,IP:8229")]; "seeds are nobody and the instance")]
+#[test_case(28, &[Fill("SeedNodes", "127.74.1.1:8229,IP:8229")]; "seeds are nobody and the instance")]
 #[test_case(29, &[Fill("Zones|json", "")]; "no regions")]
 #[test_case(30, &[Fill("Bounds.GraceS", ""), Fill("Bounds.RetryBudgetRatio", ""), Fill("Bounds.RetrySlack", ""), Fill("Bounds.HoldMaxMs", ""), Fill("Limits.MemoryMb", ""), Fill("Limits.MaxFds", "")]; "no bounds and limits")]
 #[test_case(36, &[Fill("Bounds.GraceS", "8.0"), Fill("Bounds.HoldMaxMs", "20000.5"), Fill("Bounds.EvacuateMs", "5000.0")]; "bounds as fractions")]
--- a/crates/oleanderpass/tests/starts/driver.rs
+++ b/crates/oleanderpass/tests/starts/driver.rs
@@ -99,7 +99,7 @@
 impl Start {
     /// Start a process. `number` is the last byte of its IP address.
     pub(crate) async fn new(number: u8, changes: &[Change]) -> Self {
-        let ip = IpAddr::V4(Ipv4Addr::new(127, 79, 0, number));
+        let ip = IpAddr::V4(Ipv4Addr::new(127, 74, 0, number));
         let dir = tempfile::tempdir().unwrap();
         let mut template = include_str!("../../../../deploy/gateway.yaml");
         let mut fields: Vec<(&str, String)> = Vec::new();
