Watch the repository of the checkout that is built

Cause: the build script watches the files of git by their absolute paths, which are those of the first clone, so nothing had changed for cargo.

Change: the paths are relative to the package. A build folder that is newer than the clone that it is copied to still keeps its commit, because cargo compares times; the version of the release differs in any case.

--- a/crates/oleanderpass/build.rs
+++ b/crates/oleanderpass/build.rs
@@ -18,8 +18,9 @@
 /// Return the commit that is checked out. The files are read without git, which a machine that only
 /// builds may lack.
 fn commit() -> Option<String> {
-    let package = PathBuf::from(env::var_os("CARGO_MANIFEST_DIR")?);
-    let git = package.ancestors().nth(2)?.join(".git");
+    // The path is relative to the package, so that a build folder that was moved to another checkout
+    // watches the files of that one.
+    let git = PathBuf::from("../../.git");
     // A worktree has a file that names its directory.
     let git = match git.is_file() {
         true => PathBuf::from(read(&git)?.strip_prefix("gitdir: ")?),
