--- a/crates/oleanderpass_gateway/tests/admission.rs
+++ b/crates/oleanderpass_gateway/tests/admission.rs
@@ -56,6 +56,7 @@
 #[test_case(900, 1_000, 1_500, Now; "it has waited")]
 #[test_case(901, 1_000, 1_100, Later(at(1_040)); "it has not waited long enough")]
 #[test_case(100, 1_000, 1_700, Now; "it will be late and little prefill is pending")]
+#[test_case(101, 1_000, 1_700, Later(at(1_040)); "it will be late and others may be on time")]
 #[test_case(300, 1_000, 1_700, Later(at(1_040)); "it will be late after a short wait")]
 fn long_prompt_waits_for_its_engines(
     backlog: u64,
--- a/crates/oleanderpass_gateway/tests/gateway.rs
+++ b/crates/oleanderpass_gateway/tests/gateway.rs
@@ -644,7 +644,7 @@
     assert!(matches!(next, Next::Wait(_)), "{next:?}");
     let keys: Vec<BackendKey> = gateway.registry().iter().map(|(key, _)| key).collect();
     for key in keys {
-        gateway.on_pass(at(20), key, 5.0 * 44.0);
+        gateway.on_pass(at(20), key, 4.0 * 44.0);
     }
     let next = gateway.next(at(50), &mut waiting);
     let Next::End {
