Show that the rest of a body is cut after an early answer

Cause: a connection whose request is still being sent goes back to the pool with the answer, and the next request to the server drops it.

--- a/review/stand_ins_3/main.rs
+++ b/review/stand_ins_3/main.rs
@@ -1,5 +1,6 @@
 //! Run one case of the review: `CASE FOLDER`. Without the disruption if `TROUBLE=0`.
 
+mod cut_bodies;
 mod early_answers;
 mod kit;
 mod missed_removal;
@@ -18,6 +19,7 @@
     std::fs::create_dir_all(&temp).expect("a temporary folder");
     let folder = Path::new(folder);
     let result = match case.as_str() {
+        "cut-bodies" => cut_bodies::run(folder, &temp, trouble),
         "early-answers" => early_answers::run(folder, &temp, trouble),
         "missed-removal" => missed_removal::run(folder, &temp, trouble),
         _ => Ok(2),
