--- a/review/stand_ins_3/cut_bodies.rs
+++ b/review/stand_ins_3/cut_bodies.rs
@@ -60,7 +60,10 @@
         let addr = listener.local_addr()?;
         let id = format!("i-bokhald-{index}");
         let zone = ["keflavik", "grindavik", "hafnir"][index];
-        store.put(&format!("servers/{id}"), Some(&kit::entry("bokhald", addr, zone, 6, 1_000)));
+        store.put(
+            &format!("servers/{id}"),
+            Some(&kit::entry("bokhald", addr, zone, 6, 1_000)),
+        );
         let (runs, record) = (runs.clone(), record.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -70,9 +73,14 @@
         });
     }
     let routes = [kit::route("look", "idempotent", "bokhald", 5_000, 2_000, 2)];
-    store.put("op/config", Some(&kit::configuration(7, &routes, &[kit::KEY])));
+    store.put(
+        "op/config",
+        Some(&kit::configuration(7, &routes, &[kit::KEY])),
+    );
     let ports = Ports::choose(&ips);
-    let gateway = Gateway::start(temp, "edge-1", "keflavik", ips[0], ports, &ips, path.addr, 260)?;
+    let gateway = Gateway::start(
+        temp, "edge-1", "keflavik", ips[0], ports, &ips, path.addr, 260,
+    )?;
     if !gateway.wait_until_ready(Duration::from_secs(15)) {
         record.line("the instance is not ready");
         return Ok(2);
@@ -89,7 +97,9 @@
     // The last bodies are read to their end.
     thread::sleep(Duration::from_secs(8));
     let runs = runs.lock().expect("runs");
-    let cut = runs.iter().filter(|run| run.received < LONG_BODY && answered.contains(&run.request));
+    let cut = runs
+        .iter()
+        .filter(|run| run.received < LONG_BODY && answered.contains(&run.request));
     let cut = cut.count();
     let altered = runs.iter().filter(|run| !run.intact).count();
     record.line(&format!(
@@ -109,7 +119,13 @@
 
 /// Send requests until the end of the run, each on a new connection. Return the ids of those that got
 /// a whole answer with success.
-fn repeat(addr: SocketAddr, name: &str, period: Duration, body: &[u8], record: &Record) -> Vec<String> {
+fn repeat(
+    addr: SocketAddr,
+    name: &str,
+    period: Duration,
+    body: &[u8],
+    record: &Record,
+) -> Vec<String> {
     let began = Instant::now();
     let mut answered = Vec::new();
     let mut number = 0;
@@ -167,7 +183,10 @@
             intact &= (0..count).all(|at| buf[at] == byte_at(received + at));
             received += count;
         }
-        record.quiet(&format!("{id} got {received} of {} bytes of {request}", head.len()));
+        record.quiet(&format!(
+            "{id} got {received} of {} bytes of {request}",
+            head.len()
+        ));
         runs.lock().expect("runs").push(Run {
             request,
             received,
--- a/review/stand_ins_3/early_answers.rs
+++ b/review/stand_ins_3/early_answers.rs
@@ -67,10 +67,17 @@
         let listener = TcpListener::bind((local(20), 0))?;
         kit::set_receiving(&listener, RECEIVE_BUFFER, SEGMENT_BYTES)?;
         let addr = listener.local_addr()?;
-        let (service, slots) = if index < 14 { ("skald", 16) } else { ("bokhald", 6) };
+        let (service, slots) = if index < 14 {
+            ("skald", 16)
+        } else {
+            ("bokhald", 6)
+        };
         let id = format!("i-{service}-{index}");
         let zone = ["keflavik", "grindavik", "hafnir"][index % 3];
-        store.put(&format!("servers/{id}"), Some(&kit::entry(service, addr, zone, slots, 1_000)));
+        store.put(
+            &format!("servers/{id}"),
+            Some(&kit::entry(service, addr, zone, slots, 1_000)),
+        );
         let (counts, record) = (counts.clone(), record.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -83,13 +90,18 @@
         kit::route("charge", "non_idempotent", "bokhald", 5_000, 300, 1),
         kit::route("archive", "streaming", "skald", 15_000, 3_000, 2),
     ];
-    store.put("op/config", Some(&kit::configuration(7, &routes, &[kit::KEY])));
+    store.put(
+        "op/config",
+        Some(&kit::configuration(7, &routes, &[kit::KEY])),
+    );
     let ports = Ports::choose(&ips);
     let mut gateways = Vec::new();
     for (index, ip) in ips.iter().enumerate() {
         let name = format!("edge-{}", index + 1);
         let zone = ["keflavik", "grindavik"][index];
-        gateways.push(Gateway::start(temp, &name, zone, *ip, ports, &ips, path.addr, MEMORY_MB)?);
+        gateways.push(Gateway::start(
+            temp, &name, zone, *ip, ports, &ips, path.addr, MEMORY_MB,
+        )?);
     }
     for gateway in &gateways {
         if !gateway.wait_until_ready(Duration::from_secs(15)) {
@@ -104,7 +116,9 @@
         for caller in 0..CALLERS {
             let (addr, stop, counts) = (gateway.callers(), stop.clone(), counts.clone());
             let record = record.clone();
-            callers.push(thread::spawn(move || call(addr, caller, &stop, &counts, &record)));
+            callers.push(thread::spawn(move || {
+                call(addr, caller, &stop, &counts, &record)
+            }));
         }
     }
     let mut ends = vec![0_u64; gateways.len()];
@@ -145,7 +159,11 @@
 /// Send requests with long bodies, each on a new connection, and wait for each answer.
 fn call(addr: SocketAddr, caller: usize, stop: &AtomicBool, counts: &Counts, record: &Record) {
     let body = vec![b'x'; BODY_BYTES];
-    let path = if caller % 4 != 0 { "/charge/1" } else { "/archive/1" };
+    let path = if caller % 4 != 0 {
+        "/charge/1"
+    } else {
+        "/archive/1"
+    };
     let mut number = 0;
     while !stop.load(Ordering::Relaxed) {
         number += 1;
@@ -169,7 +187,9 @@
     stream.set_write_timeout(Some(Duration::from_secs(6)))?;
     let mut writer = stream.try_clone()?;
     let tokens = match path {
-        "/archive/1" => "Model: m\r\nToken-Count: 133000,600\r\nPrefix-Hash: 5c1e07a2:40,91bd3f06:132960\r\n",
+        "/archive/1" => {
+            "Model: m\r\nToken-Count: 133000,600\r\nPrefix-Hash: 5c1e07a2:40,91bd3f06:132960\r\n"
+        }
         _ => "",
     };
     write!(
@@ -200,7 +220,13 @@
 }
 
 /// Serve the requests of one connection.
-fn serve(stream: TcpStream, id: &str, early: bool, counts: &Counts, record: &Record) -> io::Result<()> {
+fn serve(
+    stream: TcpStream,
+    id: &str,
+    early: bool,
+    counts: &Counts,
+    record: &Record,
+) -> io::Result<()> {
     let mut writer = stream.try_clone()?;
     writer.set_nodelay(true)?;
     let mut reader = BufReader::with_capacity(64 * 1024, stream);
--- a/review/stand_ins_3/kit.rs
+++ b/review/stand_ins_3/kit.rs
@@ -298,7 +298,9 @@
     let bytes = text.as_bytes();
     let mut at = 0;
     while at < bytes.len() {
-        let hex = (bytes[at] == b'%').then(|| text.get(at + 1..at + 3)).flatten();
+        let hex = (bytes[at] == b'%')
+            .then(|| text.get(at + 1..at + 3))
+            .flatten();
         match hex.and_then(|hex| u8::from_str_radix(hex, 16).ok()) {
             Some(byte) => {
                 out.push(byte);
@@ -323,7 +325,9 @@
             << (8 * (3 - part.len()));
         for index in 0..4 {
             if index <= part.len() {
-                out.push(char::from(ALPHABET[(word >> (18 - 6 * index)) as usize & 63]));
+                out.push(char::from(
+                    ALPHABET[(word >> (18 - 6 * index)) as usize & 63],
+                ));
             } else {
                 out.push('=');
             }
@@ -398,7 +402,11 @@
              retry_ratio: 0.2\nretry_slack: 102\nreservation_max_ms: 20000\n\
              memory_mb: {memory_mb}\nmax_fds: 4100\n\
              zone_regions: {{\"keflavik\":\"reykjanes\",\"grindavik\":\"reykjanes\",\"hafnir\":\"reykjanes\"}}\n",
-            ports.callers, ports.ready, ports.metrics, ports.peers, seeds.join(","),
+            ports.callers,
+            ports.ready,
+            ports.metrics,
+            ports.peers,
+            seeds.join(","),
         );
         let settings = dir.join(format!("{name}.yaml"));
         fs::write(&settings, text)?;
@@ -483,7 +491,10 @@
     let stream = TcpStream::connect_timeout(&addr, Duration::from_secs(1))?;
     stream.set_read_timeout(Some(Duration::from_secs(2)))?;
     let mut writer = stream.try_clone()?;
-    write!(writer, "GET {path} HTTP/1.1\r\nHost: {addr}\r\nConnection: close\r\n\r\n")?;
+    write!(
+        writer,
+        "GET {path} HTTP/1.1\r\nHost: {addr}\r\nConnection: close\r\n\r\n"
+    )?;
     let mut reader = BufReader::new(stream);
     let head = read_head(&mut reader)?.ok_or(io::ErrorKind::UnexpectedEof)?;
     let (body, _) = read_body(&mut reader, &head)?;
@@ -500,7 +511,14 @@
 }
 
 /// Return a route of the configuration.
-pub fn route(name: &str, kind: &str, service: &str, timeout: u64, slo: u64, attempts: u32) -> String {
+pub fn route(
+    name: &str,
+    kind: &str,
+    service: &str,
+    timeout: u64,
+    slo: u64,
+    attempts: u32,
+) -> String {
     let stream = kind == "streaming";
     format!(
         "{{\"Name\":\"r-{name}\",\"Host\":\"{HOST}\",\"Prefix\":\"/{name}/\",\"Kind\":\"{kind}\",\
@@ -540,7 +558,10 @@
     const SO_RCVBUF: i32 = 8;
     const IPPROTO_TCP: i32 = 6;
     const TCP_MAXSEG: i32 = 2;
-    for (level, name, value) in [(SOL_SOCKET, SO_RCVBUF, buffer), (IPPROTO_TCP, TCP_MAXSEG, segment)] {
+    for (level, name, value) in [
+        (SOL_SOCKET, SO_RCVBUF, buffer),
+        (IPPROTO_TCP, TCP_MAXSEG, segment),
+    ] {
         // SAFETY: the descriptor is open, and the value is an `int` of the given length.
         let result = unsafe { setsockopt(listener.as_raw_fd(), level, name, &value, 4) };
         if result != 0 {
--- a/review/stand_ins_3/missed_removal.rs
+++ b/review/stand_ins_3/missed_removal.rs
@@ -54,7 +54,10 @@
         let addr = listener.local_addr()?;
         let id = format!("i-bokhald-{index}");
         let zone = ["keflavik", "grindavik", "hafnir"][index];
-        store.put(&format!("servers/{id}"), Some(&kit::entry("bokhald", addr, zone, 6, 1_000)));
+        store.put(
+            &format!("servers/{id}"),
+            Some(&kit::entry("bokhald", addr, zone, 6, 1_000)),
+        );
         let server = Arc::new(Server {
             id,
             exited: AtomicBool::new(false),
@@ -69,12 +72,28 @@
             }
         });
     }
-    let routes = [kit::route("charge", "non_idempotent", "bokhald", 800, 300, 1)];
-    store.put("op/config", Some(&kit::configuration(7, &routes, &[kit::KEY])));
+    let routes = [kit::route(
+        "charge",
+        "non_idempotent",
+        "bokhald",
+        800,
+        300,
+        1,
+    )];
+    store.put(
+        "op/config",
+        Some(&kit::configuration(7, &routes, &[kit::KEY])),
+    );
     // The 7 instances of the sheet.
     let ips: Vec<IpAddr> = (1..=7).map(local).collect();
     let zones = [
-        "keflavik", "keflavik", "keflavik", "grindavik", "grindavik", "hafnir", "hafnir",
+        "keflavik",
+        "keflavik",
+        "keflavik",
+        "grindavik",
+        "grindavik",
+        "hafnir",
+        "hafnir",
     ];
     let ports = Ports::choose(&ips);
     let seeds = [ips[0], ips[3], ips[5]];
@@ -83,7 +102,16 @@
     for (index, ip) in ips.iter().enumerate() {
         let path = store.listen(local(10))?;
         let name = format!("edge-{}-{}", zones[index], index + 1);
-        gateways.push(Gateway::start(temp, &name, zones[index], *ip, ports, &seeds, path.addr, 260)?);
+        gateways.push(Gateway::start(
+            temp,
+            &name,
+            zones[index],
+            *ip,
+            ports,
+            &seeds,
+            path.addr,
+            260,
+        )?);
         paths.push(path);
     }
     for gateway in &gateways {
@@ -94,19 +122,29 @@
     }
     thread::sleep(Duration::from_secs(4));
     // Two instances of each zone read the store; the third one of keflavik takes their copies.
-    let follows = |gateway: &Gateway| gateway.log_text().contains("peers read the store for this instance");
+    let follows = |gateway: &Gateway| {
+        gateway
+            .log_text()
+            .contains("peers read the store for this instance")
+    };
     let Some(chosen) = (0..KEFLAVIK).find(|index| follows(&gateways[*index])) else {
         record.line("no instance takes copies of the others");
         return Ok(2);
     };
     let addr = gateways[chosen].callers();
-    record.line(&format!("{} takes copies of the others; disruption: {trouble}", gateways[chosen].name));
+    record.line(&format!(
+        "{} takes copies of the others; disruption: {trouble}",
+        gateways[chosen].name
+    ));
     for number in 0..12 {
         call(addr, &format!("before-{number}"), &record);
     }
     if trouble {
         paths[chosen].set_cut(true);
-        record.line(&format!("{} is partitioned from the store", gateways[chosen].name));
+        record.line(&format!(
+            "{} is partitioned from the store",
+            gateways[chosen].name
+        ));
         for (index, gateway) in gateways.iter_mut().enumerate() {
             if index != chosen {
                 gateway.kill();
@@ -118,7 +156,9 @@
     thread::sleep(Duration::from_millis(300));
     store.put(&format!("servers/{LEAVING}"), None);
     let removed = Instant::now();
-    record.line(&format!("the store acknowledges the removal of servers/{LEAVING}; it serves on"));
+    record.line(&format!(
+        "the store acknowledges the removal of servers/{LEAVING}; it serves on"
+    ));
     thread::sleep(Duration::from_millis(300));
     if trouble {
         for (index, gateway) in gateways.iter_mut().enumerate() {
@@ -144,18 +184,27 @@
     let mut callers = Vec::new();
     for number in 0..8 {
         let record = record.clone();
-        callers.push(thread::spawn(move || call(addr, &format!("last-{number}"), &record)));
+        callers.push(thread::spawn(move || {
+            call(addr, &format!("last-{number}"), &record)
+        }));
     }
     thread::sleep(WORK / 2);
-    thread::sleep(LINGER.saturating_sub(removed.elapsed()).min(Duration::from_millis(20)));
+    thread::sleep(
+        LINGER
+            .saturating_sub(removed.elapsed())
+            .min(Duration::from_millis(20)),
+    );
     servers[0].exited.store(true, Ordering::SeqCst);
-    record.line(&format!("{LEAVING} exits {} ms after the removal", removed.elapsed().as_millis()));
+    record.line(&format!(
+        "{LEAVING} exits {} ms after the removal",
+        removed.elapsed().as_millis()
+    ));
     let lost = callers.into_iter().map(|caller| caller.join().unwrap_or(0));
     let lost = lost.filter(|status| *status != 200).count();
     let runs = servers[0].runs.lock().expect("runs");
-    let late = runs.iter().filter(|(id, at)| {
-        id.starts_with("la") && at.saturating_duration_since(removed) > DRAIN
-    });
+    let late = runs
+        .iter()
+        .filter(|(id, at)| id.starts_with("la") && at.saturating_duration_since(removed) > DRAIN);
     let late = late.count();
     record.line(&format!(
         "requests at {LEAVING} more than {} ms after its removal: {late} of {}; requests lost at its exit: {lost}",
@@ -189,7 +238,11 @@
             continue;
         }
         record.quiet(&format!("{} runs {request}", server.id));
-        server.runs.lock().expect("runs").push((request.clone(), arrived));
+        server
+            .runs
+            .lock()
+            .expect("runs")
+            .push((request.clone(), arrived));
         thread::sleep(WORK);
         if server.exited.load(Ordering::SeqCst) {
             record.quiet(&format!("{} exits while it runs {request}", server.id));
